--- /dev/null
+++ b/box/run.go
@@ -0,0 +1,157 @@
+package box
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+
+	"github.com/sprucecrank/sprucecrank/peer"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 64 << 10
+	tickEvery         = 10 * time.Millisecond
+	reconcileEvery    = 500 * time.Millisecond
+	handOverEvery     = 5 * time.Second
+	flushWithin       = 5 * time.Second
+)
+
+// Run serves until ctx ends or Stop is called. Then the box is drained: it goes
+// on accepting for the lag of the platform's balancer, gives its home duties
+// back, ends its requests, and stops.
+func (b *Box) Run(ctx context.Context) error {
+	ctx, b.stop = context.WithCancel(ctx)
+	defer b.stop()
+	server, err := peer.NewServer(b.handlers())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	// The duties outlive ctx: a draining box still needs them.
+	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer endDuties()
+	clients := b.clientServer()
+	admin := b.adminServer()
+
+	var group run.Group
+	for _, duty := range b.duties() {
+		dutyCtx, end := context.WithCancel(duties)
+		group.Add(func() error { return untilEnded(dutyCtx, duty) }, func(error) { end() })
+	}
+	group.Add(func() error { return server.Serve(b.listeners.peers) }, func(error) {
+		_ = b.listeners.peers.Close()
+		server.Close()
+	})
+	group.Add(func() error { return b.serveAdmin(admin) }, func(error) { _ = admin.Close() })
+	group.Add(func() error { return clients.Serve(b.listeners.clients) }, func(error) { _ = clients.Close() })
+	group.Add(func() error { return b.drainAfter(ctx, clients) }, func(error) { b.stop() })
+	b.log.Info("box started", "clients", b.ClientAddress(), "peers", b.PeerAddress(), "admin", b.AdminAddress())
+	err = group.Run()
+	b.members.Close()
+	b.entry.Close()
+	_ = b.telemetry.Shutdown(context.WithoutCancel(ctx))
+	if errors.Is(err, errStopped) {
+		b.log.Info("box stopped")
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// errStopped ends the group after a planned stop.
+var errStopped = errors.New("the box was stopped")
+
+// Stop begins a planned stop, as a signal does.
+func (b *Box) Stop() {
+	if b.stop != nil {
+		b.stop()
+	}
+}
+
+type duty func(context.Context) error
+
+// untilEnded keeps an actor of the group alive when its duty is done early.
+func untilEnded(ctx context.Context, d duty) error {
+	if err := d(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (b *Box) duties() []duty {
+	return []duty{
+		b.follower.Starter, b.follower.Watcher, b.follower.Exchanger, b.follower.Lister,
+		b.broker.Returner, b.runner.Recorder, b.prober.Run,
+		every(tickEvery, func() { b.home.Tick(b.settings.ID) }),
+		every(reconcileEvery, b.broker.ReconcileAll),
+		every(handOverEvery, b.handOver),
+	}
+}
+
+// every makes a duty that calls f regularly.
+func every(period time.Duration, f func()) duty {
+	return func(ctx context.Context) error {
+		ticker := time.NewTicker(period)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				f()
+			}
+		}
+	}
+}
+
+// handOver gives this box's measuring budget to the homes, which know what is
+// worth measuring.
+func (b *Box) handOver() {
+	for _, s := range b.routes.Load().Services() {
+		if !b.isHome(s) {
+			b.broker.HandOver(s, b.prober.Take(s))
+		}
+	}
+}
+
+// drainAfter waits for the stop and then drains the box.
+func (b *Box) drainAfter(ctx context.Context, clients *http.Server) error {
+	<-ctx.Done()
+	ctx = context.WithoutCancel(ctx)
+	b.log.Info("draining", "lag_ms", b.settings.DrainLagMS)
+	b.draining.Store(true)
+	b.members.SetLeaving()
+	b.home.Close(b.settings.ID)
+	time.Sleep(time.Duration(b.settings.DrainLagMS) * time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(b.settings.StopWithinMS)*time.Millisecond)
+	defer cancel()
+	if err := clients.Shutdown(ctx); err != nil {
+		b.log.Error("requests were still in flight when the time for stopping ran out", "error", err)
+	}
+	b.finish(ctx)
+	return errStopped
+}
+
+// finish waits for what goes on without a client: operations whose client hung
+// up, and slots on their way back.
+func (b *Box) finish(ctx context.Context) {
+	b.runner.Wait(ctx, flushWithin)
+	b.broker.Flush(ctx)
+}
+
+// clientHandler serves the data path.
+func (b *Box) clientHandler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.Any("/*", func(c echo.Context) error {
+		b.entry.ServeHTTP(c.Response(), c.Request())
+		return nil
+	})
+	return e
+}
--- /dev/null
+++ b/cmd/sprucecrank-box/main.go
@@ -0,0 +1,12 @@
+// Command sprucecrank-box is the daemon of an entry box.
+package main
+
+import (
+	"os"
+
+	"github.com/sprucecrank/sprucecrank/internal/daemon"
+)
+
+func main() {
+	os.Exit(daemon.Main(os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/core/accepted/accepted.go
@@ -0,0 +1,124 @@
+// Package accepted holds the configuration that is in force on a box. The
+// greatest version of each object that was ever seen stays in force, whatever
+// a watch, a list or a peer says later. A deleted object leaves a tombstone
+// with a version of its own, so that deleting and creating anew is no way back.
+//
+// # Usage
+//
+//	book := accepted.New()
+//	if book.Offer(now, accepted.Entry{Key: "services/preview", Version: 7, Value: raw}) {
+//		// version 7 is newly in force
+//	}
+package accepted
+
+import (
+	"cmp"
+	"encoding/binary"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Entry is one object at one version.
+type Entry struct {
+	Key     string          `json:"key"`
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value"`
+	// Since is when the box put this version in force.
+	Since time.Time `json:"since"`
+}
+
+// Book holds the entries of a box. It is safe for concurrent use.
+type Book struct {
+	mu      sync.RWMutex
+	entries map[string]Entry
+	digest  uint64
+}
+
+// New makes an empty book.
+func New() *Book { return &Book{entries: map[string]Entry{}} }
+
+// Offer puts e in force if its version is greater than any seen for its key,
+// and reports whether it did.
+func (b *Book) Offer(now time.Time, e Entry) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	have, ok := b.entries[e.Key]
+	if e.Version <= have.Version {
+		return false
+	}
+	e.Since = now
+	b.entries[e.Key] = e
+	if ok {
+		b.digest ^= mark(have)
+	}
+	b.digest ^= mark(e)
+	return true
+}
+
+// mark hashes a key with its version; the digest is the sum of all marks.
+func mark(e Entry) uint64 {
+	raw := binary.BigEndian.AppendUint64([]byte(e.Key), e.Version)
+	return xxhash.Sum64(raw)
+}
+
+// Digest is equal on two boxes that hold the same versions.
+func (b *Book) Digest() uint64 {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.digest
+}
+
+// Len is how many objects the book holds, tombstones among them.
+func (b *Book) Len() int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return len(b.entries)
+}
+
+// Get finds the entry of a key.
+func (b *Book) Get(key string) (Entry, bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	e, ok := b.entries[key]
+	return e, ok
+}
+
+// All lists the entries by key.
+func (b *Book) All() []Entry {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	out := make([]Entry, 0, len(b.entries))
+	for _, e := range b.entries {
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(x, y Entry) int { return cmp.Compare(x.Key, y.Key) })
+	return out
+}
+
+// Versions lists the version of each key.
+func (b *Book) Versions() map[string]uint64 {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	out := make(map[string]uint64, len(b.entries))
+	for key, e := range b.entries {
+		out[key] = e.Version
+	}
+	return out
+}
+
+// NewerThan lists the entries that are greater than the versions given.
+func (b *Book) NewerThan(versions map[string]uint64) []Entry {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var out []Entry
+	for key, e := range b.entries {
+		if e.Version > versions[key] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/health/health.go
@@ -0,0 +1,137 @@
+// Package health judges one target from the durations and outcomes of its
+// requests. It reads no clock and does no I/O: time comes in as an argument.
+//
+// A cold target ramps up from one slot. A quick failure never counts as a quick
+// answer. Failures in a row set the target aside for a growing time, after
+// which one trial request decides. A target that is much slower than usual is
+// suspect and is trusted with one slot.
+//
+// # Usage
+//
+//	tracker := health.New(3)
+//	tracker.Observe(now, health.OK, 40*time.Millisecond, 50*time.Millisecond)
+//	free := tracker.Limit(now) - promised
+package health
+
+import "time"
+
+// Result is how a request at a target ended.
+type Result string
+
+// The results that a box reports with a returned slot.
+const (
+	// OK is a whole answer.
+	OK Result = "ok"
+	// Failed is an answer that says that the target failed, or a cut one.
+	Failed Result = "failed"
+	// Shed is a target's own refusal for load.
+	Shed Result = "shed"
+	// Unreachable is a failure to connect.
+	Unreachable Result = "unreachable"
+	// Cancelled is a request that the box gave up; it says little of the target.
+	Cancelled Result = "cancelled"
+	// Unused is a slot that was returned without a request.
+	Unused Result = "unused"
+)
+
+const (
+	failuresInRow   = 3
+	firstAside      = 100 * time.Millisecond
+	longestAside    = 5 * time.Second
+	shedPause       = 20 * time.Millisecond
+	smoothing       = 0.3
+	suspectRatio    = 4.0
+	suspectForgives = 500 * time.Millisecond
+)
+
+// Tracker holds what is known of one target.
+type Tracker struct {
+	slots      int
+	ramp       int // slots trusted so far; grows with each whole answer
+	failures   int // in a row
+	asideUntil time.Time
+	asideFor   time.Duration
+	shedUntil  time.Time
+	ratio      float64 // smoothed duration over the usual duration
+	slowAt     time.Time
+}
+
+// New makes the tracker of a cold target.
+func New(slots int) *Tracker { return &Tracker{slots: slots, ramp: 1, ratio: 1} }
+
+// SetSlots changes how many slots the target has.
+func (t *Tracker) SetSlots(slots int) { t.slots = slots }
+
+// Restart forgets everything: the target has begun anew and is cold.
+func (t *Tracker) Restart() { *t = *New(t.slots) }
+
+// Observe takes in the end of a request that took took, where usual is the
+// usual duration of its kind.
+func (t *Tracker) Observe(now time.Time, r Result, took, usual time.Duration) {
+	switch r {
+	case OK:
+		t.succeed(now, took, usual)
+	case Failed, Unreachable:
+		t.fail(now, r)
+	case Shed:
+		t.shedUntil = now.Add(shedPause)
+	case Cancelled:
+		if usual > 0 && took > usual {
+			t.smooth(now, took, usual)
+		}
+	}
+}
+
+func (t *Tracker) succeed(now time.Time, took, usual time.Duration) {
+	t.failures = 0
+	t.asideFor = 0
+	t.asideUntil = time.Time{}
+	t.ramp = min(t.ramp+1, t.slots)
+	t.smooth(now, took, usual)
+}
+
+func (t *Tracker) smooth(now time.Time, took, usual time.Duration) {
+	if usual <= 0 {
+		return
+	}
+	t.ratio += smoothing * (float64(took)/float64(usual) - t.ratio)
+	if t.ratio > suspectRatio {
+		t.slowAt = now
+	}
+}
+
+func (t *Tracker) fail(now time.Time, r Result) {
+	t.failures++
+	if r != Unreachable && t.failures < failuresInRow {
+		return
+	}
+	t.asideFor = min(max(2*t.asideFor, firstAside), longestAside)
+	t.asideUntil = now.Add(t.asideFor)
+	t.ramp = 1
+}
+
+// Aside says whether the target is set aside now.
+func (t *Tracker) Aside(now time.Time) bool { return now.Before(t.asideUntil) }
+
+// AsideUntil is when the target may be tried again; zero when not set aside.
+func (t *Tracker) AsideUntil() time.Time { return t.asideUntil }
+
+// Suspect says whether the target has lately been much slower than usual.
+func (t *Tracker) Suspect(now time.Time) bool {
+	return t.ratio > suspectRatio && now.Sub(t.slowAt) < suspectForgives
+}
+
+// Ratio is the smoothed duration over the usual one; 1 is usual.
+func (t *Tracker) Ratio() float64 { return t.ratio }
+
+// Limit is how many requests the target may be trusted with now.
+func (t *Tracker) Limit(now time.Time) int {
+	switch {
+	case t.Aside(now), now.Before(t.shedUntil):
+		return 0
+	case t.failures >= failuresInRow, t.Suspect(now):
+		return 1
+	default:
+		return min(t.ramp, t.slots)
+	}
+}
--- /dev/null
+++ b/core/ledger/choose.go
@@ -0,0 +1,129 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// hallPenalty is what another hall costs, as a share of a full target.
+	hallPenalty = 0.1
+	// slowPenalty weighs how much slower than usual a target has been.
+	slowPenalty = 0.2
+	// overdueRatio is how many usual durations make a running request overdue.
+	overdueRatio = 4
+	// overdueLeast keeps jitter of short kinds from counting as overdue.
+	overdueLeast = 20 * time.Millisecond
+	// asideShare is the greatest part of a service that is set aside.
+	asideShare = 3
+)
+
+// choose finds the best target with a free slot, or nil.
+func (l *Ledger) choose(now time.Time, a Ask) *target {
+	trust := l.trust(now)
+	var best *target
+	var bestScore float64
+	for _, address := range l.order {
+		t := l.targets[address]
+		if t.leaving || slices.Contains(a.Avoid, address) {
+			continue
+		}
+		limit := t.limit(now, trust)
+		if len(t.promised) >= limit {
+			continue
+		}
+		score := l.score(now, t, a)
+		if best == nil || score < bestScore {
+			best, bestScore = t, score
+		}
+	}
+	return best
+}
+
+// score is low for a good target: how full it is, how slow, how far.
+func (l *Ledger) score(now time.Time, t *target, a Ask) float64 {
+	s := float64(len(t.promised)) / float64(t.Slots)
+	s += slowPenalty * max(t.tracker.Ratio()-1, 0)
+	if a.Hall != t.Hall {
+		s += hallPenalty
+	}
+	if t.overdue(now) {
+		s += 2
+	}
+	return s + 0.01*l.options.Random()
+}
+
+// trust says how far the signals of health are believed.
+type trust struct {
+	// none spreads the load over all targets: most of them look bad.
+	none bool
+	// asideAfter is the first end of a set-aside time that is honoured, so that
+	// at most a third of the service is set aside; the others get one slot.
+	asideAfter time.Time
+}
+
+// trust weighs the signals of all targets against each other.
+func (l *Ledger) trust(now time.Time) trust {
+	bad, present := 0, 0
+	var aside []time.Time
+	for _, t := range l.targets {
+		if t.leaving {
+			continue
+		}
+		present++
+		switch {
+		case t.tracker.Aside(now):
+			bad++
+			aside = append(aside, t.tracker.AsideUntil())
+		case t.tracker.Suspect(now):
+			bad++
+		}
+	}
+	allowed := max(present/asideShare, 1)
+	if bad > 1 && bad*2 > present {
+		return trust{none: true}
+	}
+	if len(aside) <= allowed {
+		return trust{}
+	}
+	slices.SortFunc(aside, func(a, b time.Time) int { return b.Compare(a) })
+	return trust{asideAfter: aside[allowed-1]}
+}
+
+// limit is how many requests the target may hold.
+func (t *target) limit(now time.Time, trust trust) int {
+	if trust.none {
+		return t.Slots
+	}
+	if t.tracker.Aside(now) && t.tracker.AsideUntil().Before(trust.asideAfter) {
+		return 1
+	}
+	limit := t.tracker.Limit(now)
+	if t.overdue(now) {
+		return min(limit, 1)
+	}
+	return limit
+}
+
+// overdue says whether a request has been at the target for much longer than
+// usual: the first sign of a target that has slowed down or stopped.
+func (t *target) overdue(now time.Time) bool {
+	for _, g := range t.promised {
+		if now.Sub(g.at) > max(overdueRatio*g.usual, overdueLeast) {
+			return true
+		}
+	}
+	return false
+}
+
+// capacity is how many requests the targets may hold together.
+func (l *Ledger) capacity(now time.Time) int {
+	trust := l.trust(now)
+	n := 0
+	for _, t := range l.targets {
+		if !t.leaving {
+			n += t.limit(now, trust)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/ledger/ledger.go
@@ -0,0 +1,370 @@
+// Package ledger is the core of the home box of a service: it counts what every
+// target has been promised, queues what must wait, and refuses early what would
+// come too late. It reads no clock, does no I/O and takes no lock.
+//
+// A promise counts from the moment it is made until the slot is returned or the
+// box that holds it has vanished. Two ledgers of one service may exist at once;
+// then targets are promised more than they have for a moment and shed.
+//
+// # Usage
+//
+//	l := ledger.New(ledger.Options{MaxQueue: 2000, Random: rand.Float64})
+//	l.SetTargets(targets)
+//	d := l.Ask(now, ask)            // granted, queued or refused
+//	l.Return(now, grantID, outcome) // may free a slot for a queued ask
+//	for _, answer := range l.Answers() { ... }
+package ledger
+
+import (
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/health"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+// Target is one back end as the service's definition gives it.
+type Target struct {
+	Address string
+	Hall    string
+	Slots   int
+}
+
+// Ask is a request for a slot.
+type Ask struct {
+	// ID is unique among all asks of all boxes; it names the grant, too.
+	ID   string
+	Box  string
+	Hall string
+	Kind string
+	// Weight orders the queue: a greater weight goes first.
+	Weight int
+	// Deadline is when the answer is no longer of use.
+	Deadline time.Time
+	// LongestWait bounds the time in the queue.
+	LongestWait time.Duration
+	// Usual is the kind's service time to expect before any was measured.
+	Usual time.Duration
+	// Avoid lists targets that the request has tried.
+	Avoid []string
+	// SpareOnly asks for a free slot or none, as hedges do.
+	SpareOnly bool
+}
+
+// State is the answer to an ask.
+type State string
+
+// The answers to an ask.
+const (
+	Granted State = "granted"
+	Queued  State = "queued"
+	Refused State = "refused"
+)
+
+// Decision answers an ask.
+type Decision struct {
+	State  State
+	Target string
+	// HedgeAfter is the kind's p95 so far; 0 when too little is known.
+	HedgeAfter time.Duration
+	Reason     verdict.Reason
+	RetryAfter time.Duration
+}
+
+// Answer is a late decision for a queued ask.
+type Answer struct {
+	Ask      Ask
+	Decision Decision
+	Waited   time.Duration
+}
+
+// Outcome is what a box reports with a returned slot.
+type Outcome struct {
+	Result health.Result
+	Took   time.Duration
+	// Start is the target's start number, 0 when unknown.
+	Start uint64
+	// Leaving is the target's own word that it takes no new work.
+	Leaving bool
+}
+
+// Held is a promise that a box says it holds.
+type Held struct {
+	ID     string
+	Target string
+	Kind   string
+	// For is how long it has been held.
+	For time.Duration
+}
+
+// Options configure a Ledger.
+type Options struct {
+	MaxQueue int
+	// Random gives numbers in [0, 1) for ties and jitter; tests seed it.
+	Random func() float64
+}
+
+type grant struct {
+	id     string
+	box    string
+	target *target
+	kind   string
+	at     time.Time
+	usual  time.Duration
+	until  time.Time // taken back then, whatever happened
+}
+
+type target struct {
+	Target
+	tracker  *health.Tracker
+	promised map[string]*grant
+	start    uint64 // greatest start number seen
+	leftAt   uint64 // start number that is leaving
+	leaving  bool
+	visited  time.Time
+}
+
+// Ledger is the home's book of one service.
+type Ledger struct {
+	options Options
+	targets map[string]*target
+	order   []string
+	grants  map[string]*grant
+	heard   map[string]time.Time
+	queue   *queue
+	kinds   map[string]*kindTimes
+	mean    float64 // smoothed duration of all kinds, in seconds
+	answers []Answer
+}
+
+// forgotten is how long a grant may outlive its deadline.
+const forgotten = 30 * time.Second
+
+// New makes an empty ledger.
+func New(o Options) *Ledger {
+	return &Ledger{
+		options: o,
+		targets: map[string]*target{},
+		grants:  map[string]*grant{},
+		heard:   map[string]time.Time{},
+		queue:   newQueue(),
+		kinds:   map[string]*kindTimes{},
+	}
+}
+
+// SetTargets takes over the targets of a service definition. What is known of
+// a target that stays is kept.
+func (l *Ledger) SetTargets(now time.Time, targets []Target) {
+	next := make(map[string]*target, len(targets))
+	l.order = l.order[:0]
+	for _, t := range targets {
+		known, ok := l.targets[t.Address]
+		if !ok {
+			known = &target{tracker: health.New(t.Slots), promised: map[string]*grant{}, visited: now}
+		}
+		known.Target = t
+		known.tracker.SetSlots(t.Slots)
+		next[t.Address] = known
+		l.order = append(l.order, t.Address)
+	}
+	l.targets = next
+	l.serve(now)
+}
+
+// SetMaxQueue changes how many asks may wait.
+func (l *Ledger) SetMaxQueue(n int) { l.options.MaxQueue = n }
+
+// Ask decides about a request: granted, queued or refused.
+func (l *Ledger) Ask(now time.Time, a Ask) Decision {
+	l.heard[a.Box] = now
+	if l.queue.len() == 0 || a.SpareOnly {
+		if t := l.choose(now, a); t != nil {
+			return l.grant(now, a, t)
+		}
+	}
+	if a.SpareOnly {
+		return Decision{State: Refused, Reason: verdict.ReasonNoTarget}
+	}
+	if d, refused := l.refuse(now, a); refused {
+		return d
+	}
+	l.queue.add(&waiting{ask: a, since: now, until: l.waitUntil(now, a)})
+	l.serve(now)
+	return Decision{State: Queued}
+}
+
+// waitUntil is the last moment at which a start would still be of use.
+func (l *Ledger) waitUntil(now time.Time, a Ask) time.Time {
+	latest := a.Deadline.Add(-l.usual(a.Kind, a.Usual))
+	if byWait := now.Add(a.LongestWait); byWait.Before(latest) {
+		return byWait
+	}
+	return latest
+}
+
+func (l *Ledger) grant(now time.Time, a Ask, t *target) Decision {
+	g := &grant{
+		id: a.ID, box: a.Box, target: t, kind: a.Kind, at: now,
+		usual: l.usual(a.Kind, a.Usual),
+		until: a.Deadline.Add(forgotten),
+	}
+	l.grants[a.ID] = g
+	t.promised[a.ID] = g
+	t.visited = now
+	return Decision{State: Granted, Target: t.Address, HedgeAfter: l.hedgeAfter(a.Kind)}
+}
+
+// Return takes a slot back with its outcome and serves the queue.
+func (l *Ledger) Return(now time.Time, id string, o Outcome) {
+	if l.queue.remove(id) { // the box gave up while it waited
+		return
+	}
+	g, ok := l.grants[id]
+	if !ok {
+		return
+	}
+	l.drop(g)
+	l.heard[g.box] = now
+	l.learn(now, g, o)
+	l.serve(now)
+}
+
+func (l *Ledger) learn(now time.Time, g *grant, o Outcome) {
+	l.sawStart(g.target, o.Start, o.Leaving)
+	g.target.tracker.Observe(now, o.Result, o.Took, l.usual(g.kind, g.usual))
+	if o.Result == health.OK {
+		l.times(g.kind).add(now, o.Took)
+		l.mean = smooth(l.mean, o.Took.Seconds())
+	}
+}
+
+func (l *Ledger) drop(g *grant) {
+	delete(l.grants, g.id)
+	delete(g.target.promised, g.id)
+}
+
+// sawStart notes a target's start number and its own word that it leaves.
+func (l *Ledger) sawStart(t *target, start uint64, leaving bool) {
+	if start > t.start {
+		if t.start != 0 {
+			t.tracker.Restart()
+		}
+		t.start = start
+	}
+	if leaving {
+		t.leftAt = max(t.leftAt, start)
+		t.leaving = true
+	}
+	if t.leaving && t.start > t.leftAt {
+		t.leaving = false
+	}
+}
+
+// Leave notes that a target leaves. start is its start number, 0 when the
+// source does not know it; it sticks until a greater one is seen.
+func (l *Ledger) Leave(address string, start uint64) {
+	t, ok := l.targets[address]
+	if !ok {
+		return
+	}
+	if start == 0 {
+		start = t.start
+	}
+	if start < t.start {
+		return // old news of an earlier life
+	}
+	l.sawStart(t, start, true)
+}
+
+// Probed takes in a probe's result.
+func (l *Ledger) Probed(now time.Time, address string, o Outcome) {
+	t, ok := l.targets[address]
+	if !ok {
+		return
+	}
+	t.visited = now
+	l.sawStart(t, o.Start, o.Leaving)
+	if o.Result != health.OK {
+		t.tracker.Observe(now, o.Result, o.Took, 0)
+	}
+	l.serve(now)
+}
+
+// Heard notes that a box lives.
+func (l *Ledger) Heard(now time.Time, box string) { l.heard[box] = now }
+
+// Reconcile takes in all that a box says it holds of this service. Promises
+// that the ledger lacks are adopted, as after a change of home; those that the
+// box does not name are dropped once they are older than settle, since then
+// their answer or their return was lost.
+func (l *Ledger) Reconcile(now time.Time, box string, held []Held, settle time.Duration) {
+	l.heard[box] = now
+	named := make(map[string]bool, len(held))
+	for _, h := range held {
+		named[h.ID] = true
+		l.adopt(now, box, h)
+	}
+	for _, g := range l.grants {
+		if g.box == box && !named[g.id] && now.Sub(g.at) > settle {
+			l.drop(g)
+		}
+	}
+	l.serve(now)
+}
+
+func (l *Ledger) adopt(now time.Time, box string, h Held) {
+	t, ok := l.targets[h.Target]
+	if _, known := l.grants[h.ID]; known || !ok {
+		return
+	}
+	g := &grant{id: h.ID, box: box, target: t, kind: h.Kind, at: now.Add(-h.For), until: now.Add(forgotten)}
+	l.grants[h.ID] = g
+	t.promised[h.ID] = g
+}
+
+// Tick ends waits that ran out, takes back what vanished boxes held for longer
+// than grace, and serves the queue.
+func (l *Ledger) Tick(now time.Time, grace time.Duration) {
+	for _, w := range l.queue.expired(now) {
+		l.answer(now, w, Decision{State: Refused, Reason: verdict.ReasonTooLate, RetryAfter: l.drain()})
+	}
+	for _, g := range l.grants {
+		if now.Sub(l.heard[g.box]) > grace || now.After(g.until) {
+			l.drop(g)
+		}
+	}
+	l.serve(now)
+}
+
+// MoveOthers refuses what waits for other boxes than self, since another box
+// is the home now.
+func (l *Ledger) MoveOthers(now time.Time, self string) {
+	for _, w := range l.queue.notOf(self) {
+		l.answer(now, w, Decision{State: Refused, Reason: verdict.ReasonMoved})
+	}
+}
+
+// Answers hands out the late decisions made since the last call.
+func (l *Ledger) Answers() []Answer {
+	out := l.answers
+	l.answers = nil
+	return out
+}
+
+func (l *Ledger) answer(now time.Time, w *waiting, d Decision) {
+	l.answers = append(l.answers, Answer{Ask: w.ask, Decision: d, Waited: now.Sub(w.since)})
+}
+
+// serve grants free slots to queued asks.
+func (l *Ledger) serve(now time.Time) {
+	for l.queue.len() > 0 && l.choose(now, Ask{}) != nil {
+		w := l.queue.next()
+		if w == nil {
+			return
+		}
+		t := l.choose(now, w.ask)
+		if t == nil { // every free target was tried before; any is better than none
+			t = l.choose(now, Ask{Hall: w.ask.Hall})
+		}
+		l.answer(now, w, l.grant(now, w.ask, t))
+	}
+}
--- /dev/null
+++ b/core/ledger/view.go
@@ -0,0 +1,68 @@
+package ledger
+
+import "time"
+
+// TargetView is what the ledger knows of a target, for status and probing.
+type TargetView struct {
+	Address  string        `json:"address"`
+	Hall     string        `json:"hall"`
+	Slots    int           `json:"slots"`
+	Limit    int           `json:"limit"`
+	InFlight int           `json:"in_flight"`
+	State    string        `json:"state"`
+	Start    uint64        `json:"start"`
+	Ratio    float64       `json:"ratio"`
+	Idle     time.Duration `json:"-"`
+}
+
+// View lists the targets in the order of the service definition.
+func (l *Ledger) View(now time.Time) []TargetView {
+	trust := l.trust(now)
+	out := make([]TargetView, 0, len(l.order))
+	for _, address := range l.order {
+		t := l.targets[address]
+		out = append(out, TargetView{
+			Address: address, Hall: t.Hall, Slots: t.Slots,
+			Limit: t.limit(now, trust), InFlight: len(t.promised),
+			State: t.state(now), Start: t.start, Ratio: t.tracker.Ratio(),
+			Idle: now.Sub(t.visited),
+		})
+	}
+	return out
+}
+
+func (t *target) state(now time.Time) string {
+	switch {
+	case t.leaving:
+		return "leaving"
+	case t.tracker.Aside(now):
+		return "aside"
+	case t.tracker.Suspect(now), t.overdue(now):
+		return "suspect"
+	default:
+		return "live"
+	}
+}
+
+// Leaving lists the targets that leave, with the start number that does.
+func (l *Ledger) Leaving() map[string]uint64 {
+	out := map[string]uint64{}
+	for address, t := range l.targets {
+		if t.leaving {
+			out[address] = t.leftAt
+		}
+	}
+	return out
+}
+
+// IsLeaving says whether a target takes no new work.
+func (l *Ledger) IsLeaving(address string) bool {
+	t, ok := l.targets[address]
+	return ok && t.leaving
+}
+
+// QueueLen is how many asks wait.
+func (l *Ledger) QueueLen() int { return l.queue.len() }
+
+// InFlight is how many promises are out.
+func (l *Ledger) InFlight() int { return len(l.grants) }
--- /dev/null
+++ b/core/once/key.go
@@ -0,0 +1,57 @@
+package once
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+// scopeBytes is how much of a client's hash names its records.
+const scopeBytes = 16
+
+// CheckKey checks an Idempotency-Key: a UUIDv7 whose time lies within what
+// records are kept for.
+func CheckKey(now time.Time, key string) *verdict.Error {
+	if key == "" {
+		return verdict.New(verdict.NotRun, verdict.ReasonKeyMissing,
+			"requests of this kind need an Idempotency-Key header with a UUIDv7")
+	}
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 || id.String() != key {
+		return verdict.New(verdict.NotRun, verdict.ReasonKeyInvalid,
+			"the Idempotency-Key must be a UUIDv7 in its usual form, in lower case")
+	}
+	age := now.Sub(keyTime(id))
+	if age < -ClockSkew {
+		return verdict.New(verdict.NotRun, verdict.ReasonKeyInvalid, "the time in the Idempotency-Key lies in the future")
+	}
+	if age > Retention {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonKeyExpired,
+			"the Idempotency-Key is older than records are kept; whether it ran is no longer known")
+	}
+	return nil
+}
+
+func keyTime(id uuid.UUID) time.Time {
+	sec, nsec := id.Time().UnixTime()
+	return time.Unix(sec, nsec)
+}
+
+// ObjectKey names the record of a key in the platform.
+func ObjectKey(service, client, key string) string {
+	sum := sha256.Sum256([]byte(client))
+	return fmt.Sprintf("once/%s/%s/%s", service, hex.EncodeToString(sum[:scopeBytes]), key)
+}
+
+// Fingerprint identifies the content of a request.
+func Fingerprint(method, uri string, body []byte) string {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%s %s %d\n", method, uri, len(body))
+	_, _ = h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
--- /dev/null
+++ b/core/once/once.go
@@ -0,0 +1,170 @@
+// Package once holds the steps by which an operation runs at most once, however
+// often and wherever its request is repeated. It does no I/O: it looks at the
+// record that was found and says what to do next.
+//
+// The record of a key moves held -> sent -> done, or held -> refused. Each move
+// is a conditional update of the platform's object, and only the try that moved
+// the record from held to sent may send the request. A sent record is never
+// taken over. A refused one may be, but only by a try that began after it: a try
+// that finds any other's record while it moves its own gives up.
+//
+// # Usage
+//
+//	step := once.Begin(now, found, fingerprint)
+//	switch step.Action {
+//	case once.Claim:  // write Record.Held with step.Version expected
+//	case once.Replay: // answer with step.Answer
+//	case once.Fail:   // answer with step.Failure
+//	}
+package once
+
+import (
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+// State is how far an operation has come.
+type State string
+
+// The states of a record.
+const (
+	Held    State = "held"
+	Sent    State = "sent"
+	Done    State = "done"
+	Refused State = "refused"
+)
+
+const (
+	// Retention is how long records are kept.
+	Retention = 24 * time.Hour
+	// ClockSkew is how far a key's time may lie in the future.
+	ClockSkew = 5 * time.Minute
+
+	comeBack = time.Second
+)
+
+// Answer is a target's whole answer as the record keeps it.
+type Answer struct {
+	Status int                 `json:"status"`
+	Header map[string][]string `json:"header,omitempty"`
+	Body   []byte              `json:"body,omitempty"`
+	// Dropped says that the body was too large to be kept.
+	Dropped bool `json:"dropped,omitempty"`
+}
+
+// Record is the platform's object of one key.
+type Record struct {
+	State State `json:"state"`
+	// Nonce names the try that wrote the record.
+	Nonce       string    `json:"nonce"`
+	Box         string    `json:"box"`
+	Fingerprint string    `json:"fingerprint"`
+	At          time.Time `json:"at"`
+	// Until is how long a held record is respected, and when the holder of a
+	// sent one gives up waiting. Safety rests on neither: it only keeps two
+	// tries from undoing each other's work.
+	Until  time.Time `json:"until,omitzero"`
+	Answer *Answer   `json:"answer,omitempty"`
+}
+
+// Move copies the record into another state.
+func (r Record) Move(now time.Time, s State) Record {
+	r.State = s
+	r.At = now
+	return r
+}
+
+// Action is what a try does next.
+type Action int
+
+// The actions.
+const (
+	Claim Action = iota
+	Replay
+	Fail
+)
+
+// Step is the decision about a found record.
+type Step struct {
+	Action  Action
+	Version uint64 // the version to expect when claiming; 0 for none
+	Answer  *Answer
+	Failure *verdict.Error
+}
+
+// Found is a record with its version; a nil Record means that there is none.
+type Found struct {
+	Record  *Record
+	Version uint64
+}
+
+// Begin decides what a new try does about the record that it found first.
+func Begin(now time.Time, found Found, fingerprint string) Step {
+	r := found.Record
+	if r == nil {
+		return Step{Action: Claim}
+	}
+	if r.Fingerprint != fingerprint {
+		return fail(otherContent(r))
+	}
+	switch r.State {
+	case Held:
+		if now.Before(r.Until) {
+			return fail(inProgress("another try of this key is about to be sent"))
+		}
+		return Step{Action: Claim, Version: found.Version}
+	case Refused:
+		return Step{Action: Claim, Version: found.Version}
+	case Done:
+		return replay(r)
+	default:
+		return fail(sent(now, r))
+	}
+}
+
+// Lost decides what a try answers that found another's record while it moved
+// its own. It never claims again: the refusal of another try may already have
+// been told, and must stay true of everything that began before it.
+func Lost(now time.Time, r Record, fingerprint string) Step {
+	switch {
+	case r.Fingerprint != fingerprint:
+		return fail(otherContent(&r))
+	case r.State == Done:
+		return replay(&r)
+	case r.State == Sent:
+		return fail(sent(now, &r))
+	default:
+		return fail(inProgress("another try of this key took over"))
+	}
+}
+
+func replay(r *Record) Step {
+	if r.Answer == nil || r.Answer.Dropped {
+		f := verdict.New(verdict.Ran, verdict.ReasonAnswerNotKept, "the operation ran, but its answer was too large to be kept")
+		return fail(f)
+	}
+	return Step{Action: Replay, Answer: r.Answer}
+}
+
+func sent(now time.Time, r *Record) *verdict.Error {
+	if now.Before(r.Until) {
+		return inProgress("the operation was sent and is not answered yet").WithRetryAfter(max(r.Until.Sub(now)/4, comeBack))
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonOutcomeUnknown,
+		"the operation was sent and its answer was lost; it is never sent again: ask the service itself whether it ran")
+}
+
+func inProgress(detail string) *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonInProgress, detail).WithRetryAfter(comeBack)
+}
+
+func otherContent(r *Record) *verdict.Error {
+	v := verdict.MayHaveRun
+	if r.State == Done {
+		v = verdict.Ran
+	}
+	return verdict.New(v, verdict.ReasonKeyReused, "this Idempotency-Key was used for another request; use a new key")
+}
+
+func fail(e *verdict.Error) Step { return Step{Action: Fail, Failure: e} }
--- /dev/null
+++ b/internal/cli/object/delete.go
@@ -0,0 +1,46 @@
+package object
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/sprucecrank/sprucecrank/internal/cli/cmdutil"
+	"github.com/sprucecrank/sprucecrank/internal/envelope"
+)
+
+type deleteOptions struct {
+	factory *cmdutil.Factory
+	noun    envelope.Noun
+	name    string
+	json    bool
+}
+
+func newDelete(f *cmdutil.Factory, noun envelope.Noun, run func(context.Context, *deleteOptions) error) *cli.Command {
+	o := &deleteOptions{factory: f, noun: noun}
+	return &cli.Command{
+		Name:      "delete",
+		Usage:     fmt.Sprintf("Take a %s out of force; its history stays", noun),
+		UsageText: fmt.Sprintf("sprucecrank %s delete NAME", noun),
+		Flags:     []cli.Flag{jsonFlag(&o.json)},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			var err error
+			if o.name, err = nameArgument(c); err != nil {
+				return err
+			}
+			return run(ctx, o)
+		},
+	}
+}
+
+// runDelete writes a tombstone: a version like any other, so that creating the
+// object anew later is never taken for going back.
+func runDelete(ctx context.Context, o *deleteOptions) error {
+	_, version, err := existing(ctx, o.factory, o.noun, o.name)
+	if err != nil {
+		return err
+	}
+	c := change{noun: o.noun, name: o.name, deleted: true, expect: &version}
+	return report(ctx, o.factory, c, o.json, "deleted")
+}
--- /dev/null
+++ b/internal/cli/object/submit.go
@@ -0,0 +1,80 @@
+package object
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/sprucecrank/sprucecrank/internal/cli/cmdutil"
+	"github.com/sprucecrank/sprucecrank/internal/envelope"
+)
+
+// submitPatience is how long a submission is settled for.
+const submitPatience = 10 * time.Second
+
+type submitOptions struct {
+	factory   *cmdutil.Factory
+	noun      envelope.Noun
+	file      string
+	ifVersion uint64
+	checked   bool
+	json      bool
+}
+
+// submitted is the result of a submission for scripts.
+type submitted struct {
+	Noun    envelope.Noun `json:"noun"`
+	Name    string        `json:"name"`
+	Version uint64        `json:"version"`
+}
+
+func newSubmit(f *cmdutil.Factory, noun envelope.Noun, run func(context.Context, *submitOptions) error) *cli.Command {
+	o := &submitOptions{factory: f, noun: noun}
+	return &cli.Command{
+		Name:      "submit",
+		Usage:     fmt.Sprintf("Check a %s and put it in force everywhere", noun),
+		UsageText: fmt.Sprintf("sprucecrank %s submit FILE\n\nEXAMPLE:\n   sprucecrank %s submit examples/studio/preview.%s.json", noun, noun, noun),
+		Flags: []cli.Flag{
+			jsonFlag(&o.json),
+			&cli.Uint64Flag{Name: "if-version", Usage: "submit only if the object stands at this version; 0 means that there is none"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			o.file = c.Args().First()
+			o.ifVersion = c.Uint64("if-version")
+			o.checked = c.IsSet("if-version")
+			return run(ctx, o)
+		},
+	}
+}
+
+func runSubmit(ctx context.Context, o *submitOptions) error {
+	raw, err := o.factory.ReadInput(o.file)
+	if err != nil {
+		return err
+	}
+	name, err := check(o.noun, raw)
+	if err != nil {
+		return err
+	}
+	c := change{noun: o.noun, name: name, value: json.RawMessage(raw)}
+	if o.checked {
+		c.expect = &o.ifVersion
+	}
+	return report(ctx, o.factory, c, o.json, "submitted")
+}
+
+// report writes a change and tells the operator its version.
+func report(ctx context.Context, f *cmdutil.Factory, c change, asJSON bool, verb string) error {
+	version, err := write(ctx, f, c)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return cmdutil.WriteJSON(f.IO, submitted{Noun: c.noun, Name: c.name, Version: version})
+	}
+	_, err = fmt.Fprintf(f.IO.Out, "%s %s: %s as version %d\n", c.noun, c.name, verb, version)
+	return err
+}
--- /dev/null
+++ b/internal/entry/once.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/sprucecrank/sprucecrank/core/health"
+	"github.com/sprucecrank/sprucecrank/core/ledger"
+	"github.com/sprucecrank/sprucecrank/core/once"
+	"github.com/sprucecrank/sprucecrank/internal/grant"
+	"github.com/sprucecrank/sprucecrank/internal/oncerun"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+// mostOnceAnswer is the largest answer of a once request; it is read whole
+// before the client gets any of it.
+const mostOnceAnswer = 16 << 20
+
+// serveOnce answers a request that runs at most once.
+func (h *Handler) serveOnce(ctx context.Context, w http.ResponseWriter, x *exchange) verdict.Verdict {
+	key := x.in.Header.Get(HeaderKey)
+	if failure := once.CheckKey(h.options.Clock(), key); failure != nil {
+		return h.fail(w, x, failure)
+	}
+	ctx, span := h.options.Telemetry.Start(ctx, "record")
+	defer span.End()
+	result, failure := h.options.Runner.Run(ctx, oncerun.Operation{
+		Key:         once.ObjectKey(x.service.Name, x.in.Header.Get(HeaderClient), key),
+		Fingerprint: once.Fingerprint(x.in.Method, x.in.URL.RequestURI(), x.body),
+		Deadline:    x.deadline,
+		Acquire: func(ctx context.Context, avoid []string) (*grant.Slot, *verdict.Error) {
+			return h.acquire(ctx, x, avoid, false)
+		},
+		Send: func(ctx context.Context, slot *grant.Slot) (*once.Answer, ledger.Outcome, *verdict.Error) {
+			return h.sendOnce(ctx, x, slot)
+		},
+		Release: h.options.Broker.Release,
+	})
+	if failure != nil {
+		return h.fail(w, x, failure)
+	}
+	return writeAnswer(w, result)
+}
+
+// sendOnce sends the request and reads its whole answer.
+func (h *Handler) sendOnce(ctx context.Context, x *exchange, slot *grant.Slot) (*once.Answer, ledger.Outcome, *verdict.Error) {
+	began := h.options.Clock()
+	rep, failure := h.send(ctx, x, slot.Target())
+	if failure != nil {
+		return nil, outcome(nil, resultOfFailure(failure), h.options.Clock().Sub(began)), failure
+	}
+	defer func() { _ = rep.response.Body.Close() }()
+	if rep.shed {
+		return nil, outcome(rep.response, health.Shed, 0), shedFailure(rep.response)
+	}
+	body, err := io.ReadAll(io.LimitReader(rep.response.Body, mostOnceAnswer+1))
+	took := h.options.Clock().Sub(began)
+	if err != nil {
+		f := verdict.New(verdict.MayHaveRun, verdict.ReasonTargetFailed, "the target's answer broke off").WithCause(err)
+		return nil, outcome(rep.response, health.Failed, took), f
+	}
+	if len(body) > mostOnceAnswer {
+		f := verdict.New(verdict.Ran, verdict.ReasonAnswerTooLarge, "the operation ran, but its answer is too large to pass on whole")
+		return nil, outcome(rep.response, health.OK, took), f
+	}
+	if verdictOf(rep.response) != verdict.Ran {
+		f := verdict.New(verdict.MayHaveRun, verdict.ReasonTargetFailed, "the target answered that it could not say what became of the request")
+		return nil, outcome(rep.response, health.Failed, took), f
+	}
+	return answerOf(rep.response, body), outcome(rep.response, resultOf(rep), took), nil
+}
+
+func answerOf(r *http.Response, body []byte) *once.Answer {
+	h := r.Header.Clone()
+	removeHopByHop(h)
+	for _, name := range targetOnly {
+		h.Del(name)
+	}
+	h.Del(HeaderRequestID)
+	h.Del("Content-Length")
+	return &once.Answer{Status: r.StatusCode, Header: h, Body: body}
+}
+
+func writeAnswer(w http.ResponseWriter, result oncerun.Result) verdict.Verdict {
+	for name, values := range result.Answer.Header {
+		w.Header()[name] = values
+	}
+	w.Header().Set(verdict.Header, verdict.Ran.String())
+	if result.Replayed {
+		w.Header().Set(HeaderReplayed, "true")
+	}
+	w.WriteHeader(result.Answer.Status)
+	_, _ = w.Write(result.Answer.Body)
+	return verdict.Ran
+}
--- /dev/null
+++ b/internal/entry/send.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/health"
+	"github.com/sprucecrank/sprucecrank/core/ledger"
+	"github.com/sprucecrank/sprucecrank/internal/telemetry"
+	"github.com/sprucecrank/sprucecrank/policy"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+const (
+	dialTimeout     = time.Second
+	idleConnTimeout = 30 * time.Second
+	maxHeaderBytes  = 64 << 10
+	// shedPauseDefault is when to come back after a target shed the request.
+	shedPauseDefault = 200 * time.Millisecond
+)
+
+// Dial opens a connection to a target; tests put delays and cuts here.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// transports keeps one http.Transport for each limit of connections per target.
+type transports struct {
+	dial  Dial
+	mu    sync.Mutex
+	kept  map[int]*http.Transport
+	fresh map[int]*http.Transport
+}
+
+func newTransports(dial Dial) *transports {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &transports{dial: dial, kept: map[int]*http.Transport{}, fresh: map[int]*http.Transport{}}
+}
+
+// get finds the transport for a limit. A fresh one never uses a connection
+// twice: no request on it can meet a connection that the target is closing,
+// nor an answer that another request left behind.
+func (t *transports) get(limit int, fresh bool) *http.Transport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	set := t.kept
+	if fresh {
+		set = t.fresh
+	}
+	if set[limit] == nil {
+		set[limit] = &http.Transport{
+			DialContext:            t.dial,
+			MaxConnsPerHost:        limit,
+			MaxIdleConnsPerHost:    limit,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+			DisableKeepAlives:      fresh,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		}
+	}
+	return set[limit]
+}
+
+func (t *transports) closeIdle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, one := range t.kept {
+		one.CloseIdleConnections()
+	}
+}
+
+// exchange is one request of a client on its way through the box.
+type exchange struct {
+	id       string
+	in       *http.Request
+	service  *policy.Service
+	kind     *policy.Kind
+	began    time.Time
+	deadline time.Time
+	// body is the whole body when it is small; otherwise stream holds it, and
+	// only one try can be made.
+	body   []byte
+	stream io.Reader
+}
+
+func (x *exchange) repeatable() bool {
+	return x.kind.Mode == policy.Repeatable && x.stream == nil
+}
+
+// reply is a target's answer whose body is still to come.
+type reply struct {
+	response *http.Response
+	shed     bool
+}
+
+// outgoing makes the request of one try.
+func (x *exchange) outgoing(ctx context.Context, target string, now time.Time) *http.Request {
+	r := &http.Request{
+		Method:        x.in.Method,
+		URL:           &url.URL{Scheme: "http", Host: target, Path: x.in.URL.Path, RawPath: x.in.URL.RawPath, RawQuery: x.in.URL.RawQuery},
+		Host:          x.in.Host,
+		Header:        outbound(x.in, x.id, x.deadline.Sub(now)),
+		ContentLength: x.in.ContentLength,
+		Trailer:       x.in.Trailer,
+	}
+	telemetry.Inject(ctx, r.Header)
+	r.Body = x.requestBody()
+	return r.WithContext(ctx)
+}
+
+// requestBody gives the transport a body that it cannot rewind, so that it
+// never sends a request again by itself. Only a repeatable request may go
+// without, for the transport repeats nothing else that has no body.
+func (x *exchange) requestBody() io.ReadCloser {
+	switch {
+	case x.stream != nil:
+		return io.NopCloser(x.stream)
+	case len(x.body) == 0 && x.kind.Mode == policy.Repeatable:
+		return http.NoBody
+	default:
+		return io.NopCloser(bytes.NewReader(x.body))
+	}
+}
+
+// send sends one try and waits for the head of its answer.
+func (h *Handler) send(ctx context.Context, x *exchange, target string) (*reply, *verdict.Error) {
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	limit := max(x.service.ConnectionsOf(target)/h.options.MaxBoxes, 1)
+	response, err := h.transports.get(limit, x.kind.Mode == policy.Once).RoundTrip(x.outgoing(traced, target, h.options.Clock()))
+	if err != nil {
+		return nil, sendFailure(ctx, err, connected.Load())
+	}
+	if echoed := response.Header.Get(HeaderRequestID); echoed != "" && echoed != x.id {
+		_ = response.Body.Close()
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonTargetFailed, "the target answered with another request's id")
+	}
+	return &reply{response: response, shed: isShed(x.service, response)}, nil
+}
+
+func sendFailure(ctx context.Context, err error, connected bool) *verdict.Error {
+	v := verdict.MayHaveRun
+	reason := verdict.ReasonTargetFailed
+	detail := "the connection to the target broke before its answer"
+	if !connected {
+		v = verdict.NotRun
+		reason = verdict.ReasonUnreachable
+		detail = "no connection to the target could be made"
+	}
+	switch {
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		reason = verdict.ReasonDeadline
+		detail = "the target did not answer before the deadline"
+	case ctx.Err() != nil:
+		reason = verdict.ReasonClientGone
+		detail = "the client hung up"
+	}
+	return verdict.New(v, reason, detail).WithCause(err).WithRetryAfter(shedPauseDefault)
+}
+
+// isShed believes a target's word that it did not run the request only where
+// the service's settings say so.
+func isShed(s *policy.Service, r *http.Response) bool {
+	return s.TrustShed && r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(HeaderTargetVerdict) == TargetNotRun
+}
+
+func shedFailure(r *http.Response) *verdict.Error {
+	pause := shedPauseDefault
+	if s, err := strconv.Atoi(r.Header.Get("Retry-After")); err == nil && s > 0 {
+		pause = time.Duration(s) * time.Second
+	}
+	return verdict.New(verdict.NotRun, verdict.ReasonShed, "the target refused the request for its load").WithRetryAfter(pause)
+}
+
+// outcome describes how a try ended to the home's ledger.
+func outcome(r *http.Response, result health.Result, took time.Duration) ledger.Outcome {
+	o := ledger.Outcome{Result: result, Took: took}
+	if r != nil {
+		o.Start, _ = strconv.ParseUint(r.Header.Get(HeaderTargetStart), 10, 64)
+		o.Leaving = r.Header.Get(HeaderTargetState) == TargetLeaving
+	}
+	return o
+}
+
+// resultOf judges the target by the status of its answer.
+func resultOf(rep *reply) health.Result {
+	switch {
+	case rep.shed:
+		return health.Shed
+	case rep.response.StatusCode >= http.StatusInternalServerError:
+		return health.Failed
+	default:
+		return health.OK
+	}
+}
+
+// resultOfFailure judges the target by a try without an answer.
+func resultOfFailure(f *verdict.Error) health.Result {
+	switch f.Reason() {
+	case verdict.ReasonUnreachable:
+		return health.Unreachable
+	case verdict.ReasonClientGone, verdict.ReasonDeadline:
+		return health.Cancelled
+	default:
+		return health.Failed
+	}
+}
--- /dev/null
+++ b/internal/grant/grant.go
@@ -0,0 +1,404 @@
+// Package grant gets slots for the requests of a box and gives them back. It
+// asks the home of the service; when the home is silent it asks the next one,
+// and at last the box's own ledger.
+//
+// # Usage
+//
+//	slot, failure := broker.Acquire(ctx, grant.Request{Service: "preview", Kind: kind})
+//	defer broker.Release(slot, ledger.Outcome{Result: health.OK, Took: took})
+package grant
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/sprucecrank/sprucecrank/core/health"
+	"github.com/sprucecrank/sprucecrank/core/ledger"
+	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/internal/home"
+	"github.com/sprucecrank/sprucecrank/peer"
+	"github.com/sprucecrank/sprucecrank/policy"
+	"github.com/sprucecrank/sprucecrank/ring"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+const (
+	// mostHomes is how many boxes are asked before the own ledger decides.
+	mostHomes  = 3
+	returnRing = 8192
+	returnMost = 64
+	// recentlyUsed is how long after its last ask a home is still told what
+	// the box holds.
+	recentlyUsed = 5 * time.Second
+)
+
+// Request is what a request needs a slot for.
+type Request struct {
+	Service *policy.Service
+	Kind    *policy.Kind
+	// Deadline is when the answer is no longer of use.
+	Deadline  time.Time
+	Avoid     []string
+	SpareOnly bool
+}
+
+// Slot is a granted place at a target.
+type Slot struct {
+	id         string
+	service    string
+	target     string
+	home       string
+	hedgeAfter time.Duration
+	waited     time.Duration
+	at         time.Time
+}
+
+// ID names the grant.
+func (s *Slot) ID() string { return s.id }
+
+// Target is the address of the target.
+func (s *Slot) Target() string { return s.target }
+
+// Home is the box that granted the slot.
+func (s *Slot) Home() string { return s.home }
+
+// HedgeAfter is the kind's p95 so far; 0 when too little is known.
+func (s *Slot) HedgeAfter() time.Duration { return s.hedgeAfter }
+
+// Waited is the time in the home's queue.
+func (s *Slot) Waited() time.Duration { return s.waited }
+
+// Options configure a Broker.
+type Options struct {
+	Members *Members
+	Home    *home.Home
+	Clock   func() time.Time
+	Log     *slog.Logger
+}
+
+// Broker is the asking side of a box. It is safe for concurrent use.
+type Broker struct {
+	options Options
+	returns *ring.Ring[toReturn]
+	mu      sync.Mutex
+	held    map[string]map[string]heldSlot // by service and grant
+	homes   map[string]usedHome            // by service
+}
+
+type toReturn struct {
+	home     string
+	returned peer.Returned
+}
+
+type heldSlot struct {
+	ledger.Held
+	at time.Time
+}
+
+type usedHome struct {
+	id string
+	at time.Time
+}
+
+// New makes a broker.
+func New(o Options) *Broker {
+	return &Broker{
+		options: o,
+		returns: ring.New[toReturn](returnRing),
+		held:    map[string]map[string]heldSlot{},
+		homes:   map[string]usedHome{},
+	}
+}
+
+// Acquire waits for a slot. Its failure always has the verdict NotRun.
+func (b *Broker) Acquire(ctx context.Context, r Request) (*Slot, *verdict.Error) {
+	for range mostHomes {
+		at := b.HomeOf(r.Service)
+		if at.ID == b.options.Members.Self().ID {
+			break
+		}
+		slot, failure, ok := b.askHome(ctx, at, r)
+		if ok {
+			return slot, failure
+		}
+	}
+	return b.askSelf(ctx, r)
+}
+
+// HomeOf works out the home of a service, in the hall with most of its targets.
+func (b *Broker) HomeOf(s *policy.Service) member.Box {
+	return b.options.Members.Home(s.Name, s.MainHall())
+}
+
+// askHome asks another box; ok is false when the next one should be asked.
+func (b *Broker) askHome(ctx context.Context, at member.Box, r Request) (*Slot, *verdict.Error, bool) {
+	b.use(r.Service.Name, at.ID)
+	id := uuid.NewString()
+	var reply peer.AskReply
+	err := b.options.Members.Link(at).Call(ctx, peer.MethodAsk, b.askArgs(id, r), &reply)
+	switch {
+	case ctx.Err() != nil:
+		b.giveBack(at.ID, r.Service.Name, id)
+		return nil, ended(ctx), true
+	case err != nil:
+		b.options.Log.Warn("home does not answer", "service", r.Service.Name, "home", at.ID, "error", err)
+		b.options.Members.Fail(at.ID)
+		b.giveBack(at.ID, r.Service.Name, id)
+		return nil, nil, false
+	case reply.Reason == verdict.ReasonMoved:
+		b.options.Members.Leaving(at)
+		return nil, nil, false
+	case reply.Reason == verdict.ReasonNoService:
+		return nil, nil, false
+	}
+	d := home.Decision{
+		Decision: ledger.Decision{
+			State: reply.State, Target: reply.Target, HedgeAfter: reply.HedgeAfter,
+			Reason: reply.Reason, RetryAfter: reply.RetryAfter,
+		},
+		Waited: reply.Waited,
+	}
+	slot, failure := b.take(at.ID, id, r, d)
+	return slot, failure, true
+}
+
+func (b *Broker) askArgs(id string, r Request) peer.AskArgs {
+	return peer.AskArgs{
+		Service: r.Service.Name, ID: id,
+		Box: b.options.Members.Self().ID, Hall: b.options.Members.Self().Hall,
+		Kind: r.Kind.Name, Weight: r.Kind.Weight,
+		Remaining:   r.Deadline.Sub(b.options.Clock()),
+		LongestWait: r.Kind.LongestWait(), Usual: r.Kind.Usual(),
+		Avoid: r.Avoid, SpareOnly: r.SpareOnly, Count: 1,
+	}
+}
+
+func (b *Broker) askSelf(ctx context.Context, r Request) (*Slot, *verdict.Error) {
+	id := uuid.NewString()
+	args := b.askArgs(id, r)
+	d := b.options.Home.Ask(ctx, r.Service.Name, LedgerAsk(b.options.Clock(), args))
+	if ctx.Err() != nil {
+		b.options.Home.Return(r.Service.Name, id, ledger.Outcome{Result: health.Unused})
+		return nil, ended(ctx)
+	}
+	return b.take(b.options.Members.Self().ID, id, r, d)
+}
+
+// LedgerAsk turns a peer's ask into the ledger's form.
+func LedgerAsk(now time.Time, a peer.AskArgs) ledger.Ask {
+	return ledger.Ask{
+		ID: a.ID, Box: a.Box, Hall: a.Hall, Kind: a.Kind, Weight: a.Weight,
+		Deadline: now.Add(a.Remaining), LongestWait: a.LongestWait, Usual: a.Usual,
+		Avoid: a.Avoid, SpareOnly: a.SpareOnly,
+	}
+}
+
+// take turns a decision into a slot or a failure. A grant for a target that
+// this box knows to leave is not used.
+func (b *Broker) take(homeID, id string, r Request, d home.Decision) (*Slot, *verdict.Error) {
+	if d.State != ledger.Granted {
+		return nil, refusal(d)
+	}
+	slot := &Slot{
+		id: id, service: r.Service.Name, target: d.Target, home: homeID,
+		hedgeAfter: d.HedgeAfter, waited: d.Waited, at: b.options.Clock(),
+	}
+	b.hold(slot, r.Kind.Name)
+	if homeID != b.options.Members.Self().ID && b.options.Home.IsLeaving(r.Service.Name, d.Target) {
+		b.Release(slot, ledger.Outcome{Result: health.Unused, Leaving: true})
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "the granted target is leaving").WithRetryAfter(retrySoon)
+	}
+	return slot, nil
+}
+
+const retrySoon = 100 * time.Millisecond
+
+var refusals = map[verdict.Reason]string{
+	verdict.ReasonNoTarget:   "no target of the service takes work now",
+	verdict.ReasonQueueFull:  "the service's queue is full",
+	verdict.ReasonTooLate:    "the answer would come after the deadline",
+	verdict.ReasonNoService:  "the service is not in force here",
+	verdict.ReasonMoved:      "this box is stopping",
+	verdict.ReasonClientGone: "the client hung up",
+}
+
+func refusal(d home.Decision) *verdict.Error {
+	return verdict.New(verdict.NotRun, d.Reason, refusals[d.Reason]).WithRetryAfter(d.RetryAfter)
+}
+
+func ended(ctx context.Context) *verdict.Error {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return verdict.New(verdict.NotRun, verdict.ReasonDeadline, "no target was free before the deadline").WithRetryAfter(time.Second)
+	}
+	return verdict.New(verdict.NotRun, verdict.ReasonClientGone, "the client hung up")
+}
+
+// Release gives a slot back with its outcome.
+func (b *Broker) Release(s *Slot, o ledger.Outcome) {
+	b.unhold(s)
+	if s.home == b.options.Members.Self().ID {
+		b.options.Home.Return(s.service, s.id, o)
+		return
+	}
+	b.observe(s, o)
+	b.push(s.home, peer.Returned{Service: s.service, ID: s.id, Outcome: o})
+}
+
+// observe lets the own ledger know of a target's word that it leaves.
+func (b *Broker) observe(s *Slot, o ledger.Outcome) {
+	if o.Leaving {
+		b.options.Home.Leave(s.target, o.Start)
+	}
+}
+
+func (b *Broker) giveBack(homeID, service, id string) {
+	b.push(homeID, peer.Returned{Service: service, ID: id, Outcome: ledger.Outcome{Result: health.Unused}})
+}
+
+// push queues a return. When the ring is full the return is dropped: the next
+// reconciliation tells the home that the slot is free.
+func (b *Broker) push(homeID string, r peer.Returned) {
+	b.returns.Push(toReturn{home: homeID, returned: r})
+}
+
+func (b *Broker) hold(s *Slot, kind string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.held[s.service] == nil {
+		b.held[s.service] = map[string]heldSlot{}
+	}
+	b.held[s.service][s.id] = heldSlot{Held: ledger.Held{ID: s.id, Target: s.target, Kind: kind}, at: s.at}
+}
+
+func (b *Broker) unhold(s *Slot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.held[s.service], s.id)
+}
+
+// use notes which home a service has; a new one is told at once what the box
+// holds, so that it does not promise those slots again.
+func (b *Broker) use(service, homeID string) {
+	b.mu.Lock()
+	last := b.homes[service]
+	b.homes[service] = usedHome{id: homeID, at: b.options.Clock()}
+	changed := last.id != homeID && len(b.held[service]) > 0
+	b.mu.Unlock()
+	if changed {
+		b.reconcile(service, homeID, nil)
+	}
+}
+
+// HandOver gives measuring budget to the home of a service.
+func (b *Broker) HandOver(s *policy.Service, tokens map[string]time.Duration) {
+	if len(tokens) > 0 {
+		b.reconcile(s.Name, b.HomeOf(s).ID, tokens)
+	}
+}
+
+func (b *Broker) reconcile(service, homeID string, tokens map[string]time.Duration) {
+	at, ok := b.options.Members.Find(homeID)
+	if !ok {
+		return
+	}
+	args := peer.ReconcileArgs{
+		Box: b.options.Members.Self().ID, Service: service,
+		Held: b.heldOf(service), ProbeTime: tokens,
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = b.options.Members.Link(at).Send(ctx, peer.MethodReconcile, args)
+}
+
+func (b *Broker) heldOf(service string) []ledger.Held {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.options.Clock()
+	out := make([]ledger.Held, 0, len(b.held[service]))
+	for _, h := range b.held[service] {
+		h.For = now.Sub(h.at)
+		out = append(out, h.Held)
+	}
+	return out
+}
+
+// ReconcileAll tells every recently used home what the box holds.
+func (b *Broker) ReconcileAll() {
+	for service, homeID := range b.recentHomes() {
+		b.reconcile(service, homeID, nil)
+	}
+}
+
+func (b *Broker) recentHomes() map[string]string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.options.Clock()
+	out := map[string]string{}
+	for service, used := range b.homes {
+		if len(b.held[service]) > 0 || now.Sub(used.at) < recentlyUsed {
+			out[service] = used.id
+		}
+	}
+	return out
+}
+
+// Returner is the duty that sends returned slots to their homes, those that
+// wait together in one message. It ends with ctx.
+func (b *Broker) Returner(ctx context.Context) error {
+	for {
+		first, err := b.returns.Pop(ctx)
+		if err != nil {
+			return nil
+		}
+		b.sendReturns(ctx, b.batch(first))
+	}
+}
+
+// Flush sends what still waits to be returned.
+func (b *Broker) Flush(ctx context.Context) {
+	for {
+		first, ok := b.returns.TryPop()
+		if !ok {
+			return
+		}
+		b.sendReturns(ctx, b.batch(first))
+	}
+}
+
+func (b *Broker) batch(first toReturn) map[string][]peer.Returned {
+	batch := map[string][]peer.Returned{first.home: {first.returned}}
+	for range returnMost {
+		next, ok := b.returns.TryPop()
+		if !ok {
+			break
+		}
+		batch[next.home] = append(batch[next.home], next.returned)
+	}
+	return batch
+}
+
+func (b *Broker) sendReturns(ctx context.Context, batch map[string][]peer.Returned) {
+	for homeID, returned := range batch {
+		at, ok := b.options.Members.Find(homeID)
+		if !ok || !b.options.Members.Usable(homeID) {
+			continue // a home that is gone forgets its promises
+		}
+		args := peer.ReturnArgs{Box: b.options.Members.Self().ID, Returned: returned}
+		_ = b.options.Members.Link(at).Send(ctx, peer.MethodReturn, args)
+	}
+}
+
+// Held is how many slots the box holds now.
+func (b *Broker) Held() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, of := range b.held {
+		n += len(of)
+	}
+	return n
+}
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,238 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Errors of a link.
+var (
+	// ErrSilent says that the other box does not answer; the call may have
+	// reached it.
+	ErrSilent = errors.New("the box does not answer")
+	// ErrUnreachable says that no connection could be made.
+	ErrUnreachable = errors.New("the box cannot be reached")
+)
+
+const (
+	pingEvery    = 20 * time.Millisecond
+	silentAfter  = 80 * time.Millisecond
+	dialPatience = 100 * time.Millisecond
+)
+
+// LinkOptions configure a Link.
+type LinkOptions struct {
+	// Address is the other box's peer address.
+	Address string
+	// Dial opens a connection; nil means TCP. Tests put delays and cuts here.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// SilentAfter is how long a ping may go unanswered; 0 means 80 ms.
+	SilentAfter time.Duration
+}
+
+// Link is a connection to one other box, made when it is first needed and made
+// anew after it broke. It is safe for concurrent use.
+type Link struct {
+	options LinkOptions
+	mu      sync.Mutex
+	session *session
+	sent    atomic.Uint64
+	bytes   atomic.Uint64
+}
+
+// session is one connection with its outstanding calls.
+type session struct {
+	client  *rpc.Client
+	pending atomic.Int64
+	wake    chan struct{}
+	silent  chan struct{}
+	once    sync.Once
+}
+
+// NewLink makes a link; it does not connect yet.
+func NewLink(o LinkOptions) *Link {
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+	if o.SilentAfter == 0 {
+		o.SilentAfter = silentAfter
+	}
+	return &Link{options: o}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Sent counts messages and bytes sent on this link.
+func (l *Link) Sent() (messages, bytes uint64) { return l.sent.Load(), l.bytes.Load() }
+
+// Call makes a call and waits for its answer. The error is ErrUnreachable (not
+// sent), ErrSilent, the end of ctx, or the other box's own error.
+func (l *Link) Call(ctx context.Context, method string, args, reply any) error {
+	s, err := l.connect(ctx)
+	if err != nil {
+		return err
+	}
+	s.begin()
+	defer s.end()
+	l.sent.Add(1)
+	call := s.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return l.settle(s, call.Error)
+	case <-s.silent:
+		return ErrSilent
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Send makes a call without waiting for its answer. It reports whether there
+// is a connection to send it on.
+func (l *Link) Send(ctx context.Context, method string, args any) error {
+	s, err := l.connect(ctx)
+	if err != nil {
+		return err
+	}
+	l.sent.Add(1)
+	s.client.Go(method, args, &Empty{}, make(chan *rpc.Call, 1))
+	return nil
+}
+
+// settle drops a session whose connection broke.
+func (l *Link) settle(s *session, err error) error {
+	var remote rpc.ServerError
+	if err == nil || errors.As(err, &remote) {
+		return err
+	}
+	l.drop(s)
+	return fmt.Errorf("%w: %w", ErrSilent, err)
+}
+
+func (l *Link) connect(ctx context.Context) (*session, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session != nil {
+		return l.session, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialPatience)
+	defer cancel()
+	conn, err := l.options.Dial(ctx, l.options.Address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	s := &session{
+		client: rpc.NewClient(&countedConn{Conn: conn, bytes: &l.bytes}),
+		wake:   make(chan struct{}, 1),
+		silent: make(chan struct{}),
+	}
+	l.session = s
+	go l.watch(s)
+	return s, nil
+}
+
+// drop closes a session; the next call connects anew.
+func (l *Link) drop(s *session) {
+	l.mu.Lock()
+	if l.session == s {
+		l.session = nil
+	}
+	l.mu.Unlock()
+	s.close()
+}
+
+// Close ends the link's connection, if any.
+func (l *Link) Close() {
+	l.mu.Lock()
+	s := l.session
+	l.session = nil
+	l.mu.Unlock()
+	if s != nil {
+		s.close()
+	}
+}
+
+func (s *session) close() {
+	s.once.Do(func() {
+		close(s.silent)
+		_ = s.client.Close()
+	})
+}
+
+func (s *session) begin() {
+	s.pending.Add(1)
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *session) end() { s.pending.Add(-1) }
+
+// watch pings while calls are outstanding and drops a session that is silent.
+func (l *Link) watch(s *session) {
+	for {
+		select {
+		case <-s.silent:
+			return
+		case <-s.wake:
+		}
+		if !l.pingWhilePending(s) {
+			l.drop(s)
+			return
+		}
+	}
+}
+
+func (l *Link) pingWhilePending(s *session) bool {
+	tick := time.NewTimer(pingEvery)
+	defer tick.Stop()
+	for s.pending.Load() > 0 {
+		tick.Reset(pingEvery)
+		select {
+		case <-s.silent:
+			return true
+		case <-tick.C:
+		}
+		if s.pending.Load() > 0 && !l.ping(s) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Link) ping(s *session) bool {
+	l.sent.Add(1)
+	call := s.client.Go(MethodPing, Empty{}, &Empty{}, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(l.options.SilentAfter)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		return call.Error == nil
+	case <-timer.C:
+		return false
+	case <-s.silent:
+		return true
+	}
+}
+
+// countedConn counts the bytes written.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Uint64
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(uint64(n))
+	return n, err
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,114 @@
+package peer
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+)
+
+// Handlers are what a box does with its peers' messages. Each is called on a
+// goroutine of its own and may block.
+type Handlers struct {
+	Ask       func(AskArgs) AskReply
+	Return    func(ReturnArgs)
+	Reconcile func(ReconcileArgs)
+	Exchange  func(ExchangeArgs) ExchangeReply
+	Sync      func(SyncArgs) SyncReply
+}
+
+// Server serves a box's peers.
+type Server struct {
+	rpc   *rpc.Server
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	ended bool
+}
+
+// NewServer makes a server of the given handlers.
+func NewServer(h Handlers) (*Server, error) {
+	s := &Server{rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
+	if err := s.rpc.RegisterName(ServiceName, &methods{h: h}); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		if !s.track(conn) {
+			_ = conn.Close()
+			continue
+		}
+		go func() {
+			s.rpc.ServeConn(conn)
+			s.untrack(conn)
+		}()
+	}
+}
+
+func (s *Server) track(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return false
+	}
+	s.conns[c] = true
+	return true
+}
+
+func (s *Server) untrack(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// Close ends all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+// methods is the net/rpc form of Handlers.
+type methods struct{ h Handlers }
+
+// Ping answers that the box lives.
+func (m *methods) Ping(Empty, *Empty) error { return nil }
+
+// Ask answers once the ask is granted or refused.
+func (m *methods) Ask(a AskArgs, r *AskReply) error {
+	*r = m.h.Ask(a)
+	return nil
+}
+
+// Return takes slots back.
+func (m *methods) Return(a ReturnArgs, _ *Empty) error {
+	m.h.Return(a)
+	return nil
+}
+
+// Reconcile takes in what a box holds.
+func (m *methods) Reconcile(a ReconcileArgs, _ *Empty) error {
+	m.h.Reconcile(a)
+	return nil
+}
+
+// Exchange swaps news.
+func (m *methods) Exchange(a ExchangeArgs, r *ExchangeReply) error {
+	*r = m.h.Exchange(a)
+	return nil
+}
+
+// Sync swaps configuration.
+func (m *methods) Sync(a SyncArgs, r *SyncReply) error {
+	*r = m.h.Sync(a)
+	return nil
+}
