--- a/box/run.go
+++ b/box/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -49,8 +50,12 @@
 		server.Close()
 	})
 	group.Add(func() error { return b.serveAdmin(admin) }, func(error) { _ = admin.Close() })
-	group.Add(func() error { return clients.Serve(b.listeners.clients) }, func(error) { _ = clients.Close() })
-	group.Add(func() error { return b.drainAfter(ctx, clients) }, func(error) { b.stop() })
+	drained := make(chan struct{})
+	group.Add(func() error { return serveUntil(clients, b.listeners.clients, drained) }, func(error) { _ = clients.Close() })
+	group.Add(func() error {
+		defer close(drained)
+		return b.drainAfter(ctx, clients)
+	}, func(error) { b.stop() })
 	b.log.Info("box started", "clients", b.ClientAddress(), "peers", b.PeerAddress(), "admin", b.AdminAddress())
 	err = group.Run()
 	b.members.Close()
@@ -63,6 +68,18 @@
 	return trace.Wrap(err)
 }
 
+// serveUntil serves clients. A shutdown makes Serve return at once, while
+// requests are still in flight: those are waited for, since the first actor
+// that returns ends the whole group.
+func serveUntil(s *http.Server, l net.Listener, drained <-chan struct{}) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-drained
+		return errStopped
+	}
+	return err
+}
+
 // errStopped ends the group after a planned stop.
 var errStopped = errors.New("the box was stopped")
 
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -229,7 +229,7 @@
 }
 
 func (l *Ledger) learn(now time.Time, g *grant, o Outcome) {
-	l.sawStart(g.target, o.Start, o.Leaving)
+	g.target.saw(o)
 	g.target.tracker.Observe(now, o.Result, o.Took, l.usual(g.kind, g.usual))
 	if o.Result == health.OK {
 		l.times(g.kind).add(now, o.Took)
@@ -242,19 +242,22 @@
 	delete(g.target.promised, g.id)
 }
 
-// sawStart notes a target's start number and its own word that it leaves.
-func (l *Ledger) sawStart(t *target, start uint64, leaving bool) {
-	if start > t.start {
-		if t.start != 0 {
-			t.tracker.Restart()
-		}
-		t.start = start
+// sawStart notes a target's start number. A greater one is a new life: cold,
+// and not leaving. The first one that is seen belongs to the life that an
+// earlier word of its leaving was about.
+func (t *target) sawStart(start uint64) {
+	if start <= t.start {
+		return
 	}
-	if leaving {
-		t.leftAt = max(t.leftAt, start)
-		t.leaving = true
+	first := t.start == 0
+	t.start = start
+	switch {
+	case first && t.leaving && t.leftAt == 0:
+		t.leftAt = start
+	case !first:
+		t.tracker.Restart()
 	}
-	if t.leaving && t.start > t.leftAt {
+	if start > t.leftAt {
 		t.leaving = false
 	}
 }
@@ -262,17 +265,36 @@
 // Leave notes that a target leaves. start is its start number, 0 when the
 // source does not know it; it sticks until a greater one is seen.
 func (l *Ledger) Leave(address string, start uint64) {
-	t, ok := l.targets[address]
-	if !ok {
-		return
+	if t, ok := l.targets[address]; ok {
+		t.leave(start)
 	}
+}
+
+func (t *target) leave(start uint64) {
 	if start == 0 {
 		start = t.start
 	}
 	if start < t.start {
 		return // old news of an earlier life
 	}
-	l.sawStart(t, start, true)
+	t.sawStart(start)
+	t.leftAt = max(t.leftAt, start)
+	t.leaving = true
+}
+
+// saw notes what an answer of the target says of itself.
+func (t *target) saw(o Outcome) {
+	t.sawStart(o.Start)
+	if o.Leaving {
+		t.leave(o.Start)
+	}
+}
+
+// SawStart notes a target's start number from elsewhere, such as the list.
+func (l *Ledger) SawStart(address string, start uint64) {
+	if t, ok := l.targets[address]; ok {
+		t.sawStart(start)
+	}
 }
 
 // Probed takes in a probe's result.
@@ -282,7 +304,7 @@
 		return
 	}
 	t.visited = now
-	l.sawStart(t, o.Start, o.Leaving)
+	t.saw(o)
 	if o.Result != health.OK {
 		t.tracker.Observe(now, o.Result, o.Took, 0)
 	}
--- a/core/ledger/view.go
+++ b/core/ledger/view.go
@@ -55,10 +55,14 @@
 	return out
 }
 
-// IsLeaving says whether a target takes no new work.
-func (l *Ledger) IsLeaving(address string) bool {
-	t, ok := l.targets[address]
-	return ok && t.leaving
+// LeavingStart gives the start number of a target that leaves; ok is false for
+// one that does not.
+func (l *Ledger) LeavingStart(address string) (start uint64, ok bool) {
+	t, known := l.targets[address]
+	if !known || !t.leaving {
+		return 0, false
+	}
+	return t.leftAt, true
 }
 
 // QueueLen is how many asks wait.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -61,14 +61,15 @@
 // Follower carries out the duties. Its methods may run at the same time.
 type Follower struct {
 	options Options
-	mu      sync.Mutex // guards options.Random
+	mu      sync.Mutex                // guards options.Random and listed
+	listed  map[string]platform.State // what the list said of each target
 	ready   chan struct{}
 	readied sync.Once
 }
 
 // New makes a follower.
 func New(o Options) *Follower {
-	return &Follower{options: o, ready: make(chan struct{})}
+	return &Follower{options: o, listed: map[string]platform.State{}, ready: make(chan struct{})}
 }
 
 // Ready is closed once the box holds the greatest versions that the platform
--- a/internal/follow/news.go
+++ b/internal/follow/news.go
@@ -90,9 +90,20 @@
 		return
 	}
 	for _, t := range targets {
-		if t.State == platform.Leaving {
-			f.options.Home.Leave(t.Address, t.Start)
-		}
+		f.takeTarget(t)
+	}
+}
+
+// takeTarget takes in a target's entry. An entry without a start number counts
+// only when it changes: a lagging list must not make a target's new life leave.
+func (f *Follower) takeTarget(t platform.Member) {
+	f.mu.Lock()
+	changed := f.listed[t.Address] != t.State
+	f.listed[t.Address] = t.State
+	f.mu.Unlock()
+	f.options.Home.SawStart(t.Address, t.Start)
+	if t.State == platform.Leaving && (changed || t.Start > 0) {
+		f.options.Home.Leave(t.Address, t.Start)
 	}
 }
 
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -114,8 +115,25 @@
 	}
 }
 
-// Acquire waits for a slot. Its failure always has the verdict NotRun.
+// Acquire waits for a slot. Its failure always has the verdict NotRun. A slot
+// at a target that this box knows to leave goes back with that word, and the
+// home is asked again.
 func (b *Broker) Acquire(ctx context.Context, r Request) (*Slot, *verdict.Error) {
+	for {
+		slot, failure := b.acquire(ctx, r)
+		if failure != nil || slot.home == b.options.Members.Self().ID {
+			return slot, failure
+		}
+		start, leaving := b.options.Home.LeavingStart(r.Service.Name, slot.target)
+		if !leaving {
+			return slot, nil
+		}
+		b.Release(slot, ledger.Outcome{Result: health.Unused, Leaving: true, Start: start})
+		r.Avoid = append(slices.Clone(r.Avoid), slot.target)
+	}
+}
+
+func (b *Broker) acquire(ctx context.Context, r Request) (*Slot, *verdict.Error) {
 	for range mostHomes {
 		at := b.HomeOf(r.Service)
 		if at.ID == b.options.Members.Self().ID {
@@ -197,8 +215,7 @@
 	}
 }
 
-// take turns a decision into a slot or a failure. A grant for a target that
-// this box knows to leave is not used.
+// take turns a decision into a slot or a failure.
 func (b *Broker) take(homeID, id string, r Request, d home.Decision) (*Slot, *verdict.Error) {
 	if d.State != ledger.Granted {
 		return nil, refusal(d)
@@ -208,15 +225,9 @@
 		hedgeAfter: d.HedgeAfter, waited: d.Waited, at: b.options.Clock(),
 	}
 	b.hold(slot, r.Kind.Name)
-	if homeID != b.options.Members.Self().ID && b.options.Home.IsLeaving(r.Service.Name, d.Target) {
-		b.Release(slot, ledger.Outcome{Result: health.Unused, Leaving: true})
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "the granted target is leaving").WithRetryAfter(retrySoon)
-	}
 	return slot, nil
 }
 
-const retrySoon = 100 * time.Millisecond
-
 var refusals = map[verdict.Reason]string{
 	verdict.ReasonNoTarget:   "no target of the service takes work now",
 	verdict.ReasonQueueFull:  "the service's queue is full",
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -195,16 +195,22 @@
 	}
 }
 
+// SawStart notes in every service a target's start number.
+func (h *Home) SawStart(address string, start uint64) {
+	for _, name := range h.Names() {
+		h.with(name, func(_ time.Time, l *ledger.Ledger) { l.SawStart(address, start) })
+	}
+}
+
 // Probed takes in a probe's result.
 func (h *Home) Probed(name, address string, o ledger.Outcome) {
 	h.with(name, func(now time.Time, l *ledger.Ledger) { l.Probed(now, address, o) })
 }
 
-// IsLeaving says whether the target is known to leave.
-func (h *Home) IsLeaving(name, address string) bool {
-	leaving := false
-	h.with(name, func(_ time.Time, l *ledger.Ledger) { leaving = l.IsLeaving(address) })
-	return leaving
+// LeavingStart gives the start number of a target that is known to leave.
+func (h *Home) LeavingStart(name, address string) (start uint64, ok bool) {
+	h.with(name, func(_ time.Time, l *ledger.Ledger) { start, ok = l.LeavingStart(address) })
+	return start, ok
 }
 
 // Leaving lists all targets that are known to leave, by address with start.
--- a/internal/standin/targetsim/targetsim.go
+++ b/internal/standin/targetsim/targetsim.go
@@ -76,6 +76,7 @@
 	inFlight atomic.Int64
 	peak     atomic.Int64
 	faults   atomic.Pointer[Faults]
+	start    atomic.Uint64
 	mu       sync.Mutex
 	runs     map[string]int // by Idempotency-Key, else by mark
 	lastRun  time.Time
@@ -91,12 +92,16 @@
 	}
 	t := &Target{options: o, slots: make(chan struct{}, max(o.Slots, 1)), runs: map[string]int{}}
 	t.faults.Store(&Faults{})
+	t.start.Store(o.Start)
 	return t
 }
 
 // SetFaults replaces the switches.
 func (t *Target) SetFaults(f Faults) { t.faults.Store(&f) }
 
+// Restart gives the target a new start number, as a new process would have.
+func (t *Target) Restart(start uint64) { t.start.Store(start) }
+
 // Counts is what a target has seen.
 type Counts struct {
 	Runs     map[string]int `json:"runs"`
@@ -144,7 +149,7 @@
 
 func (t *Target) sign(c echo.Context) {
 	h := c.Response().Header()
-	h.Set("Target-Start", strconv.FormatUint(t.options.Start, 10))
+	h.Set("Target-Start", strconv.FormatUint(t.start.Load(), 10))
 	if t.faults.Load().Leaving {
 		h.Set("Target-State", "leaving")
 	}
