Never pass on another request's answer; never hide that an earlier try may have run

Cause: mutants of two rules survived the tests. 'earlier try forgotten': no test had a repeatable request whose later try was refused. 'echo not checked': the stand-in's second answer came before the connection was used again. Ruled out: a fresh connection for every request (1 ms each); rejecting only ids that differ (the second answer bears none). Mended: a service may say echo_id; then an answer without the request's own id is never passed on and its connection is closed.

--- a/box/admin.go
+++ b/box/admin.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/internal/envelope"
 	"github.com/sprucecrank/sprucecrank/internal/home"
 	"github.com/sprucecrank/sprucecrank/internal/probe"
 	"github.com/sprucecrank/sprucecrank/policy"
@@ -60,6 +61,8 @@
 	guarded := e.Group("", b.checkToken)
 	guarded.GET("/status", func(c echo.Context) error { return c.JSON(http.StatusOK, b.Status()) })
 	guarded.POST("/drain", b.drain)
+	b.addObjects(guarded, "/services", envelope.Service)
+	b.addObjects(guarded, "/policies", envelope.Policy)
 	guarded.GET("/metrics", echo.WrapHandler(b.telemetry.Handler()))
 	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -143,6 +143,22 @@
 		m.check(f)
 	})
 
+	It("never tell not-run when an earlier try may have run", func() {
+		f.targets = f.targets[:2]
+		f.submitService("mix", f.targets, "")
+		f.inForce("config/service/mix")
+		f.targets[0].SetFaults(targetsim.Faults{CutAfterRun: true})
+		f.targets[1].SetFaults(targetsim.Faults{ShedAll: true})
+		c := client()
+		for i := range 60 {
+			mark := fmt.Sprint("try-", i)
+			a := ask(context.Background(), c, http.MethodGet, "http://"+f.boxes[i%3].settings.Listen+"/mix/x", map[string]string{"X-Mark": mark}, "")
+			if a.verdict == "not-run" {
+				Expect(f.runs(mark)).To(Equal(0), mark)
+			}
+		}
+	})
+
 	It("does not believe a shed answer where the service does not trust it", func() {
 		f.submitService("untrusted", f.targets[:1], "")
 		doc := fmt.Sprintf(`{"name":"untrusted","prefix":"/untrusted","targets":[{"address":%q,"hall":"north"}]}`, f.targets[0].address)
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -264,7 +264,7 @@
 	}
 	raw, err := json.Marshal(list)
 	Expect(err).NotTo(HaveOccurred())
-	doc := fmt.Sprintf(`{"name":%q,"prefix":"/%s","trust_shed":true,"targets":%s%s}`, name, name, raw, more)
+	doc := fmt.Sprintf(`{"name":%q,"prefix":"/%s","trust_shed":true,"echo_id":true,"targets":%s%s}`, name, name, raw, more)
 	code, _, errOut := f.operator(doc, "service", "submit", "-")
 	Expect(code).To(Equal(0), errOut)
 }
--- a/internal/cli/object/delete.go
+++ b/internal/cli/object/delete.go
@@ -8,6 +8,7 @@
 
 	"github.com/sprucecrank/sprucecrank/internal/cli/cmdutil"
 	"github.com/sprucecrank/sprucecrank/internal/envelope"
+	"github.com/sprucecrank/sprucecrank/internal/submit"
 )
 
 type deleteOptions struct {
@@ -41,6 +42,6 @@
 	if err != nil {
 		return err
 	}
-	c := change{noun: o.noun, name: o.name, deleted: true, expect: &version}
+	c := submit.Change{Noun: o.noun, Name: o.name, Deleted: true, Expect: &version}
 	return report(ctx, o.factory, c, o.json, "deleted")
 }
--- a/internal/cli/object/object.go
+++ b/internal/cli/object/object.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 
@@ -16,8 +15,7 @@
 
 	"github.com/sprucecrank/sprucecrank/internal/cli/cmdutil"
 	"github.com/sprucecrank/sprucecrank/internal/envelope"
-	"github.com/sprucecrank/sprucecrank/platform"
-	"github.com/sprucecrank/sprucecrank/policy"
+	"github.com/sprucecrank/sprucecrank/internal/submit"
 )
 
 // NewCommand makes the command of a noun with its verbs.
@@ -49,35 +47,17 @@
 
 // check validates a document and finds its name.
 func check(noun envelope.Noun, raw []byte) (string, error) {
-	if noun == envelope.Policy {
-		p, err := policy.ParsePolicy(raw)
-		if err != nil {
-			return "", invalid(noun, err)
-		}
-		return p.Service(), nil
-	}
-	s, err := policy.ParseService(raw)
+	name, err := submit.Check(noun, raw)
 	if err != nil {
-		return "", invalid(noun, err)
+		return "", cmdutil.Usage("the %s is not valid; nothing was changed:\n%w", noun, err)
 	}
-	return s.Name, nil
-}
-
-func invalid(noun envelope.Noun, err error) error {
-	return cmdutil.Usage("the %s is not valid; nothing was changed:\n%w", noun, err)
+	return name, nil
 }
 
 // current reads the object that stands now; version 0 means none.
 func current(ctx context.Context, f *cmdutil.Factory, noun envelope.Noun, name string) (envelope.Envelope, uint64, error) {
-	object, err := f.Platform().Get(ctx, noun.Key(name))
-	if errors.Is(err, platform.ErrNotFound) {
-		return envelope.Envelope{}, 0, nil
-	}
-	if err != nil {
-		return envelope.Envelope{}, 0, cmdutil.Explain(err)
-	}
-	env, err := envelope.Parse(object.Value)
-	return env, object.Version, err
+	env, version, err := submit.Current(ctx, f.Platform().Objects(), noun, name)
+	return env, version, cmdutil.Explain(err)
 }
 
 // existing reads an object that must stand and not be deleted.
@@ -92,49 +72,21 @@
 	return env, version, nil
 }
 
-// change is one submission to be written.
-type change struct {
-	noun    envelope.Noun
-	name    string
-	value   json.RawMessage
-	deleted bool
-	// expect is the version that the operator saw; nil means the current one.
-	expect *uint64
-}
-
-// write submits a change as a conditional update. A lost answer is settled by
-// the submission's id.
-func write(ctx context.Context, f *cmdutil.Factory, c change) (uint64, error) {
-	env, version, err := current(ctx, f, c.noun, c.name)
-	if err != nil {
-		return 0, err
-	}
-	if c.expect != nil && *c.expect != version {
-		return 0, raced(c, version)
+// report writes a change and tells the operator its version.
+func report(ctx context.Context, f *cmdutil.Factory, c submit.Change, asJSON bool, verb string) error {
+	c.ID, c.By, c.At = f.NewID(), f.User(), f.Clock()
+	version, err := submit.Write(ctx, f.Platform().Objects(), c)
+	var raced *submit.RacedError
+	if errors.As(err, &raced) {
+		return cmdutil.Conflict("%s %q: %w. Look at it with: sprucecrank %s show %s, and submit again with --if-version %d",
+			c.Noun, c.Name, err, c.Noun, c.Name, raced.Version())
 	}
-	next := env.Next(version, envelope.Revision{
-		ID: f.NewID(), By: f.User(), At: f.Clock().UTC(), Deleted: c.deleted, Value: c.value,
-	})
-	raw, err := json.Marshal(next)
 	if err != nil {
-		return 0, err
+		return cmdutil.Explain(err)
 	}
-	mine := func(o platform.Object) bool {
-		found, err := envelope.Parse(o.Value)
-		return err == nil && found.ID == next.ID
+	if asJSON {
+		return cmdutil.WriteJSON(f.IO, submitted{Noun: c.Noun, Name: c.Name, Version: version})
 	}
-	ctx, cancel := context.WithTimeout(ctx, submitPatience)
-	defer cancel()
-	written, err := f.Platform().PutSettled(ctx, c.noun.Key(c.name), raw, version, mine)
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		return 0, raced(c, conflict.Current().Version)
-	}
-	return written, cmdutil.Explain(err)
-}
-
-func raced(c change, version uint64) error {
-	return cmdutil.Conflict("%s %q is at version %d now: another operator was faster; nothing was changed. "+
-		"Look at it with: sprucecrank %s show %s, and submit again with --if-version %d",
-		c.noun, c.name, version, c.noun, c.name, version)
+	_, err = fmt.Fprintf(f.IO.Out, "%s %s: %s as version %d\n", c.Noun, c.Name, verb, version)
+	return err
 }
--- a/internal/cli/object/rollback.go
+++ b/internal/cli/object/rollback.go
@@ -9,6 +9,7 @@
 
 	"github.com/sprucecrank/sprucecrank/internal/cli/cmdutil"
 	"github.com/sprucecrank/sprucecrank/internal/envelope"
+	"github.com/sprucecrank/sprucecrank/internal/submit"
 )
 
 type rollbackOptions struct {
@@ -52,6 +53,6 @@
 	if _, err := check(o.noun, value); err != nil {
 		return err
 	}
-	c := change{noun: o.noun, name: o.name, value: value, expect: &version}
+	c := submit.Change{Noun: o.noun, Name: o.name, Value: value, Expect: &version}
 	return report(ctx, o.factory, c, o.json, fmt.Sprintf("version %d submitted again", o.version))
 }
--- a/internal/cli/object/submit.go
+++ b/internal/cli/object/submit.go
@@ -4,17 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/sprucecrank/sprucecrank/internal/cli/cmdutil"
 	"github.com/sprucecrank/sprucecrank/internal/envelope"
+	"github.com/sprucecrank/sprucecrank/internal/submit"
 )
 
-// submitPatience is how long a submission is settled for.
-const submitPatience = 10 * time.Second
-
 type submitOptions struct {
 	factory   *cmdutil.Factory
 	noun      envelope.Noun
@@ -59,22 +56,9 @@
 	if err != nil {
 		return err
 	}
-	c := change{noun: o.noun, name: name, value: json.RawMessage(raw)}
+	c := submit.Change{Noun: o.noun, Name: name, Value: json.RawMessage(raw)}
 	if o.checked {
-		c.expect = &o.ifVersion
+		c.Expect = &o.ifVersion
 	}
 	return report(ctx, o.factory, c, o.json, "submitted")
 }
-
-// report writes a change and tells the operator its version.
-func report(ctx context.Context, f *cmdutil.Factory, c change, asJSON bool, verb string) error {
-	version, err := write(ctx, f, c)
-	if err != nil {
-		return err
-	}
-	if asJSON {
-		return cmdutil.WriteJSON(f.IO, submitted{Noun: c.noun, Name: c.name, Version: version})
-	}
-	_, err = fmt.Fprintf(f.IO.Out, "%s %s: %s as version %d\n", c.noun, c.name, verb, version)
-	return err
-}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -143,13 +143,23 @@
 	if err != nil {
 		return nil, sendFailure(ctx, err, connected.Load())
 	}
-	if echoed := response.Header.Get(HeaderRequestID); echoed != "" && echoed != x.id {
+	if foreign(x, response) {
 		_ = response.Body.Close()
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonTargetFailed, "the target answered with another request's id")
 	}
 	return &reply{response: response, shed: isShed(x.service, response)}, nil
 }
 
+// foreign says whether an answer belongs to another request: a target that
+// answers twice leaves its second answer to the next request of the connection.
+func foreign(x *exchange, r *http.Response) bool {
+	echoed := r.Header.Get(HeaderRequestID)
+	if echoed == "" {
+		return x.service.EchoID
+	}
+	return echoed != x.id
+}
+
 func sendFailure(ctx context.Context, err error, connected bool) *verdict.Error {
 	v := verdict.MayHaveRun
 	reason := verdict.ReasonTargetFailed
--- a/internal/standin/targetsim/targetsim.go
+++ b/internal/standin/targetsim/targetsim.go
@@ -282,7 +282,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if f.Twice {
-		return answerTwice(w, line, lines)
+		return answerTwice(w, c.Request().Header.Get("X-Request-Id"), line, lines)
 	}
 	for range lines {
 		if _, err := io.WriteString(w, line); err != nil {
@@ -292,19 +292,21 @@
 	return nil
 }
 
-// answerTwice writes two whole answers to one request.
-func answerTwice(w *echo.Response, line string, lines int) error {
+// answerTwice writes two whole answers to one request, the second when the
+// connection may be in use for another.
+func answerTwice(w *echo.Response, id, line string, lines int) error {
 	conn, buffered, err := w.Hijack()
 	if err != nil {
 		return err
 	}
 	defer func() { _ = conn.Close() }()
-	for _, text := range []string{strings.Repeat(line, lines), "somebody else's answer\n"} {
-		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
-	}
-	if err := buffered.Flush(); err != nil {
-		return err
+	write := func(head, text string) {
+		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(text), text)
+		_ = buffered.Flush()
 	}
+	write("X-Request-Id: "+id+"\r\n", strings.Repeat(line, lines))
+	_, _ = buffered.ReadByte() // the next request of this connection has begun
+	write("", "somebody else's answer\n")
 	time.Sleep(50 * time.Millisecond)
 	return nil
 }
--- a/policy/service.go
+++ b/policy/service.go
@@ -57,12 +57,16 @@
 
 // Service groups targets under a name and a path prefix.
 type Service struct {
-	Name      string   `json:"name"`
-	Prefix    string   `json:"prefix"`
-	Targets   []Target `json:"targets"`
-	TrustShed bool     `json:"trust_shed,omitempty"`
-	MaxQueue  int      `json:"max_queue,omitempty"`
-	Probe     Probe    `json:"probe,omitempty"`
+	Name    string   `json:"name"`
+	Prefix  string   `json:"prefix"`
+	Targets []Target `json:"targets"`
+	// TrustShed believes a target's word that it did not run a request.
+	TrustShed bool `json:"trust_shed,omitempty"`
+	// EchoID says that targets repeat X-Request-Id in every answer; an answer
+	// without it, or with another's, is then never passed on.
+	EchoID   bool  `json:"echo_id,omitempty"`
+	MaxQueue int   `json:"max_queue,omitempty"`
+	Probe    Probe `json:"probe,omitempty"`
 }
 
 // ParseService checks and completes a service document.
