--- a/box/run.go
+++ b/box/run.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 
+	"github.com/sprucecrank/sprucecrank/internal/oncerun"
 	"github.com/sprucecrank/sprucecrank/peer"
 )
 
@@ -104,13 +105,31 @@
 func (b *Box) duties() []duty {
 	return []duty{
 		b.follower.Starter, b.follower.Watcher, b.follower.Exchanger, b.follower.Lister,
-		b.broker.Returner, b.runner.Recorder, b.prober.Run,
+		b.broker.Returner, b.runner.Recorder, b.cleaner().Run, b.prober.Run,
 		every(tickEvery, func() { b.home.Tick(b.settings.ID) }),
 		every(reconcileEvery, b.broker.ReconcileAll),
 		every(handOverEvery, b.handOver),
 	}
 }
 
+// cleaner deletes old records of the services whose home this box is.
+func (b *Box) cleaner() *oncerun.Cleaner {
+	return oncerun.NewCleaner(oncerun.CleanerOptions{
+		List: b.platform.List, Delete: b.platform.Delete,
+		Services: b.homeServices, Clock: b.options.Clock, Log: b.log,
+	})
+}
+
+func (b *Box) homeServices() []string {
+	var out []string
+	for _, s := range b.routes.Load().Services() {
+		if b.isHome(s) {
+			out = append(out, s.Name)
+		}
+	}
+	return out
+}
+
 // every makes a duty that calls f regularly.
 func every(period time.Duration, f func()) duty {
 	return func(ctx context.Context) error {
--- a/core/once/key.go
+++ b/core/once/key.go
@@ -42,10 +42,27 @@
 	return time.Unix(sec, nsec)
 }
 
-// ObjectKey names the record of a key in the platform.
+// Prefix is where records stand in the platform.
+const Prefix = "once/"
+
+// ObjectKey names the record of a key in the platform. The key, which begins
+// with its time, comes before the client, so that old records can be listed.
 func ObjectKey(service, client, key string) string {
 	sum := sha256.Sum256([]byte(client))
-	return fmt.Sprintf("once/%s/%s/%s", service, hex.EncodeToString(sum[:scopeBytes]), key)
+	return Prefix + service + "/" + key + "/" + hex.EncodeToString(sum[:scopeBytes])
+}
+
+// bucketDigits is how many hexadecimal digits of a key's time name a bucket.
+const bucketDigits = 7
+
+// BucketLength is the time that one bucket of records spans.
+const BucketLength = (1 << (4 * (12 - bucketDigits))) * time.Millisecond
+
+// BucketPrefix is the prefix of all records of a service whose keys were made
+// in the same bucket of time as at.
+func BucketPrefix(service string, at time.Time) string {
+	digits := fmt.Sprintf("%012x", at.UnixMilli())[:bucketDigits]
+	return Prefix + service + "/" + digits
 }
 
 // Fingerprint identifies the content of a request.
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -190,6 +191,23 @@
 		Expect(f.runs(key)).To(Equal(1))
 	})
 
+	It("is never told not-run once it ran, though its service is gone or the repeat is not acceptable", func() {
+		key := newKey()
+		p := f.boxes[0]
+		url := "http://" + p.settings.Listen + "/haul/book"
+		header := map[string]string{"Idempotency-Key": key, "Sprucecrank-Client": "mill"}
+		Expect(book(client(), p, key).verdict).To(Equal("ran"))
+		large := ask(context.Background(), client(), http.MethodPost, url, header, strings.Repeat("x", 300<<10))
+		Expect(large.reason).To(Equal("body-too-large"))
+		Expect(large.verdict).To(Equal("may-have-run"))
+		code, _, errOut := f.operator("", "service", "delete", "haul")
+		Expect(code).To(Equal(0), errOut)
+		f.inForce("config/service/haul")
+		gone := ask(context.Background(), client(), http.MethodPost, url, header, "tract 9")
+		Expect(gone.reason).To(Equal("no-service"))
+		Expect(gone.verdict).To(Equal("may-have-run"))
+	})
+
 	It("is never sent again when the target cuts the connection after it ran", func() {
 		for _, t := range f.targets {
 			t.SetFaults(targetsim.Faults{CutAfterRun: true})
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -122,12 +122,12 @@
 // serve answers the request and returns its verdict.
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, x *exchange) verdict.Verdict {
 	if failure := h.prepare(x); failure != nil {
-		return h.fail(w, x, failure)
+		return h.fail(w, x, beforeRecord(x, failure))
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, context.DeadlineExceeded)
 	defer cancel()
 	if failure := h.readBody(w, x); failure != nil {
-		return h.fail(w, x, failure)
+		return h.fail(w, x, beforeRecord(x, failure))
 	}
 	if x.kind.Mode == policy.Once {
 		return h.serveOnce(ctx, w, x)
@@ -135,6 +135,15 @@
 	return h.serveTries(ctx, w, x)
 }
 
+// beforeRecord is the failure of a try that ends before its key's record was
+// looked at. This try was not sent, but an earlier one of its key may have been.
+func beforeRecord(x *exchange, f *verdict.Error) *verdict.Error {
+	if x.in.Header.Get(HeaderKey) == "" || f.Verdict() != verdict.NotRun {
+		return f
+	}
+	return f.WithVerdict(verdict.MayHaveRun)
+}
+
 func (h *Handler) prepare(x *exchange) *verdict.Error {
 	if x.in.Header.Get("Upgrade") != "" {
 		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "protocol upgrades are not passed on")
