Swap news with ten neighbours, not with any box

Cause: bytes to peers grew with the fleet (1347 B/s at 4 boxes, 2600 at 104): a link to every other box, each with gob's types sent anew. At 870 boxes each would hold 869 links. A box's neighbours are now the ten that rendezvous hashing gives it. In the test, news reaches 870 boxes within 8 rounds. Ruled out: a smaller message (the 210 bytes are mostly the neighbours' names).

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -185,10 +185,19 @@
 	return out
 }
 
-// Sample picks up to n other boxes at random, leaving and suspect ones among
-// them: they, too, have news, and an answer clears the suspicion.
+// neighbours is how many boxes a box swaps news with. The links that they need
+// do not grow with the fleet, and news still reaches all in a number of rounds
+// that grows with the fleet's logarithm.
+const neighbours = 10
+
+// Sample picks up to n of the box's neighbours at random, leaving and suspect
+// ones among them: they, too, have news, and an answer clears the suspicion.
 func (v *View) Sample(random *rand.Rand, n int) []Box {
-	all := v.Boxes()
-	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(n, len(all))]
+	near := v.Boxes()
+	slices.SortFunc(near, func(a, b Box) int {
+		return cmp.Compare(score(v.self.ID, b.ID), score(v.self.ID, a.ID))
+	})
+	near = near[:min(neighbours, len(near))]
+	random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	return near[:min(n, len(near))]
 }
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -84,6 +86,48 @@
 		Expect(v.Home(now, "s", "north").ID).To(Equal("box-0"))
 	})
 
+	It("lets news reach every box of a large fleet in few rounds, over few links", func() {
+		const fleet = 870
+		all := boxes(fleet)
+		random := rand.New(rand.NewPCG(1, 1))
+		views := make([]*member.View, fleet)
+		links := map[string]map[string]bool{}
+		for i, self := range all {
+			views[i] = member.New(self)
+			views[i].SetList(now, all)
+			links[self.ID] = map[string]bool{}
+		}
+		index := map[string]int{}
+		for i, b := range all {
+			index[b.ID] = i
+		}
+		knows := make([]bool, fleet)
+		knows[0] = true
+		rounds := 0
+		for known := 1; known < fleet; rounds++ {
+			next := slices.Clone(knows)
+			for i, v := range views {
+				for _, b := range v.Sample(random, 3) {
+					links[all[i].ID][b.ID] = true
+					if knows[i] || knows[index[b.ID]] { // news goes both ways
+						next[i], next[index[b.ID]] = true, true
+					}
+				}
+			}
+			knows = next
+			known = 0
+			for _, k := range knows {
+				if k {
+					known++
+				}
+			}
+		}
+		Expect(rounds).To(BeNumerically("<=", 8))
+		for _, of := range links {
+			Expect(len(of)).To(BeNumerically("<=", 10))
+		}
+	})
+
 	It("passes on only boxes that were heard from lately, and forgets those that nobody names", func() {
 		v := member.New(member.Box{ID: "self", Start: 1})
 		v.SetList(now, boxes(2))
