--- a/internal/compare/compare_test.go
+++ b/internal/compare/compare_test.go
@@ -109,5 +109,26 @@
 	}
 }
 
+// TestAttemptsStayFewThroughAFullOutage lets every target fail fast for five
+// seconds: retries are a share of the successes, so they do not bury it.
+func TestAttemptsStayFewThroughAFullOutage(t *testing.T) {
+	g := NewWithT(t)
+	for _, d := range []deployment{studio, loblolly} {
+		c := testCase{name: "outage", deployment: d, load: 0.7, length: 20 * time.Second, fault: func(s *sim) {
+			for _, one := range s.targets {
+				s.after(5*time.Second, func() { one.failFast = true })
+				s.after(10*time.Second, func() { one.failFast = false })
+			}
+		}}
+		home, own := play(c, homeHedge, 1), play(c, ownCounts, 1)
+		tries := func(r *result) float64 {
+			return float64(r.tries) / float64(r.sent[d.kinds[0].name]+r.sent[d.kinds[1].name])
+		}
+		t.Logf("%s: %.3f tries a request, own counts with three tries each %.3f", d.name, tries(home), tries(own))
+		g.Expect(tries(home)).To(BeNumerically("<=", 1.1), d.name)
+		g.Expect(home.quantile(d.kinds[0].name, 99)).To(BeNumerically("<=", own.quantile(d.kinds[0].name, 99)), "after it ends")
+	}
+}
+
 // at is a quantile of sorted values.
 func at[T any](sorted []T, percent int) T { return sorted[(len(sorted)-1)*percent/100] }
