Fail in every way together and again; mend what that found

Cause: each failure alone was proved, not any together, twice. Found, each with a test that failed first: - A hedged request heard 'not run' when the first try was cut after it ran and the second was shed: the verdict was that of the try that failed last. Both now count (test in internal/entry). - An operation heard 'ran' when its target had answered 500 without running it. Any 5xx now says 'may have run'; it is recorded and replayed like any answer. Ruled out: the retry's weakening (its mutant is killed), lost returns.

--- a/internal/entry/headers_test.go
+++ b/internal/entry/headers_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sprucecrank/sprucecrank/core/once"
 	"github.com/sprucecrank/sprucecrank/policy"
+	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
 func requestWith(headers map[string][]string) *http.Request {
@@ -82,3 +83,17 @@
 		_ = outbound(r, "id", time.Second)
 	})
 }
+
+func TestAFailedHedgeDoesNotHideThatTheOtherTryMayHaveRun(t *testing.T) {
+	g := NewWithT(t)
+	notRun := verdict.New(verdict.NotRun, verdict.ReasonShed, "shed")
+	mayHave := verdict.New(verdict.MayHaveRun, verdict.ReasonTargetFailed, "cut")
+	for _, order := range [][]*verdict.Error{{notRun, mayHave}, {mayHave, notRun}} {
+		results := make(chan *try, 2)
+		first, second := &try{failure: order[0]}, &try{failure: order[1]}
+		results <- first
+		results <- second
+		h := &Handler{}
+		g.Expect(h.settle(results, first, second).failure.Verdict()).To(Equal(verdict.MayHaveRun))
+	}
+}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -86,10 +86,6 @@
 		f := verdict.New(verdict.Ran, verdict.ReasonAnswerTooLarge, "the operation ran, but its answer is too large to pass on whole")
 		return nil, outcome(rep.response, health.OK, took), f
 	}
-	if verdictOf(rep.response) != verdict.Ran {
-		f := verdict.New(verdict.MayHaveRun, verdict.ReasonTargetFailed, "the target answered that it could not say what became of the request")
-		return nil, outcome(rep.response, health.Failed, took), f
-	}
 	return answerOf(rep.response, body), outcome(rep.response, resultOf(rep), took), nil
 }
 
@@ -108,11 +104,12 @@
 	for name, values := range result.Answer.Header {
 		w.Header()[name] = values
 	}
-	w.Header().Set(verdict.Header, verdict.Ran.String())
+	v := verdictOf(result.Answer.Status)
+	w.Header().Set(verdict.Header, v.String())
 	if result.Replayed {
 		w.Header().Set(HeaderReplayed, "true")
 	}
 	w.WriteHeader(result.Answer.Status)
 	_, _ = w.Write(result.Answer.Body)
-	return verdict.Ran
+	return v
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -19,7 +19,7 @@
 	defer t.cancel()
 	response := t.reply.response
 	defer func() { _ = response.Body.Close() }()
-	v := verdictOf(response)
+	v := verdictOf(response.StatusCode)
 	writeHead(w, response, v)
 	fromTarget, toClient := copyBody(w, response)
 	switch {
@@ -40,15 +40,13 @@
 	return v
 }
 
-// verdictOf is Ran for an answer, but an answer of a gateway or of overload
+// verdictOf is Ran for an answer, but one that says that the target failed
 // leaves open how far the request came.
-func verdictOf(r *http.Response) verdict.Verdict {
-	switch r.StatusCode {
-	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+func verdictOf(status int) verdict.Verdict {
+	if status >= http.StatusInternalServerError {
 		return verdict.MayHaveRun
-	default:
-		return verdict.Ran
 	}
+	return verdict.Ran
 }
 
 func writeHead(w http.ResponseWriter, r *http.Response, v verdict.Verdict) {
--- a/internal/entry/tries.go
+++ b/internal/entry/tries.go
@@ -154,7 +154,7 @@
 func (h *Handler) settle(results chan *try, first, second *try) *try {
 	winner := <-results
 	if winner.failure != nil {
-		return <-results
+		return lastOf(<-results, winner)
 	}
 	loser := first
 	if winner == first {
@@ -170,6 +170,15 @@
 	return winner
 }
 
+// lastOf is the try that is left after another failed. Should it have failed,
+// too, then neither may hide that the other may have run.
+func lastOf(left, failed *try) *try {
+	if left.failure != nil {
+		left.failure = weaken(left.failure, failed.failure.Verdict())
+	}
+	return left
+}
+
 // begin starts a try; it comes out of results when its head or failure is known.
 func (h *Handler) begin(ctx context.Context, x *exchange, slot *grant.Slot, results chan<- *try) *try {
 	ctx, cancel := context.WithCancel(ctx)
