Do not take returned slots for held again

A box names what it holds every 500 ms; a return that overtook that list on its way was taken for a promise that the ledger lacked, and the slot stayed promised for up to 1.5 s. Test failed first (1 in flight, 0 wanted). Mended: only a box that has not had the home before is adopted from, and a slot goes back to the home that granted it and to the one that adopted it.

--- a/box/box.go
+++ b/box/box.go
@@ -213,7 +213,7 @@
 }
 
 func (b *Box) handleReconcile(a peer.ReconcileArgs) {
-	b.home.Reconcile(a.Service, a.Box, a.Held)
+	b.home.Reconcile(a.Service, a.Box, a.Held, a.New)
 	b.prober.Add(a.ProbeTime)
 }
 
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -163,6 +163,7 @@
 		b := newBook(1, 2, 10)
 		lost, _ := b.ask(1, "a")
 		b.now = b.now.Add(2 * time.Second)
+		b.Adopt(b.now, "a", []ledger.Held{{ID: "other", Target: "t0"}})
 		b.Reconcile(b.now, "a", []ledger.Held{{ID: "other", Target: "t0"}}, time.Second)
 		Expect(b.InFlight()).To(Equal(1))
 		b.ok(lost)
@@ -171,6 +172,14 @@
 		Expect(b.InFlight()).To(Equal(0))
 	})
 
+	It("does not take a slot for held again that came back before the box's list did", func() {
+		b := newBook(1, 1, 10)
+		id, _ := b.ask(1, "a")
+		b.ok(id)
+		b.Reconcile(b.now, "a", []ledger.Held{{ID: id, Target: "t0"}}, time.Second)
+		Expect(b.InFlight()).To(Equal(0))
+	})
+
 	It("keeps a young promise that its box has not heard of yet", func() {
 		b := newBook(1, 1, 10)
 		b.ask(1, "a")
--- a/internal/compare/home_test.go
+++ b/internal/compare/home_test.go
@@ -91,7 +91,7 @@
 				one.For = h.s.now - h.heldAt[id]
 				list = append(list, one)
 			}
-			h.ledger.Reconcile(h.s.time(), strconv.Itoa(box), list, time.Second)
+			h.ledger.Adopt(h.s.time(), strconv.Itoa(box), list)
 		}
 		again := h.asking
 		h.asking = map[string]func(){}
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -35,6 +35,8 @@
 	// recentlyUsed is how long after its last ask a home is still told what
 	// the box holds.
 	recentlyUsed = 5 * time.Second
+
+	reconcilePatience = time.Second
 )
 
 // Request is what a request needs a slot for.
@@ -101,8 +103,9 @@
 }
 
 type usedHome struct {
-	id string
-	at time.Time
+	id    string
+	start uint64
+	at    time.Time
 }
 
 // New makes a broker.
@@ -154,7 +157,7 @@
 
 // askHome asks another box; ok is false when the next one should be asked.
 func (b *Broker) askHome(ctx context.Context, at member.Box, r Request) (*Slot, *verdict.Error, bool) {
-	b.use(r.Service.Name, at.ID)
+	b.use(r.Service.Name, at)
 	id := uuid.NewString()
 	var reply peer.AskReply
 	err := b.options.Members.Link(at).Call(ctx, peer.MethodAsk, b.askArgs(id, r), &reply)
@@ -248,15 +251,28 @@
 	return verdict.New(verdict.NotRun, verdict.ReasonClientGone, "the client hung up")
 }
 
-// Release gives a slot back with its outcome.
+// Release gives a slot back with its outcome, to the home that granted it and
+// to the one that has adopted it since.
 func (b *Broker) Release(s *Slot, o ledger.Outcome) {
 	b.unhold(s)
-	if s.home == b.options.Members.Self().ID {
+	self := b.options.Members.Self().ID
+	if o.Leaving {
+		b.options.Home.Leave(s.target, o.Start)
+	}
+	if s.home == self {
 		b.options.Home.Return(s.service, s.id, o)
-		return
+	} else {
+		b.push(s.home, peer.Returned{Service: s.service, ID: s.id, Outcome: o})
 	}
-	b.observe(s, o)
-	b.push(s.home, peer.Returned{Service: s.service, ID: s.id, Outcome: o})
+	if now := b.usedHome(s.service); now != "" && now != s.home && now != self {
+		b.push(now, peer.Returned{Service: s.service, ID: s.id, Outcome: o})
+	}
+}
+
+func (b *Broker) usedHome(service string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.homes[service].id
 }
 
 // observe lets the own ledger know of a target's word that it leaves.
@@ -293,34 +309,33 @@
 
 // use notes which home a service has; a new one is told at once what the box
 // holds, so that it does not promise those slots again.
-func (b *Broker) use(service, homeID string) {
+func (b *Broker) use(service string, at member.Box) {
 	b.mu.Lock()
 	last := b.homes[service]
-	b.homes[service] = usedHome{id: homeID, at: b.options.Clock()}
-	changed := last.id != homeID && len(b.held[service]) > 0
+	b.homes[service] = usedHome{id: at.ID, start: at.Start, at: b.options.Clock()}
+	changed := (last.id != at.ID || last.start != at.Start) && len(b.held[service]) > 0
 	b.mu.Unlock()
 	if changed {
-		b.reconcile(service, homeID, nil)
+		b.reconcile(peer.ReconcileArgs{Service: service, New: true}, at.ID)
 	}
 }
 
 // HandOver gives measuring budget to the home of a service.
 func (b *Broker) HandOver(s *policy.Service, tokens map[string]time.Duration) {
 	if len(tokens) > 0 {
-		b.reconcile(s.Name, b.HomeOf(s).ID, tokens)
+		b.reconcile(peer.ReconcileArgs{Service: s.Name, ProbeTime: tokens}, b.HomeOf(s).ID)
 	}
 }
 
-func (b *Broker) reconcile(service, homeID string, tokens map[string]time.Duration) {
+// reconcile sends the message to a home with all that the box holds.
+func (b *Broker) reconcile(args peer.ReconcileArgs, homeID string) {
 	at, ok := b.options.Members.Find(homeID)
 	if !ok {
 		return
 	}
-	args := peer.ReconcileArgs{
-		Box: b.options.Members.Self().ID, Service: service,
-		Held: b.heldOf(service), ProbeTime: tokens,
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	args.Box = b.options.Members.Self().ID
+	args.Held = b.heldOf(args.Service)
+	ctx, cancel := context.WithTimeout(context.Background(), reconcilePatience)
 	defer cancel()
 	_ = b.options.Members.Link(at).Send(ctx, peer.MethodReconcile, args)
 }
@@ -340,7 +355,7 @@
 // ReconcileAll tells every recently used home what the box holds.
 func (b *Broker) ReconcileAll() {
 	for service, homeID := range b.recentHomes() {
-		b.reconcile(service, homeID, nil)
+		b.reconcile(peer.ReconcileArgs{Service: service}, homeID)
 	}
 }
 
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -192,9 +192,16 @@
 	}
 }
 
-// Reconcile takes in all that a box holds of a service.
-func (h *Home) Reconcile(name, box string, held []ledger.Held) {
-	h.with(name, func(now time.Time, l *ledger.Ledger) { l.Reconcile(now, box, held, settleAfter) })
+// Reconcile takes in all that a box says it holds of a service. isNew says that
+// the box has not had this one as its home before.
+func (h *Home) Reconcile(name, box string, held []ledger.Held, isNew bool) {
+	h.with(name, func(now time.Time, l *ledger.Ledger) {
+		if isNew {
+			l.Adopt(now, box, held)
+			return
+		}
+		l.Reconcile(now, box, held, settleAfter)
+	})
 }
 
 // Leave notes in every service that a target leaves; start 0 means its current life.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -81,6 +81,8 @@
 	Box     string
 	Service string
 	Held    []ledger.Held
+	// New says that the box has not had the other as its home before.
+	New bool
 	// ProbeTime hands over the box's share of each target's measuring budget.
 	ProbeTime map[string]time.Duration
 }
