--- a/internal/compare/cases_test.go
+++ b/internal/compare/cases_test.go
@@ -105,8 +105,6 @@
 	how      map[string]map[string]int
 	tries    int
 	wasted   int
-	probes   int
-	probeMS  float64
 	messages int
 	goodWork time.Duration
 	comeBack []int           // repeats of each request that was served in the end
@@ -163,9 +161,6 @@
 		s.after(at, func() { send(r) })
 	}
 	s.run()
-	for _, t := range s.targets {
-		s.result.probeMS += t.probeMS
-	}
 	return s.result
 }
 
--- a/internal/compare/compare_test.go
+++ b/internal/compare/compare_test.go
@@ -24,8 +24,7 @@
 var (
 	homePlain = homeGrants("D home grants", homeOptions{})
 	homeHedge = homeGrants("D with hedges", homeOptions{hedge: true})
-	homeKeeps = homeGrants("D, slots kept ahead", homeOptions{hedge: true, keep: 50 * time.Millisecond})
-	allWays   = []way{randomChoice, ownCounts, probePool, digests, homePlain, homeHedge, homeKeeps, ideal}
+	allWays   = []way{ownCounts, homePlain, homeHedge, ideal}
 )
 
 var table = flag.Bool("table", false, "write the whole comparison")
@@ -39,7 +38,7 @@
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	for _, d := range []deployment{studio, loblolly} {
 		for _, c := range cases(d) {
-			_, _ = fmt.Fprintf(w, "\n%s, %s\nWAY\tP50\tP95\tP99\tP99.9\tLOST\tLOOKUP P99\tLOOKUP LOST\tGOODPUT\tTRIES\tPROBE MS/S\tMESSAGES\n", d.name, c.name)
+			_, _ = fmt.Fprintf(w, "\n%s, %s\nWAY\tP50\tP95\tP99\tP99.9\tLOST\tLOOKUP P99\tLOOKUP LOST\tGOODPUT\tTRIES\tMESSAGES\n", d.name, c.name)
 			for _, way := range allWays {
 				writeRow(w, c, way)
 			}
@@ -54,11 +53,11 @@
 	total := r.sent[first] + r.sent[second]
 	ms := func(d time.Duration) string { return fmt.Sprintf("%.1f", float64(d.Microseconds())/1000) }
 	capacity := c.length.Seconds() * float64(c.targets*slotsEach)
-	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.2f%%\t%s\t%.2f%%\t%.1f%%\t%.3f\t%.2f\t%.2f\n", way.name,
+	_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.2f%%\t%s\t%.2f%%\t%.1f%%\t%.3f\t%.2f\n", way.name,
 		ms(r.quantile(first, 50)), ms(r.quantile(first, 95)), ms(r.quantile(first, 99)), ms(r.quantile(first, 99.9)),
 		100*r.lost(first), ms(r.quantile(second, 99)), 100*r.lost(second),
 		100*r.goodWork.Seconds()/capacity, float64(r.tries)/float64(total),
-		r.probeMS/c.length.Seconds()/float64(c.targets), float64(r.messages)/float64(total))
+		float64(r.messages)/float64(total))
 }
 
 // The bounds below are on virtual time, so they don't move with the machine.
--- a/internal/compare/home_test.go
+++ b/internal/compare/home_test.go
@@ -20,21 +20,11 @@
 	asking  map[string]func() // asks without a decision, to be made anew
 	options homeOptions
 	budget  float64
-	spare   map[int][]spareSlot // by box, for slots kept ahead
 }
 
 // homeOptions are variations of way D.
 type homeOptions struct {
 	hedge bool
-	// keep is how long a box keeps a slot after its request, for the next one
-	// that comes, while the service is quiet.
-	keep time.Duration
-}
-
-type spareSlot struct {
-	id     string
-	target *simTarget
-	until  time.Duration
 }
 
 func homeGrants(name string, o homeOptions) way {
@@ -42,7 +32,7 @@
 		h := &homeWay{
 			s: s, home: 0, options: o, budget: 10,
 			held: map[int]map[string]ledger.Held{}, heldAt: map[string]time.Duration{},
-			asking: map[string]func(){}, spare: map[int][]spareSlot{},
+			asking: map[string]func(){},
 		}
 		h.begin()
 		var tick func()
@@ -122,10 +112,6 @@
 
 func (h *homeWay) take(r *request) {
 	r.asked = h.s.now
-	if slot, ok := h.takeSpare(r); ok {
-		h.use(r, slot.id, slot.target, 0)
-		return
-	}
 	h.ask(r, false, func(id string, d ledger.Decision) {
 		if d.State != ledger.Granted {
 			h.refused(r, d)
@@ -292,9 +278,6 @@
 }
 
 func (h *homeWay) giveBack(r *request, id string, t *simTarget, result string, took time.Duration) {
-	if h.keepSpare(r, id, t, result) {
-		return
-	}
 	delete(h.held[r.box], id)
 	h.s.result.messages++
 	h.s.after(h.away(r.box), func() {
@@ -304,31 +287,3 @@
 		}
 	})
 }
-
-// keepSpare keeps the slot of an ended request for the next one of the box.
-func (h *homeWay) keepSpare(r *request, id string, t *simTarget, result string) bool {
-	quiet := h.ledger != nil && h.ledger.QueueLen() == 0 && 2*h.ledger.InFlight() < len(h.s.targets)*slotsEach
-	if h.options.keep == 0 || result != "ok" || !quiet {
-		return false
-	}
-	h.spare[r.box] = append(h.spare[r.box], spareSlot{id: id, target: t, until: h.s.now + h.options.keep})
-	h.s.after(h.options.keep, func() {
-		for i, slot := range h.spare[r.box] {
-			if slot.id == id && slot.until <= h.s.now {
-				h.spare[r.box] = append(h.spare[r.box][:i:i], h.spare[r.box][i+1:]...)
-				h.giveBack(r, id, t, "unused", 0)
-				return
-			}
-		}
-	})
-	return true
-}
-
-func (h *homeWay) takeSpare(r *request) (spareSlot, bool) {
-	slots := h.spare[r.box]
-	if len(slots) == 0 || len(r.tried) > 0 {
-		return spareSlot{}, false
-	}
-	h.spare[r.box] = slots[1:]
-	return slots[0], true
-}
--- a/internal/compare/sim_test.go
+++ b/internal/compare/sim_test.go
@@ -90,7 +90,6 @@
 	failFast bool
 	hang     bool
 	gone     bool
-	probeMS  float64
 }
 
 const targetQueue = 6
