--- a/box/run.go
+++ b/box/run.go
@@ -12,6 +12,7 @@
 	"github.com/oklog/run"
 
 	"github.com/sprucecrank/sprucecrank/internal/oncerun"
+	"github.com/sprucecrank/sprucecrank/internal/pause"
 )
 
 const (
@@ -102,8 +103,8 @@
 		b.follower.Starter, b.follower.Watcher, b.follower.Exchanger, b.follower.Lister,
 		b.broker.Returner, b.runner.Recorder, b.cleaner().Run, b.prober.Run,
 		b.tick,
-		every(reconcileEvery, b.broker.ReconcileAll),
-		every(handOverEvery, b.handOver),
+		pause.Every(reconcileEvery, b.broker.ReconcileAll),
+		pause.Every(handOverEvery, b.handOver),
 	}
 }
 
@@ -140,25 +141,9 @@
 	}
 }
 
-// every makes a duty that calls f regularly.
-func every(period time.Duration, f func()) duty {
-	return func(ctx context.Context) error {
-		ticker := time.NewTicker(period)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.C:
-				f()
-			}
-		}
-	}
-}
-
 // handOver gives this box's measuring budget to the homes, which know what is
 // worth measuring.
-func (b *Box) handOver() {
+func (b *Box) handOver(context.Context) {
 	for _, s := range b.routes.Load().Services() {
 		if !b.isHome(s) {
 			b.broker.HandOver(s, b.prober.Take(s))
--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -159,6 +159,28 @@
 		}
 	})
 
+	DescribeTable("come from one run of a single request, though the transport would repeat it on a kept connection",
+		func(method, key string) {
+			f.submit("look", lookKinds, `"look"`)
+			c := client()
+			url := "http://" + f.boxes[0].settings.Listen + "/look/x"
+			for range 30 { // connections to every target are kept
+				Expect(ask(context.Background(), c, method, url, nil, "").status).To(Equal(http.StatusOK))
+			}
+			for _, t := range f.targets {
+				t.SetFaults(targetsim.Faults{CutAfterRun: true})
+			}
+			header := map[string]string{"X-Mark": "one"}
+			if key != "" {
+				header["Idempotency-Key"] = key
+			}
+			Expect(ask(context.Background(), c, method, url, header, "").verdict).To(Equal("may-have-run"))
+			Expect(f.runs("one") + f.runs(key)).To(Equal(1))
+		},
+		Entry("a GET", http.MethodGet, ""), Entry("a POST without a body", http.MethodPost, ""),
+		Entry("a POST with an Idempotency-Key", http.MethodPost, "any"),
+	)
+
 	It("does not believe a shed answer where the service does not trust it", func() {
 		f.submitService("untrusted", f.targets[:1], "")
 		doc := fmt.Sprintf(`{"name":"untrusted","prefix":"/untrusted","targets":[{"address":%q,"hall":"north"}]}`, f.targets[0].address)
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -118,20 +118,33 @@
 	return r.WithContext(ctx)
 }
 
-// requestBody gives the transport a body that it cannot rewind, so that it
-// never sends a request again by itself. Only a repeatable request may go
-// without, for the transport repeats nothing else that has no body.
+// requestBody gives the transport a body that it can't rewind wherever it would
+// otherwise send the request again by itself.
 func (x *exchange) requestBody() io.ReadCloser {
 	switch {
 	case x.stream != nil:
 		return io.NopCloser(x.stream)
-	case len(x.body) == 0 && x.kind.Mode == policy.Repeatable:
+	case len(x.body) == 0 && !x.transportRepeats():
 		return http.NoBody
 	default:
 		return io.NopCloser(bytes.NewReader(x.body))
 	}
 }
 
+// transportRepeats says whether http.Transport would repeat this request, were
+// it without a body, when a kept connection breaks, though its kind may not be
+// repeated. Requests that run at most once never meet a kept connection.
+func (x *exchange) transportRepeats() bool {
+	if x.kind.Mode != policy.Single {
+		return false
+	}
+	switch x.in.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return x.in.Header.Get(HeaderKey) != "" || x.in.Header.Get("X-Idempotency-Key") != ""
+}
+
 // send sends one try and waits for the head of its answer.
 func (h *Handler) send(ctx context.Context, x *exchange, target string) (*reply, *verdict.Error) {
 	var connected atomic.Bool
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -25,6 +25,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/envelope"
 	"github.com/sprucecrank/sprucecrank/internal/grant"
 	"github.com/sprucecrank/sprucecrank/internal/home"
+	"github.com/sprucecrank/sprucecrank/internal/pause"
 	"github.com/sprucecrank/sprucecrank/peer"
 	"github.com/sprucecrank/sprucecrank/platform"
 )
@@ -113,7 +114,7 @@
 // Starter is the duty that makes the box ready: it asks the platform and all
 // known peers until one of them has answered. It ends when the box is ready.
 func (f *Follower) Starter(ctx context.Context) error {
-	pause := newPause()
+	between := newBackOff()
 	for ctx.Err() == nil {
 		fromPlatform := f.relist(ctx) == nil
 		f.readLists(ctx)
@@ -123,7 +124,7 @@
 			return nil
 		}
 		f.options.Log.Warn("not ready: neither the platform nor a peer answers")
-		wait(ctx, pause.NextBackOff())
+		pause.For(ctx, between.NextBackOff())
 	}
 	return nil
 }
@@ -194,14 +195,14 @@
 
 // Watcher is the duty that takes up changes from the platform. It ends with ctx.
 func (f *Follower) Watcher(ctx context.Context) error {
-	pause := newPause()
+	between := newBackOff()
 	for ctx.Err() == nil {
 		if err := f.listAndWatch(ctx); err != nil && ctx.Err() == nil {
 			f.options.Log.Warn("watch of the platform ended", "error", err)
-			wait(ctx, f.jittered(pause.NextBackOff()))
+			pause.For(ctx, f.jittered(between.NextBackOff()))
 			continue
 		}
-		pause.Reset()
+		between.Reset()
 	}
 	return nil
 }
@@ -230,7 +231,7 @@
 	return nil
 }
 
-func newPause() *backoff.ExponentialBackOff {
+func newBackOff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = firstPause
 	b.MaxInterval = longestPause
@@ -244,12 +245,3 @@
 	defer f.mu.Unlock()
 	return time.Duration((0.5 + f.options.Random.Float64()) * float64(d))
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/follow/news.go
+++ b/internal/follow/news.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/internal/pause"
 	"github.com/sprucecrank/sprucecrank/peer"
 	"github.com/sprucecrank/sprucecrank/platform"
 )
@@ -13,7 +14,7 @@
 // boxes in a number of rounds that grows with the fleet's logarithm.
 func (f *Follower) Exchanger(ctx context.Context) error {
 	for ctx.Err() == nil {
-		wait(ctx, f.jittered(exchangeEvery))
+		pause.For(ctx, f.jittered(exchangeEvery))
 		f.options.Members.Prune()
 		for _, b := range f.sample(exchangeWith) {
 			go f.exchangeWith(ctx, b)
@@ -76,7 +77,7 @@
 func (f *Follower) Lister(ctx context.Context) error {
 	for ctx.Err() == nil {
 		f.readLists(ctx)
-		wait(ctx, f.jittered(listEvery))
+		pause.For(ctx, f.jittered(listEvery))
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/grant/holds.go
@@ -0,0 +1,102 @@
+package grant
+
+import (
+	"context"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/ledger"
+	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/peer"
+	"github.com/sprucecrank/sprucecrank/policy"
+)
+
+func (b *Broker) hold(s *Slot, kind string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.held[s.service] == nil {
+		b.held[s.service] = map[string]heldSlot{}
+	}
+	b.held[s.service][s.id] = heldSlot{Held: ledger.Held{ID: s.id, Target: s.target, Kind: kind}, at: s.at}
+}
+
+func (b *Broker) unhold(s *Slot) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.held[s.service], s.id)
+}
+
+// use notes which home a service has; a new one is told at once what the box
+// holds, so that it does not promise those slots again.
+func (b *Broker) use(service string, at member.Box) {
+	b.mu.Lock()
+	last := b.homes[service]
+	b.homes[service] = usedHome{id: at.ID, start: at.Start, at: b.options.Clock()}
+	changed := (last.id != at.ID || last.start != at.Start) && len(b.held[service]) > 0
+	b.mu.Unlock()
+	if changed {
+		b.reconcile(peer.ReconcileArgs{Service: service, New: true}, at.ID)
+	}
+}
+
+// HandOver gives measuring budget to the home of a service.
+func (b *Broker) HandOver(s *policy.Service, tokens map[string]time.Duration) {
+	if len(tokens) > 0 {
+		b.reconcile(peer.ReconcileArgs{Service: s.Name, ProbeTime: tokens}, b.HomeOf(s).ID)
+	}
+}
+
+// reconcile sends the message to a home with all that the box holds.
+func (b *Broker) reconcile(args peer.ReconcileArgs, homeID string) {
+	at, ok := b.options.Members.Find(homeID)
+	if !ok {
+		return
+	}
+	args.Box = b.options.Members.Self().ID
+	args.Held = b.heldOf(args.Service)
+	ctx, cancel := context.WithTimeout(context.Background(), reconcilePatience)
+	defer cancel()
+	_ = b.options.Members.Link(at).Send(ctx, peer.MethodReconcile, args)
+}
+
+func (b *Broker) heldOf(service string) []ledger.Held {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.options.Clock()
+	out := make([]ledger.Held, 0, len(b.held[service]))
+	for _, h := range b.held[service] {
+		h.For = now.Sub(h.at)
+		out = append(out, h.Held)
+	}
+	return out
+}
+
+// ReconcileAll tells every recently used home what the box holds.
+func (b *Broker) ReconcileAll(context.Context) {
+	for service, homeID := range b.recentHomes() {
+		b.reconcile(peer.ReconcileArgs{Service: service}, homeID)
+	}
+}
+
+func (b *Broker) recentHomes() map[string]string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.options.Clock()
+	out := map[string]string{}
+	for service, used := range b.homes {
+		if len(b.held[service]) > 0 || now.Sub(used.at) < recentlyUsed {
+			out[service] = used.id
+		}
+	}
+	return out
+}
+
+// Held is how many slots the box holds now.
+func (b *Broker) Held() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, of := range b.held {
+		n += len(of)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/grant/returns.go
@@ -0,0 +1,89 @@
+package grant
+
+import (
+	"context"
+
+	"github.com/sprucecrank/sprucecrank/core/health"
+	"github.com/sprucecrank/sprucecrank/core/ledger"
+	"github.com/sprucecrank/sprucecrank/peer"
+)
+
+// Release gives a slot back with its outcome, to the home that granted it and
+// to the one that has adopted it since.
+func (b *Broker) Release(s *Slot, o ledger.Outcome) {
+	b.unhold(s)
+	self := b.options.Members.Self().ID
+	if o.Leaving {
+		b.options.Home.Leave(s.target, o.Start)
+	}
+	if s.home == self {
+		b.options.Home.Return(s.service, s.id, o)
+	} else {
+		b.push(s.home, peer.Returned{Service: s.service, ID: s.id, Outcome: o})
+	}
+	if now := b.usedHome(s.service); now != "" && now != s.home && now != self {
+		b.push(now, peer.Returned{Service: s.service, ID: s.id, Outcome: o})
+	}
+}
+
+func (b *Broker) usedHome(service string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.homes[service].id
+}
+
+func (b *Broker) giveBack(homeID, service, id string) {
+	b.push(homeID, peer.Returned{Service: service, ID: id, Outcome: ledger.Outcome{Result: health.Unused}})
+}
+
+// push queues a return. When the ring is full the return is dropped: the next
+// reconciliation tells the home that the slot is free.
+func (b *Broker) push(homeID string, r peer.Returned) {
+	b.returns.Push(toReturn{home: homeID, returned: r})
+}
+
+// Returner is the duty that sends returned slots to their homes, those that
+// wait together in one message. It ends with ctx.
+func (b *Broker) Returner(ctx context.Context) error {
+	for {
+		first, err := b.returns.Pop(ctx)
+		if err != nil {
+			return nil
+		}
+		b.sendReturns(ctx, b.batch(first))
+	}
+}
+
+// Flush sends what still waits to be returned.
+func (b *Broker) Flush(ctx context.Context) {
+	for {
+		first, ok := b.returns.TryPop()
+		if !ok {
+			return
+		}
+		b.sendReturns(ctx, b.batch(first))
+	}
+}
+
+func (b *Broker) batch(first toReturn) map[string][]peer.Returned {
+	batch := map[string][]peer.Returned{first.home: {first.returned}}
+	for range returnMost {
+		next, ok := b.returns.TryPop()
+		if !ok {
+			break
+		}
+		batch[next.home] = append(batch[next.home], next.returned)
+	}
+	return batch
+}
+
+func (b *Broker) sendReturns(ctx context.Context, batch map[string][]peer.Returned) {
+	for homeID, returned := range batch {
+		at, ok := b.options.Members.Find(homeID)
+		if !ok || !b.options.Members.Usable(homeID) {
+			continue // a home that is gone forgets its promises
+		}
+		args := peer.ReturnArgs{Box: b.options.Members.Self().ID, Returned: returned}
+		_ = b.options.Members.Link(at).Send(ctx, peer.MethodReturn, args)
+	}
+}
--- a/internal/oncerun/clean.go
+++ b/internal/oncerun/clean.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/once"
+	"github.com/sprucecrank/sprucecrank/internal/pause"
 	"github.com/sprucecrank/sprucecrank/platform"
 )
 
@@ -38,12 +39,11 @@
 
 // Run is the duty; it ends with ctx.
 func (c *Cleaner) Run(ctx context.Context) error {
-	for wait(ctx, cleanEvery) {
+	return pause.Every(cleanEvery, func(ctx context.Context) {
 		for _, service := range c.options.Services() {
 			c.Clean(ctx, service)
 		}
-	}
-	return nil
+	})(ctx)
 }
 
 // Clean deletes the old records of a service and returns how many. A key is
@@ -60,21 +60,10 @@
 			if c.options.Delete(ctx, object.Key, object.Version) == nil {
 				deleted++
 			}
-			if !wait(ctx, deletePause) {
+			if !pause.For(ctx, deletePause) {
 				return deleted
 			}
 		}
 	}
 	return deleted
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -23,6 +23,7 @@
 	"github.com/sprucecrank/sprucecrank/core/ledger"
 	"github.com/sprucecrank/sprucecrank/internal/entry"
 	"github.com/sprucecrank/sprucecrank/internal/home"
+	"github.com/sprucecrank/sprucecrank/internal/pause"
 	"github.com/sprucecrank/sprucecrank/internal/telemetry"
 	"github.com/sprucecrank/sprucecrank/policy"
 )
@@ -102,18 +103,7 @@
 }
 
 // Run is the duty; it ends with ctx.
-func (p *Prober) Run(ctx context.Context) error {
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			p.look(ctx)
-		}
-	}
-}
+func (p *Prober) Run(ctx context.Context) error { return pause.Every(lookEvery, p.look)(ctx) }
 
 // look begins the probes that are due and paid for.
 func (p *Prober) look(ctx context.Context) {
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -21,6 +21,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/google/uuid"
+
+	"github.com/sprucecrank/sprucecrank/internal/pause"
 )
 
 // Kind is one sort of request to send.
@@ -84,7 +86,7 @@
 	next := time.Now()
 	for i := range p.Requests {
 		next = next.Add(time.Duration(random.ExpFloat64() / p.Rate * float64(time.Second)))
-		if !sleepUntil(ctx, next) {
+		if !pause.For(ctx, time.Until(next)) {
 			break
 		}
 		k := pick(random, p.Kinds)
@@ -106,17 +108,6 @@
 	return r
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func pick(random *rand.Rand, kinds []Kind) int {
 	total := 0.0
 	for _, k := range kinds {
--- a/internal/standin/targetsim/targetsim.go
+++ b/internal/standin/targetsim/targetsim.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+
+	"github.com/sprucecrank/sprucecrank/internal/pause"
 )
 
 // Headers by which requests steer the stand-in.
@@ -161,7 +163,7 @@
 func (t *Target) healthz(c echo.Context) error {
 	t.sign(c)
 	began := time.Now()
-	pause(c.Request().Context(), t.slowed(t.options.Probe))
+	pause.For(c.Request().Context(), t.slowed(t.options.Probe))
 	t.mu.Lock()
 	t.probes++
 	t.probed += time.Since(began)
@@ -200,7 +202,7 @@
 	}
 	defer t.leave()
 	t.ran(c.Request())
-	pause(c.Request().Context(), t.slowed(t.work(c.Request())))
+	pause.For(c.Request().Context(), t.slowed(t.work(c.Request())))
 	switch {
 	case f.ShedLies:
 		return t.shed(c)
@@ -310,12 +312,3 @@
 	time.Sleep(50 * time.Millisecond)
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
