Hand over measuring budget for 64 targets at a time

Cause: a box named every target's tokens every 5 s, so bytes to peers grew with the targets: 10/25/100/400 targets at 18 idle boxes 1898/1955/2259/3733 B/s, that is 5 B/s a target and more than 5 KB/s at 870. Now 64 go at a time, in turn, about 2 KB each 5 s at most. Ruled out: rarer hand-overs (small fleets would overflow their buckets of 20 ms). Conclusion: control bytes don't grow with targets past 64.

--- a/box/run.go
+++ b/box/run.go
@@ -21,6 +21,7 @@
 	maxHeaderBytes    = 64 << 10
 	reconcileEvery    = 500 * time.Millisecond
 	handOverEvery     = 5 * time.Second
+	handOverMost      = 64 // targets at a time: about 2 KB
 	flushWithin       = 5 * time.Second
 )
 
@@ -144,10 +145,8 @@
 // handOver gives this box's measuring budget to the homes, which know what is
 // worth measuring.
 func (b *Box) handOver(context.Context) {
-	for _, s := range b.routes.Load().Services() {
-		if !b.isHome(s) {
-			b.broker.HandOver(s, b.prober.Take(s))
-		}
+	for service, tokens := range b.prober.Take(handOverMost) {
+		b.broker.HandOver(service, tokens)
 	}
 }
 
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -60,6 +60,14 @@
 	mu       sync.Mutex
 	services []*policy.Service
 	targets  map[string]*state
+	order    []owned // all targets, for handing over in turn
+	cursor   int
+}
+
+// owned is a target with its service.
+type owned struct {
+	service *policy.Service
+	address string
 }
 
 type state struct {
@@ -81,11 +89,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.services = services
+	p.order = p.order[:0]
 	next := map[string]*state{}
 	for _, s := range services {
 		share := s.Probe.BudgetMS / float64(p.options.MaxBoxes)
 		for _, t := range s.Targets {
 			next[t.Address] = p.stateOf(t.Address, share)
+			p.order = append(p.order, owned{service: s, address: t.Address})
 		}
 	}
 	p.targets = next
@@ -184,16 +194,31 @@
 	return o
 }
 
-// Take empties the buckets of a service's targets, to hand them to its home.
-func (p *Prober) Take(s *policy.Service) map[string]time.Duration {
+// HandOver is measuring budget for the home of a service, by target.
+type HandOver struct {
+	Service *policy.Service
+	Tokens  map[string]time.Duration
+}
+
+// Take empties the buckets of the next targets, at most as many, and gives what
+// was in them by service, to be handed to its home. What this box is the home of
+// itself is left alone. Going round, it keeps what is handed over at once from
+// growing with the number of targets.
+func (p *Prober) Take(most int) map[*policy.Service]map[string]time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := map[string]time.Duration{}
-	for _, t := range s.Targets {
-		if st, ok := p.targets[t.Address]; ok {
-			if d := st.tokens.Take(p.options.Clock()); d > 0 {
-				out[t.Address] = d
+	out := map[*policy.Service]map[string]time.Duration{}
+	for range min(most, len(p.order)) {
+		next := p.order[p.cursor%len(p.order)]
+		p.cursor = (p.cursor + 1) % len(p.order)
+		if p.options.IsHome(next.service) {
+			continue
+		}
+		if d := p.targets[next.address].tokens.Take(p.options.Clock()); d > 0 {
+			if out[next.service] == nil {
+				out[next.service] = map[string]time.Duration{}
 			}
+			out[next.service][next.address] = d
 		}
 	}
 	return out
