Believe a home that knows of a target's new life

Cause: found by reading. A box that held stale word of a target's leaving gave the home's grant back and asked again, for ever if the home had seen the target's next start number. Test failed first: no slot within 2 s; after: the second answer is taken. Ruled out: sending the start number with the ask (the home's word suffices). Conclusion: one round at most is lost to stale word.

--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -120,7 +120,7 @@
 
 // Acquire waits for a slot. Its failure always has the verdict NotRun. A slot
 // at a target that this box knows to leave goes back with that word, and the
-// home is asked again.
+// home is asked again; should it name the target again, it knows of a new life.
 func (b *Broker) Acquire(ctx context.Context, r Request) (*Slot, *verdict.Error) {
 	for {
 		slot, failure := b.acquire(ctx, r)
@@ -128,7 +128,7 @@
 			return slot, failure
 		}
 		start, leaving := b.options.Home.LeavingStart(r.Service.Name, slot.target)
-		if !leaving {
+		if !leaving || slices.Contains(r.Avoid, slot.target) {
 			return slot, nil
 		}
 		b.Release(slot, ledger.Outcome{Result: health.Unused, Leaving: true, Start: start})
