--- a/core/member/member.go
+++ b/core/member/member.go
@@ -202,11 +202,20 @@
 // Sample picks up to n of the box's neighbours at random, leaving and suspect
 // ones among them: they, too, have news, and an answer clears the suspicion.
 func (v *View) Sample(random *rand.Rand, n int) []Box {
-	near := v.Boxes()
-	slices.SortFunc(near, func(a, b Box) int {
-		return cmp.Compare(score(v.self.ID, b.ID), score(v.self.ID, a.ID))
-	})
+	type scored struct {
+		Box
+		score uint64
+	}
+	near := make([]scored, 0, len(v.boxes))
+	for id, e := range v.boxes {
+		near = append(near, scored{e.Box, score(v.self.ID, id)})
+	}
+	slices.SortFunc(near, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	near = near[:min(neighbours, len(near))]
 	random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	return near[:min(n, len(near))]
+	out := make([]Box, 0, n)
+	for _, b := range near[:min(n, len(near))] {
+		out = append(out, b.Box)
+	}
+	return out
 }
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -328,12 +328,15 @@
 	return &http.Client{Transport: t, Timeout: 30 * time.Second}
 }
 
-// ask sends a request and reads its whole answer.
+// ask sends a request once and reads its whole answer. The body can't be rewound,
+// or the test's own transport would send a request again by itself when a box is
+// killed, and two requests would count as one.
 func ask(ctx context.Context, c *http.Client, method, url string, header map[string]string, body string) answer {
-	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewBufferString(body))
+	r, err := http.NewRequestWithContext(ctx, method, url, io.NopCloser(bytes.NewBufferString(body)))
 	if err != nil {
 		return answer{err: err}
 	}
+	r.ContentLength = int64(len(body))
 	for name, value := range header {
 		r.Header.Set(name, value)
 	}
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -26,9 +26,10 @@
 for address in $(grep -ho '127\.0\.0\.1:90[0-9]*' examples/"$deployment"/*.service.json); do
   start sprucecrank-standin target --listen "$address" --work 40ms
 done
+halls=(silom sathorn rama-nine) # as in the boxes' settings
 for i in 1 2 3; do
   start sprucecrank-box --settings "examples/boxes/box-$i.json"
-  sprucecrank-standin member --id "box-$i" --address "127.0.0.1:810$i" --admin "127.0.0.1:820$i" --hall "hall-$i"
+  sprucecrank-standin member --id "box-$i" --address "127.0.0.1:810$i" --admin "127.0.0.1:820$i" --hall "${halls[i - 1]}"
 done
 for i in 1 2 3; do until_ok sprucecrank status --admin "127.0.0.1:820$i"; done
 
--- a/internal/cli/status/status.go
+++ b/internal/cli/status/status.go
@@ -59,7 +59,7 @@
 	if o.json {
 		return cmdutil.WriteJSON(o.factory.IO, answers)
 	}
-	return print(o.factory, answers)
+	return write(o.factory, answers)
 }
 
 func collect(ctx context.Context, o *options) ([]answer, error) {
@@ -94,7 +94,7 @@
 	return answer{Box: s.ID, Status: &s}
 }
 
-func print(f *cmdutil.Factory, answers []answer) error {
+func write(f *cmdutil.Factory, answers []answer) error {
 	if err := cmdutil.Table(f.IO, []string{"BOX", "HALL", "STATE", "IN FLIGHT", "OBJECT", "VERSION", "IN FORCE FOR"}, versionRows(f, answers)); err != nil {
 		return err
 	}
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -4,9 +4,12 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
 // Headers that callers, boxes and targets exchange; docs/API.md describes them.
@@ -39,6 +42,9 @@
 // targetOnly are the headers by which targets talk to boxes.
 var targetOnly = []string{HeaderTargetStart, HeaderTargetState, HeaderTargetVerdict}
 
+// boxOnly are the headers that only a box may set on an answer.
+var boxOnly = []string{verdict.Header, HeaderReason, HeaderReplayed, HeaderRequestID}
+
 // removeHopByHop drops the headers of one connection, those that the
 // Connection header names among them.
 func removeHopByHop(h http.Header) {
@@ -52,6 +58,16 @@
 	}
 }
 
+// passedOn makes the headers of an answer to the client from a target's.
+func passedOn(fromTarget http.Header) http.Header {
+	h := fromTarget.Clone()
+	removeHopByHop(h)
+	for _, name := range slices.Concat(targetOnly, boxOnly) {
+		h.Del(name)
+	}
+	return h
+}
+
 // outbound makes the headers of a try from those of the request.
 func outbound(r *http.Request, id string, remaining time.Duration) http.Header {
 	h := r.Header.Clone()
--- a/internal/entry/headers_test.go
+++ b/internal/entry/headers_test.go
@@ -37,6 +37,15 @@
 	g.Expect(h.Get(HeaderDeadline)).To(Equal("1500"))
 }
 
+func TestATargetCannotSpeakForTheBox(t *testing.T) {
+	g := NewWithT(t)
+	h := passedOn(http.Header{
+		"Sprucecrank-Verdict": {"not-run"}, "Sprucecrank-Reason": {"x"}, "Sprucecrank-Replayed": {"true"},
+		"Target-Start": {"7"}, "Connection": {"X-Private"}, "X-Private": {"1"}, "X-Kept": {"1"},
+	})
+	g.Expect(h).To(Equal(http.Header{"X-Kept": {"1"}}))
+}
+
 func TestTheEarlierDeadlineCounts(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(0, 0)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -90,12 +90,7 @@
 }
 
 func answerOf(r *http.Response, body []byte) *once.Answer {
-	h := r.Header.Clone()
-	removeHopByHop(h)
-	for _, name := range targetOnly {
-		h.Del(name)
-	}
-	h.Del(HeaderRequestID)
+	h := passedOn(r.Header)
 	h.Del("Content-Length")
 	return &once.Answer{Status: r.StatusCode, Header: h, Body: body}
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -50,13 +50,7 @@
 }
 
 func writeHead(w http.ResponseWriter, r *http.Response, v verdict.Verdict) {
-	h := r.Header.Clone()
-	removeHopByHop(h)
-	for _, name := range targetOnly {
-		h.Del(name)
-	}
-	h.Del(HeaderRequestID)
-	for name, values := range h {
+	for name, values := range passedOn(r.Header) {
 		w.Header()[name] = values
 	}
 	w.Header().Set(verdict.Header, v.String())
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -27,6 +27,11 @@
 	"go.opentelemetry.io/otel/trace"
 )
 
+// buckets bound the histograms, in seconds, from what a box adds to the longest
+// deadlines; the library's own are for milliseconds.
+var buckets = metric.WithExplicitBucketBoundaries(
+	0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 10, 30, 120)
+
 const scope = "github.com/sprucecrank/sprucecrank"
 
 // Options configure a Telemetry.
@@ -94,9 +99,9 @@
 	var e error
 	t.requests, e = meter.Int64Counter("sprucecrank.requests", metric.WithDescription("Requests answered, by service, kind and verdict."))
 	keep(e)
-	t.duration, e = meter.Float64Histogram("sprucecrank.request.duration", metric.WithUnit("s"))
+	t.duration, e = meter.Float64Histogram("sprucecrank.request.duration", metric.WithUnit("s"), buckets)
 	keep(e)
-	t.waits, e = meter.Float64Histogram("sprucecrank.slot.wait", metric.WithUnit("s"))
+	t.waits, e = meter.Float64Histogram("sprucecrank.slot.wait", metric.WithUnit("s"), buckets)
 	keep(e)
 	t.tries, e = meter.Int64Counter("sprucecrank.tries", metric.WithDescription("Tries sent to targets, by service and result."))
 	keep(e)
