Drop a wrapper that only renamed bytes.NewReader

Cause: reading as a newcomer. After: go test ./internal/entry passes. Ruled out: other use of the wrapper (none). Conclusion: nothing else changes.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -11,6 +11,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -184,7 +185,7 @@
 		return tooLarge()
 	}
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	x.stream = io.MultiReader(newSliceReader(start), in)
+	x.stream = io.MultiReader(bytes.NewReader(start), in)
 	return nil
 }
 
--- a/internal/entry/tries.go
+++ b/internal/entry/tries.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -22,8 +20,6 @@
 	retryMost       = 10
 )
 
-func newSliceReader(b []byte) io.Reader { return bytes.NewReader(b) }
-
 // budgets holds the share of extra tries of each service.
 type budgets struct {
 	mu     sync.Mutex
