--- /dev/null
+++ b/core/budget/window.go
@@ -0,0 +1,66 @@
+package budget
+
+import "time"
+
+// windowSteps is how finely a Window forgets.
+const windowSteps = 20
+
+// Window bounds second sends: in every span of its length they are at most a
+// ratio of the requests in that span, and a fixed allowance. Each process keeps
+// its own; since it counts only its own requests, the sums over all processes
+// keep the same ratio without any agreement.
+type Window struct {
+	ratio     float64
+	allowance float64
+	step      time.Duration
+	current   int64
+	requests  [windowSteps]int
+	seconds   [windowSteps]int
+}
+
+// NewWindow makes a budget for spans of the given length.
+func NewWindow(length time.Duration, ratio, allowance float64) *Window {
+	return &Window{ratio: ratio, allowance: allowance, step: length / windowSteps}
+}
+
+// Request counts a request, whatever becomes of it.
+func (w *Window) Request(now time.Time) {
+	w.turn(now)
+	w.requests[w.current%windowSteps]++
+}
+
+// Spend takes one second send if no more than part of the budget is then used.
+func (w *Window) Spend(now time.Time, part float64) bool {
+	w.turn(now)
+	if float64(w.total(&w.seconds)+1) > part*w.Allowed() {
+		return false
+	}
+	w.seconds[w.current%windowSteps]++
+	return true
+}
+
+// Allowed is how many second sends the present span may hold.
+func (w *Window) Allowed() float64 {
+	return w.ratio*float64(w.total(&w.requests)) + w.allowance
+}
+
+// Used is how many second sends the present span holds.
+func (w *Window) Used() int { return w.total(&w.seconds) }
+
+func (w *Window) total(counts *[windowSteps]int) int {
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	return sum
+}
+
+// turn forgets what is older than the window.
+func (w *Window) turn(now time.Time) {
+	step := now.UnixNano() / int64(w.step)
+	for i := max(w.current+1, step-windowSteps+1); i <= step; i++ {
+		w.requests[i%windowSteps] = 0
+		w.seconds[i%windowSteps] = 0
+	}
+	w.current = max(w.current, step)
+}
--- /dev/null
+++ b/core/choice/choice.go
@@ -0,0 +1,81 @@
+// Package choice predicts how long a server will take for a request, from a
+// reading of its load, and picks the server that should take it. It does no
+// I/O and reads no clock.
+//
+// # Usage
+//
+//	reading, err := choice.ParseReading("3,0,3,500", now)
+//	took := reading.Predict(90 * time.Millisecond)
+package choice
+
+import (
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Reading is a server's load as it told it itself.
+type Reading struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Slowness is how long work takes over how long it usually does.
+	Slowness float64
+	At       time.Time
+}
+
+// ErrReading says that a load header is not one.
+var ErrReading = errors.New("a load is three or four whole numbers with commas between: running, waiting, slots, percent")
+
+// Indexes of the figures of a load header, and how many there may be.
+const (
+	runningField = iota
+	waitingField
+	slotsField
+	slownessField
+	mostFields
+)
+
+// ParseReading reads a load header that was taken at a moment.
+func ParseReading(text string, at time.Time) (Reading, error) {
+	fields := strings.Split(text, ",")
+	if len(fields) <= slotsField || len(fields) > mostFields {
+		return Reading{}, ErrReading
+	}
+	var figures [mostFields]int
+	figures[slownessField] = 100
+	for i, field := range fields {
+		n, err := strconv.Atoi(strings.TrimSpace(field))
+		if err != nil || n < 0 {
+			return Reading{}, ErrReading
+		}
+		figures[i] = n
+	}
+	return Reading{
+		Running: figures[runningField], Waiting: figures[waitingField], Slots: max(figures[slotsField], 1),
+		Slowness: math.Max(float64(figures[slownessField])/100, 0.01), At: at,
+	}, nil
+}
+
+// Free is how many more requests the server can begin at once.
+func (r Reading) Free() int { return max(r.Slots-r.Running-r.Waiting, 0) }
+
+// crowding is how much longer work takes on a server whose last slot is taken.
+// Some servers slow down when they are nearly full; on others it only breaks
+// ties in favour of the emptier one.
+const crowding = 0.25
+
+// Predict is the time until a request would end that usually takes usual, were
+// it sent now.
+func (r Reading) Predict(usual time.Duration) time.Duration {
+	work := float64(usual) * r.Slowness
+	taken := min(float64(r.Running+1)/float64(r.Slots), 1)
+	own := work * (1 + crowding*taken*taken)
+	if r.Free() > 0 {
+		return time.Duration(own)
+	}
+	ahead := float64(r.Waiting+1) / float64(r.Slots)
+	return time.Duration(own + ahead*work*(1+crowding))
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -219,3 +219,59 @@
 	}
 	return out
 }
+
+// Ranked lists up to n usable boxes, the box itself among them, in the order in
+// which they take up a duty.
+func (v *View) Ranked(now time.Time, duty string, n int) []Box {
+	usable := make([]Box, 0, len(v.boxes)+1)
+	if !v.self.Leaving {
+		usable = append(usable, v.self)
+	}
+	for id, e := range v.boxes {
+		if v.Usable(now, id) {
+			usable = append(usable, e.Box)
+		}
+	}
+	slices.SortFunc(usable, func(a, b Box) int { return cmp.Compare(score(duty, b.ID), score(duty, a.ID)) })
+	return usable[:min(n, len(usable))]
+}
+
+// Sighting is a box and how long ago it was last heard from by anybody.
+type Sighting struct {
+	Box Box
+	Ago time.Duration
+}
+
+// Sightings lists the boxes that were heard from lately, the box itself first.
+func (v *View) Sightings(now time.Time) []Sighting {
+	out := []Sighting{{Box: v.self}}
+	for _, b := range v.Boxes() {
+		if ago := now.Sub(v.boxes[b.ID].heard); ago < heardFor {
+			out = append(out, Sighting{Box: b, Ago: ago})
+		}
+	}
+	return out
+}
+
+// Sighted takes in what another box passed on.
+func (v *View) Sighted(now time.Time, sightings []Sighting) {
+	for _, s := range sightings {
+		if s.Ago >= heardFor {
+			continue
+		}
+		v.Learn(now, s.Box)
+		if e, ok := v.boxes[s.Box.ID]; ok && e.heard.Before(now.Add(-s.Ago)) {
+			e.heard = now.Add(-s.Ago)
+		}
+	}
+	v.forgetUnheard(now)
+}
+
+// forgetUnheard drops boxes that nobody has heard from for a while.
+func (v *View) forgetUnheard(now time.Time) {
+	for id, e := range v.boxes {
+		if now.Sub(e.heard) > 2*heardFor && now.Sub(e.listed) > heardFor {
+			delete(v.boxes, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/routing/routing.go
@@ -0,0 +1,148 @@
+// Package routing holds the routes of one configuration version: which service
+// takes a request, by host and by the longest path prefix, and how the request
+// may be treated. A Table never changes once made.
+//
+// # Usage
+//
+//	table := routing.New(routing.Config{Version: 7, Routes: routes, Services: services})
+//	route, ok := table.Match("shop.example", "/orders/7")
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/policy"
+)
+
+// Share is one part of a route's traffic.
+type Share struct {
+	Service string
+	// Weight is relative to the weights of the route's other shares.
+	Weight float64
+}
+
+// Route says where requests go and what may be done with them.
+type Route struct {
+	// Name is for people; Host and Prefix find the route.
+	Name   string
+	Host   string
+	Prefix string
+	// Shares are the services that take the requests.
+	Shares []Share
+	// Mode says whether a request may run more than once.
+	Mode policy.Mode
+	// Objective is the time within which an answer is worth most.
+	Objective time.Duration
+	// Timeout is the longest that a request may be held.
+	Timeout time.Duration
+	// MaxAttempts bounds the servers that one request may be sent to.
+	MaxAttempts int
+	// Priority ranks the route; 0 is the most urgent.
+	Priority int
+}
+
+// Service describes the servers of one service as a whole.
+type Service struct {
+	Name string
+	// HealthPath is where a server tells its health and load.
+	HealthPath string
+	// MaxConnections is how many connections one server takes from all callers.
+	MaxConnections int
+}
+
+// Limits bound what clients may send and how long they may stay.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Table answers which route a request takes.
+type Table struct {
+	version  uint64
+	limits   Limits
+	byHost   map[string][]*Route
+	services map[string]*Service
+}
+
+// New makes the table of a configuration.
+func New(c Config) *Table {
+	t := &Table{
+		version: c.Version, limits: c.Limits,
+		byHost: map[string][]*Route{}, services: map[string]*Service{},
+	}
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		t.byHost[route.Host] = append(t.byHost[route.Host], route)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return t
+}
+
+// Version is the configuration's version.
+func (t *Table) Version() uint64 { return t.version }
+
+// Limits are the bounds on clients.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service finds a service by name.
+func (t *Table) Service(name string) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Match finds the route of a request. A port in host is not looked at.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, route := range t.byHost[hostName(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+func hostName(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
+
+// Pick chooses the service of a request; draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0.0
+	for _, share := range r.Shares {
+		total += share.Weight
+	}
+	rest := draw * total
+	for _, share := range r.Shares {
+		if rest < share.Weight {
+			return share.Service
+		}
+		rest -= share.Weight
+	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Repeatable says whether a request may run more than once.
+func (r *Route) Repeatable() bool { return r.Mode == policy.Repeatable }
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,271 @@
+// Package gateway is the daemon that stands between clients and servers whose
+// load is read at each request, as a library. It joins the data path
+// (internal/forward), the following of configuration and servers
+// (internal/feed) and the connections to servers (internal/upstream).
+//
+// It holds nothing that must last: the store that Source reads does.
+//
+// # Usage
+//
+//	settings, err := gateway.ParseSettings(raw)
+//	g, err := gateway.New(settings, gateway.Options{Source: source, Decode: decode, Wire: wire})
+//	err = g.Run(ctx) // until ctx ends; then requests in flight are ended first
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+
+	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/core/routing"
+	"github.com/sprucecrank/sprucecrank/internal/feed"
+	"github.com/sprucecrank/sprucecrank/internal/forward"
+	"github.com/sprucecrank/sprucecrank/internal/pause"
+	"github.com/sprucecrank/sprucecrank/internal/upstream"
+)
+
+// Source reads the store; see feed.Source.
+type Source = feed.Source
+
+// Options are what a gateway takes from its process.
+type Options struct {
+	Source Source
+	// Decode makes a table of the configuration as the store holds it.
+	Decode func(body []byte) (*routing.Table, error)
+	Wire   Wire
+	Log    *slog.Logger
+	Clock  func() time.Time
+}
+
+// Gateway is one gateway process.
+type Gateway struct {
+	settings  atomic.Pointer[Settings]
+	options   Options
+	log       *slog.Logger
+	feed      *feed.Feed
+	pool      *upstream.Pool
+	forward   *forward.Handler
+	stopping  atomic.Bool
+	listeners listeners
+}
+
+type listeners struct {
+	clients, ready, peers net.Listener
+}
+
+// New puts a gateway together and opens its sockets; nothing is served yet.
+func New(s Settings, o Options) (*Gateway, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	g := &Gateway{options: o, log: o.Log.With("gateway", s.ID)}
+	g.settings.Store(&s)
+	if err := g.listen(s); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	g.assemble(s)
+	return g, nil
+}
+
+func (g *Gateway) listen(s Settings) error {
+	for _, l := range []struct {
+		at  string
+		set *net.Listener
+	}{
+		{s.Listen, &g.listeners.clients},
+		{s.ReadyListen, &g.listeners.ready},
+		{s.PeerListen, &g.listeners.peers},
+	} {
+		listener, err := net.Listen("tcp", l.at)
+		if err != nil {
+			g.listeners.close()
+			return trace.Wrap(err, "address %s of gateway %s cannot be used; is another process on it?", l.at, s.ID)
+		}
+		*l.set = listener
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, one := range []net.Listener{l.clients, l.ready, l.peers} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
+
+// Parts of the time within which news must be in force that the ways of
+// hearing them may take, so that two that fail one after the other still fit.
+const (
+	pollPart      = 0.15
+	pollSlackPart = 0.12
+	silentPart    = 0.45
+	watchPart     = 1.5
+	watchSlack    = 300 * time.Millisecond
+)
+
+func timing(s Settings) feed.Timing {
+	return feed.Timing{
+		Poll:        seconds(pollPart * s.ApplyWithin),
+		PollSlack:   seconds(pollSlackPart * s.ApplyWithin),
+		SilentAfter: seconds(silentPart * s.ApplyWithin),
+		Watch:       seconds(watchPart * s.ApplyWithin),
+		WatchSlack:  watchSlack,
+	}
+}
+
+func (g *Gateway) assemble(s Settings) {
+	o := g.options
+	self := member.Box{ID: s.ID, Peer: s.PeerListen, Hall: s.Zone, Start: uint64(o.Clock().UnixNano())}
+	g.feed = feed.New(feed.Options{
+		Self: self, Seeds: func() []string { return g.settings.Load().Seeds },
+		Source: o.Source, Decode: o.Decode, Timing: timing(s), Clock: o.Clock, Log: g.log,
+	})
+	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock})
+	g.forward = forward.New(forward.Options{
+		Names: o.Wire.Headers, Zone: s.Zone, View: g.feed.View, Current: g.feed.Current,
+		Stopping: g.stopping.Load, Pool: g.pool, Clock: o.Clock, Log: g.log,
+		Retry: forward.Retry{Window: seconds(s.RetryWindow), Ratio: s.RetryRatio},
+	})
+}
+
+// Reload puts new settings in force. Addresses and names stay as they were at
+// the start.
+func (g *Gateway) Reload(s Settings) {
+	g.settings.Store(&s)
+	g.log.Info("settings reloaded", "seeds", s.Seeds)
+}
+
+const (
+	retainEvery = time.Second
+	// acceptPart is the part of the time for a stop in which clients that have
+	// not yet heard of it are still served.
+	acceptPart = 0.5
+	// lastPart is the part after which the process ends, whatever goes on.
+	lastPart       = 0.97
+	maxHeaderBytes = 1 << 20
+	// clientIdle is how long a client's connection may rest.
+	clientIdle = 5 * time.Minute
+)
+
+// Run serves until ctx ends. Then the gateway is drained: it calls itself not
+// ready, goes on serving while clients still come, ends its requests and stops.
+func (g *Gateway) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	clients := g.clientServer()
+	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady)}
+	var group run.Group
+	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer endDuties()
+	for _, duty := range []func(context.Context) error{
+		g.feed.Follow, g.feed.ReadConfig, g.feed.ReadServers, pause.Every(retainEvery, g.retain),
+	} {
+		group.Add(func() error { return untilEnded(duties, duty) }, func(error) { endDuties() })
+	}
+	group.Add(func() error { return g.feed.Serve(g.listeners.peers) }, func(error) { _ = g.listeners.peers.Close() })
+	group.Add(func() error { return ready.Serve(g.listeners.ready) }, func(error) { _ = ready.Close() })
+	drained := make(chan struct{})
+	group.Add(func() error { return serveUntil(clients, g.listeners.clients, drained) }, func(error) { _ = clients.Close() })
+	group.Add(func() error {
+		defer close(drained)
+		return g.drainAfter(ctx, clients)
+	}, func(error) { stop() })
+	g.log.Info("started", "listen", g.listeners.clients.Addr().String(), "zone", g.settings.Load().Zone)
+	err := group.Run()
+	g.pool.Close()
+	if errors.Is(err, errStopped) {
+		g.log.Info("stopped")
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+func untilEnded(ctx context.Context, duty func(context.Context) error) error {
+	if err := duty(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// errStopped ends the group after a planned stop.
+var errStopped = errors.New("the gateway was stopped")
+
+func serveUntil(s *http.Server, l net.Listener, drained <-chan struct{}) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-drained
+		return errStopped
+	}
+	return err
+}
+
+func (g *Gateway) clientServer() *http.Server {
+	return &http.Server{
+		Handler:        g.forward,
+		IdleTimeout:    clientIdle,
+		MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog:       slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != g.options.Wire.ReadyPath {
+		http.NotFound(w, r)
+		return
+	}
+	if !g.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (g *Gateway) isReady() bool {
+	if g.stopping.Load() {
+		return false
+	}
+	select {
+	case <-g.feed.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+// retain closes connections to servers that are gone or that rest too long.
+func (g *Gateway) retain(context.Context) {
+	known := map[string]bool{}
+	for _, servers := range g.feed.View().Servers {
+		for _, s := range servers {
+			known[s.ID] = true
+		}
+	}
+	g.pool.Retain(func(id string) bool { return known[id] })
+}
+
+// drainAfter waits for the stop and then drains the gateway.
+func (g *Gateway) drainAfter(ctx context.Context, clients *http.Server) error {
+	<-ctx.Done()
+	within := seconds(g.settings.Load().StopWithin)
+	g.log.Info("stopping", "within_s", within.Seconds(), "active", g.forward.Active())
+	g.stopping.Store(true)
+	g.feed.SetLeaving()
+	time.Sleep(time.Duration(acceptPart * float64(within)))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration((lastPart-acceptPart)*float64(within)))
+	defer cancel()
+	if err := clients.Shutdown(ctx); err != nil {
+		g.log.Error("requests were still in flight when the time for stopping ran out", "active", g.forward.Active(), "error", err.Error())
+	}
+	return errStopped
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/internal/headers"
+)
+
+// Settings are what a gateway is told at its start and at each reload.
+type Settings struct {
+	// ID names the gateway; it is unique in the fleet.
+	ID string `json:"id"`
+	// Zone is where the gateway stands.
+	Zone string `json:"zone"`
+	// Listen is where clients come in, IP number and port.
+	Listen string `json:"listen"`
+	// ReadyListen answers whether the gateway takes new clients.
+	ReadyListen string `json:"ready_listen"`
+	// PeerListen is where other gateways ask for news.
+	PeerListen string `json:"peer_listen"`
+	// MetricsListen serves metrics; empty for none.
+	MetricsListen string `json:"metrics_listen,omitempty"`
+	// Seeds are peer addresses of some gateways; they may be out of date.
+	Seeds []string `json:"seeds,omitempty"`
+	// Store is the address of the store that holds configuration and servers.
+	Store string `json:"store"`
+	// MemoryMB is how much memory the process may use, in megabytes.
+	MemoryMB float64 `json:"memory_mb,omitempty"`
+	// ApplyWithin is the time within which a configuration or a leaving server
+	// must be known, in seconds.
+	ApplyWithin float64 `json:"apply_within_s"`
+	// StopWithin is the time from the signal to stop until the process is
+	// killed, in seconds.
+	StopWithin float64 `json:"stop_within_s"`
+	// RetryRatio and RetryWindow bound second sends to a share of the requests
+	// in each span of RetryWindow seconds.
+	RetryRatio  float64 `json:"retry_ratio"`
+	RetryWindow float64 `json:"retry_window_s"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level,omitempty"`
+}
+
+// Defaults that a settings document may leave out.
+const (
+	defaultApplyWithin = 2.0
+	defaultStopWithin  = 6.0
+	defaultRetryRatio  = 0.1
+	defaultRetryWindow = 10.0
+)
+
+// ParseSettings reads and checks a settings document.
+func ParseSettings(raw []byte) (Settings, error) {
+	s := Settings{
+		ApplyWithin: defaultApplyWithin, StopWithin: defaultStopWithin,
+		RetryRatio: defaultRetryRatio, RetryWindow: defaultRetryWindow, LogLevel: "info",
+	}
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return s, fmt.Errorf("the settings are not the JSON document that docs/OPERATIONS.md shows: %w", err)
+	}
+	return s, s.Check()
+}
+
+// Check reports the first field that can't be used, with what it should hold.
+func (s Settings) Check() error {
+	for _, field := range []struct{ name, value string }{
+		{"listen", s.Listen}, {"ready_listen", s.ReadyListen}, {"peer_listen", s.PeerListen}, {"store", s.Store},
+	} {
+		if host, _, err := net.SplitHostPort(field.value); err != nil || net.ParseIP(host) == nil {
+			return fmt.Errorf("settings field %s is %q; give an IP number with a port, such as 10.0.0.7:8080", field.name, field.value)
+		}
+	}
+	for _, field := range []struct {
+		name  string
+		value float64
+	}{
+		{"apply_within_s", s.ApplyWithin}, {"stop_within_s", s.StopWithin}, {"retry_window_s", s.RetryWindow},
+	} {
+		if field.value <= 0 {
+			return fmt.Errorf("settings field %s is %v; give seconds above 0", field.name, field.value)
+		}
+	}
+	if s.ID == "" || s.Zone == "" {
+		return fmt.Errorf("settings fields id (%q) and zone (%q) must both be given", s.ID, s.Zone)
+	}
+	if s.RetryRatio < 0 {
+		return fmt.Errorf("settings field retry_ratio is %v; give a share of 0 or more", s.RetryRatio)
+	}
+	return nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Wire says how the gateway's surroundings spell what it speaks.
+type Wire struct {
+	Headers headers.Names
+	// ReadyPath is the path of the question whether clients may come.
+	ReadyPath string
+}
+
+// DefaultWire is the product's own spelling.
+func DefaultWire() Wire { return Wire{Headers: headers.Defaults(), ReadyPath: "/readyz"} }
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -3,12 +3,12 @@
 import (
 	"net"
 	"net/http"
-	"net/textproto"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/sprucecrank/sprucecrank/internal/headers"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -33,35 +33,16 @@
 	TargetNotRun = "not-run"
 )
 
-// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // targetOnly are the headers by which targets talk to boxes.
 var targetOnly = []string{HeaderTargetStart, HeaderTargetState, HeaderTargetVerdict}
 
 // boxOnly are the headers that only a box may set on an answer.
 var boxOnly = []string{verdict.Header, HeaderReason, HeaderReplayed, HeaderRequestID}
 
-// removeHopByHop drops the headers of one connection, those that the
-// Connection header names among them.
-func removeHopByHop(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-}
-
 // passedOn makes the headers of an answer to the client from a target's.
 func passedOn(fromTarget http.Header) http.Header {
 	h := fromTarget.Clone()
-	removeHopByHop(h)
+	headers.RemoveHopByHop(h)
 	for _, name := range slices.Concat(targetOnly, boxOnly) {
 		h.Del(name)
 	}
@@ -71,7 +52,7 @@
 // outbound makes the headers of a try from those of the request.
 func outbound(r *http.Request, id string, remaining time.Duration) http.Header {
 	h := r.Header.Clone()
-	removeHopByHop(h)
+	headers.RemoveHopByHop(h)
 	h.Set(HeaderRequestID, id)
 	h.Set(HeaderDeadline, strconv.FormatInt(max(remaining.Milliseconds(), 0), 10))
 	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,217 @@
+// Package feed keeps what a gateway believes of the configuration and of the
+// servers up to date. A few gateways read the store; all others hear the news
+// from those, through one gateway of their zone. A gateway that hears nothing
+// in time reads for itself, so that nobody's knowledge depends on the others.
+//
+// Nothing is agreed: each gateway ranks those it has heard from by rendezvous
+// hashing and takes up the duties that fall to it by its own view.
+//
+// # Usage
+//
+//	f := feed.New(feed.Options{Self: self, Source: source, Decode: decode, ...})
+//	group.Add(f.Follow, ...); group.Add(f.ReadConfig, ...); group.Add(f.ReadServers, ...)
+//	view := f.View()
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/catalog"
+	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/core/routing"
+	"github.com/sprucecrank/sprucecrank/internal/forward"
+)
+
+// ConfigObject is the configuration as the store holds it.
+type ConfigObject struct {
+	Version  uint64
+	Revision uint64
+	Body     []byte
+}
+
+// ServerList is all servers at a revision of the store.
+type ServerList struct {
+	Revision uint64
+	Servers  []catalog.Server
+}
+
+// ServerChanges is what happened to servers up to a revision.
+type ServerChanges struct {
+	Revision uint64
+	Changes  []catalog.Change
+}
+
+// ConfigChanges is what happened to the configuration up to a revision.
+type ConfigChanges struct {
+	Revision uint64
+	// Latest is nil when nothing changed.
+	Latest *ConfigObject
+}
+
+// Source reads the store. A watch that asks for a forgotten history fails with
+// store.ErrGone.
+type Source struct {
+	Config       func(ctx context.Context) (ConfigObject, error)
+	WatchConfig  func(ctx context.Context, from uint64, wait time.Duration) (ConfigChanges, error)
+	Servers      func(ctx context.Context) (ServerList, error)
+	WatchServers func(ctx context.Context, from uint64, wait time.Duration) (ServerChanges, error)
+}
+
+// Timing holds the feed's times; see the settings for how they are derived.
+type Timing struct {
+	// SilentAfter is how long a gateway goes without fresh news before it reads
+	// the store itself.
+	SilentAfter time.Duration
+	// Poll is how long one question to another gateway waits for news.
+	Poll time.Duration
+	// PollSlack is how much later than Poll the answer may come.
+	PollSlack time.Duration
+	// Watch is how long one watch of the store waits for changes.
+	Watch time.Duration
+	// WatchSlack is how much later than Watch its answer may come.
+	WatchSlack time.Duration
+}
+
+// Options configure a Feed.
+type Options struct {
+	Self   member.Box
+	Seeds  func() []string
+	Source Source
+	Decode func(body []byte) (*routing.Table, error)
+	Timing Timing
+	Clock  func() time.Time
+	Log    *slog.Logger
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Feed holds what is believed and how fresh it is.
+type Feed struct {
+	options Options
+	started time.Time
+
+	mu      sync.Mutex
+	catalog *catalog.Catalog
+	members *member.View
+	table   *routing.Table
+	changed chan struct{} // closed and renewed at each change
+	// confirmed is the latest moment at which, by word of other gateways, what
+	// is believed here was all that the store held.
+	confirmed time.Time
+	config    reading
+	servers   reading
+
+	view  atomic.Pointer[forward.View]
+	ready chan struct{}
+	once  sync.Once
+}
+
+// New makes a feed that knows nothing.
+func New(o Options) *Feed {
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
+	f := &Feed{
+		options: o, started: o.Clock(), catalog: catalog.New(), members: member.New(o.Self),
+		changed: make(chan struct{}), ready: make(chan struct{}),
+	}
+	f.view.Store(&forward.View{})
+	return f
+}
+
+// View is what is believed now.
+func (f *Feed) View() *forward.View { return f.view.Load() }
+
+// Ready is closed once a configuration and the servers are known.
+func (f *Feed) Ready() <-chan struct{} { return f.ready }
+
+// SetLeaving tells the other gateways that this one stops.
+func (f *Feed) SetLeaving() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members.SetLeaving()
+	f.wake()
+}
+
+// Current says whether what is believed was confirmed lately.
+func (f *Feed) Current() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.live(f.options.Clock())
+}
+
+// live says whether what is believed was confirmed lately.
+func (f *Feed) live(now time.Time) bool {
+	return f.age(now) < f.options.Timing.SilentAfter
+}
+
+// age is how long ago what is believed was confirmed.
+func (f *Feed) age(now time.Time) time.Duration {
+	if f.readsItself(now) {
+		return 0
+	}
+	return now.Sub(f.confirmed)
+}
+
+// readsItself says whether this gateway's own watches are in order.
+func (f *Feed) readsItself(now time.Time) bool {
+	return f.config.live(now, f.options.Timing) && f.servers.live(now, f.options.Timing)
+}
+
+// wake tells those that wait for news; the lock is held.
+func (f *Feed) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// apply works a change in under the lock and publishes what came of it.
+func (f *Feed) apply(from string, change func(c *catalog.Catalog) (config, servers bool)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.catalog.Position()
+	config, servers := change(f.catalog)
+	if config {
+		f.decode(from)
+	}
+	if config || servers {
+		f.publish()
+	}
+	if f.catalog.Position() != before {
+		f.wake()
+	}
+}
+
+// decode puts the catalog's configuration in force.
+func (f *Feed) decode(from string) {
+	table, err := f.options.Decode(f.catalog.Config())
+	if err != nil {
+		f.options.Log.Error("configuration not understood; the one before stays in force", "version", f.catalog.Position().Config, "error", err.Error())
+		return
+	}
+	f.table = table
+	f.options.Log.Info("configuration in force", "version", table.Version(), "from", from)
+}
+
+// publish makes the view that the data path uses.
+func (f *Feed) publish() {
+	v := &forward.View{Table: f.table, Servers: map[string][]catalog.Server{}}
+	for _, s := range f.catalog.Servers() {
+		if !s.Leaving {
+			v.Servers[s.Service] = append(v.Servers[s.Service], s)
+		}
+	}
+	f.view.Store(v)
+	if f.table != nil && f.catalog.Position().Servers > 0 {
+		f.once.Do(func() { close(f.ready) })
+	}
+}
--- /dev/null
+++ b/internal/feed/follow.go
@@ -0,0 +1,201 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/catalog"
+	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/internal/pause"
+)
+
+const (
+	serviceName = "Feed"
+	methodNews  = serviceName + ".News"
+	// dutyRelay names the duty of telling the other gateways of a zone.
+	dutyRelay = "relay/"
+	// tellMembersEvery is how often two gateways swap whom they have heard from.
+	tellMembersEvery = 2 * time.Second
+	// quietPause is the wait before a gateway without fresh news is asked again.
+	quietPause = 100 * time.Millisecond
+	// dullFor is how long a gateway without fresh news is passed over.
+	dullFor = 700 * time.Millisecond
+)
+
+// NewsArgs asks a gateway for what the caller lacks.
+type NewsArgs struct {
+	Caller member.Box
+	At     catalog.Position
+	Wait   time.Duration
+	// Members are given now and then, and then asked for as well.
+	Members []member.Sighting
+}
+
+// NewsReply is what the caller lacks.
+type NewsReply struct {
+	Self member.Box
+	// Age is how long ago what the answering gateway believes was confirmed.
+	Age     time.Duration
+	Delta   catalog.Delta
+	Members []member.Sighting
+}
+
+var errNoAnswer = errors.New("the gateway did not answer in time")
+
+// link is a connection to the gateway that is asked for news.
+type link struct {
+	address string
+	client  *rpc.Client
+	told    time.Time // when members were last swapped
+}
+
+// Follow is the duty of asking another gateway for news.
+func (f *Feed) Follow(ctx context.Context) error {
+	var at link
+	defer at.close()
+	dull := map[string]time.Time{}
+	seed := 0
+	for ctx.Err() == nil {
+		address, id := f.source(dull, &seed)
+		if address == "" {
+			if !pause.For(ctx, quietPause) {
+				return nil
+			}
+			continue
+		}
+		reply, err := f.ask(ctx, &at, address)
+		switch {
+		case err != nil:
+			at.close()
+			f.lost(id, address, err)
+			if id == "" && !pause.For(ctx, quietPause) {
+				return nil
+			}
+		case reply.Age >= f.options.Timing.SilentAfter:
+			dull[reply.Self.ID] = f.options.Clock().Add(dullFor)
+			if !pause.For(ctx, quietPause) {
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
+// source picks whom to ask: the relay of the own zone, or, for the relay
+// itself, the first reader. Without any, the seeds are tried in turn.
+func (f *Feed) source(dull map[string]time.Time, seed *int) (address, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Clock()
+	self := f.options.Self
+	const all = 1 << 20
+	for _, box := range f.members.Ranked(now, dutyRelay+self.Hall, all) {
+		if box.Hall != self.Hall {
+			continue
+		}
+		if box.ID == self.ID {
+			break // this gateway is the relay, or all before it are dull
+		}
+		if now.After(dull[box.ID]) {
+			return box.Peer, box.ID
+		}
+	}
+	for _, box := range f.members.Ranked(now, dutyReader, all) {
+		if box.ID != self.ID && now.After(dull[box.ID]) {
+			return box.Peer, box.ID
+		}
+	}
+	seeds := f.options.Seeds()
+	for range seeds {
+		*seed++
+		if candidate := seeds[*seed%len(seeds)]; candidate != self.Peer {
+			return candidate, ""
+		}
+	}
+	return "", ""
+}
+
+func (f *Feed) lost(id, address string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if id != "" {
+		f.members.Fail(f.options.Clock(), id)
+		f.options.Log.Info("peer lost", "peer", id, "address", address, "error", err.Error())
+	}
+}
+
+// ask makes one question and works its answer in.
+func (f *Feed) ask(ctx context.Context, at *link, address string) (*NewsReply, error) {
+	timing := f.options.Timing
+	if err := at.open(ctx, address, f.options.Dial, timing.PollSlack); err != nil {
+		return nil, err
+	}
+	args := f.question(at)
+	call := at.client.Go(methodNews, args, &NewsReply{}, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(timing.Poll + timing.PollSlack)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+	case <-timer.C:
+		return nil, errNoAnswer
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if call.Error != nil {
+		return nil, call.Error
+	}
+	reply := call.Reply.(*NewsReply)
+	f.learn(reply)
+	return reply, nil
+}
+
+func (f *Feed) question(at *link) NewsArgs {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Clock()
+	args := NewsArgs{Caller: f.members.Self(), At: f.catalog.Position(), Wait: f.options.Timing.Poll}
+	if now.Sub(at.told) > tellMembersEvery {
+		at.told = now
+		args.Members = f.members.Sightings(now)
+	}
+	return args
+}
+
+func (f *Feed) learn(reply *NewsReply) {
+	f.apply(reply.Self.ID, func(c *catalog.Catalog) (bool, bool) { return c.Merge(reply.Delta) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Clock()
+	f.members.Heard(now, reply.Self)
+	if reply.Members != nil {
+		f.members.Sighted(now, reply.Members)
+	}
+	if confirmed := now.Add(-reply.Age); confirmed.After(f.confirmed) {
+		f.confirmed = confirmed
+	}
+}
+
+func (l *link) open(ctx context.Context, address string, dial func(context.Context, string, string) (net.Conn, error), timeout time.Duration) error {
+	if l.client != nil && l.address == address {
+		return nil
+	}
+	l.close()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	*l = link{address: address, client: rpc.NewClient(conn)}
+	return nil
+}
+
+func (l *link) close() {
+	if l.client != nil {
+		_ = l.client.Close()
+		l.client = nil
+	}
+}
--- /dev/null
+++ b/internal/feed/read.go
@@ -0,0 +1,213 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/sprucecrank/sprucecrank/core/catalog"
+	"github.com/sprucecrank/sprucecrank/internal/pause"
+	"github.com/sprucecrank/sprucecrank/store"
+)
+
+const (
+	// readers is how many gateways of the whole fleet read the store.
+	readers = 2
+	// dutyReader names the duty of reading the store.
+	dutyReader = "reader"
+	// settleAfter is how long a gateway that has just begun looks for others
+	// before it believes that the reading falls to it.
+	settleAfter   = 400 * time.Millisecond
+	idleLook      = 100 * time.Millisecond
+	firstRetry    = 100 * time.Millisecond
+	longestRetry  = time.Second
+	mostRankDelay = 300 * time.Millisecond
+	rankDelay     = 30 * time.Millisecond
+)
+
+// reading is how one of the watches stands; the feed's lock guards it.
+type reading struct {
+	// began is when the call under way began; zero when there is none.
+	began time.Time
+	// answered is when the latest call that succeeded ended.
+	answered time.Time
+	broken   bool
+}
+
+// live says whether the watch would tell of a change at once.
+func (r *reading) live(now time.Time, t Timing) bool {
+	if r.answered.IsZero() || r.broken {
+		return false
+	}
+	if r.began.IsZero() {
+		return now.Sub(r.answered) < t.WatchSlack
+	}
+	return now.Sub(r.began) < t.Watch+t.WatchSlack
+}
+
+// ReadConfig is the duty of watching the configuration in the store.
+func (f *Feed) ReadConfig(ctx context.Context) error {
+	return f.read(ctx, "config", &f.config, f.stepConfig)
+}
+
+// ReadServers is the duty of watching the servers in the store.
+func (f *Feed) ReadServers(ctx context.Context) error {
+	return f.read(ctx, "servers", &f.servers, f.stepServers)
+}
+
+// step makes one call to the store; whole asks for a list and not a watch.
+type step func(ctx context.Context, whole bool) error
+
+func (f *Feed) read(ctx context.Context, name string, r *reading, next step) error {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = firstRetry, longestRetry
+	whole := false
+	for ctx.Err() == nil {
+		if !f.mustRead() {
+			f.rest(r)
+			if !pause.For(ctx, idleLook) {
+				return nil
+			}
+			continue
+		}
+		f.begin(r)
+		callCtx, cancel := context.WithTimeout(ctx, f.options.Timing.Watch+f.options.Timing.WatchSlack)
+		err := next(callCtx, whole)
+		cancel()
+		f.end(name, r, err)
+		whole = errors.Is(err, store.ErrGone)
+		switch {
+		case err == nil:
+			retry.Reset()
+		case !whole && !pause.For(ctx, retry.NextBackOff()):
+			return nil
+		}
+	}
+	return nil
+}
+
+func (f *Feed) begin(r *reading) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.began = f.options.Clock()
+}
+
+func (f *Feed) rest(r *reading) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*r = reading{}
+}
+
+func (f *Feed) end(name string, r *reading, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.began = time.Time{}
+	failed := err != nil && !errors.Is(err, store.ErrGone)
+	if failed != r.broken {
+		f.options.Log.Info("store", "watch", name, "lost", failed, "error", errorText(err))
+	}
+	r.broken = failed
+	if !failed {
+		r.answered = f.options.Clock()
+	}
+	if failed {
+		f.wake() // those that ask this gateway should look elsewhere
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// mustRead says whether this gateway should read the store now: it is one of
+// the readers, or it has heard no fresh news for too long.
+func (f *Feed) mustRead() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.options.Clock()
+	rank := f.rank(now)
+	if now.Sub(f.started) < settleAfter {
+		return false
+	}
+	if rank < readers {
+		return true
+	}
+	silent := f.options.Timing.SilentAfter + min(time.Duration(rank)*rankDelay, mostRankDelay)
+	return now.Sub(f.confirmed) > silent
+}
+
+// rank is this gateway's place in the order of readers; the lock is held.
+func (f *Feed) rank(now time.Time) int {
+	const all = 1 << 20
+	for i, box := range f.members.Ranked(now, dutyReader, all) {
+		if box.ID == f.options.Self.ID {
+			return i
+		}
+	}
+	return all
+}
+
+func (f *Feed) position() catalog.Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.catalog.Position()
+}
+
+func (f *Feed) stepConfig(ctx context.Context, whole bool) error {
+	from := f.position().ConfigRevision
+	if whole || from == 0 {
+		object, err := f.options.Source.Config(ctx)
+		if err != nil {
+			return err
+		}
+		f.takeConfig(&object, object.Revision)
+		return nil
+	}
+	changes, err := f.options.Source.WatchConfig(ctx, from, f.wait())
+	if err != nil {
+		return err
+	}
+	f.takeConfig(changes.Latest, changes.Revision)
+	return nil
+}
+
+func (f *Feed) takeConfig(object *ConfigObject, revision uint64) {
+	f.apply("store", func(c *catalog.Catalog) (bool, bool) {
+		changed := object != nil && c.SetConfig(object.Version, object.Body)
+		c.SeenConfig(revision)
+		return changed, false
+	})
+}
+
+func (f *Feed) stepServers(ctx context.Context, whole bool) error {
+	from := f.position().Servers
+	if whole || from == 0 {
+		list, err := f.options.Source.Servers(ctx)
+		if err != nil {
+			return err
+		}
+		f.apply("store", func(c *catalog.Catalog) (bool, bool) {
+			return false, c.Replace(list.Revision, list.Servers)
+		})
+		return nil
+	}
+	changes, err := f.options.Source.WatchServers(ctx, from, f.wait())
+	if err != nil {
+		return err
+	}
+	f.apply("store", func(c *catalog.Catalog) (bool, bool) {
+		return false, c.Advance(changes.Revision, changes.Changes)
+	})
+	return nil
+}
+
+// wait varies how long watches wait, so that they don't end together.
+func (f *Feed) wait() time.Duration {
+	return time.Duration((0.8 + 0.2*rand.Float64()) * float64(f.options.Timing.Watch))
+}
--- /dev/null
+++ b/internal/feed/serve.go
@@ -0,0 +1,71 @@
+package feed
+
+import (
+	"net"
+	"net/rpc"
+	"time"
+)
+
+// methods are what other gateways may call.
+type methods struct{ feed *Feed }
+
+// News answers once the caller lacks something or its wait is over.
+func (m *methods) News(args NewsArgs, reply *NewsReply) error {
+	m.feed.answer(args, reply)
+	return nil
+}
+
+// Serve takes questions of other gateways until the listener is closed.
+func (f *Feed) Serve(l net.Listener) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, &methods{feed: f}); err != nil {
+		return err
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		go server.ServeConn(conn)
+	}
+}
+
+func (f *Feed) answer(args NewsArgs, reply *NewsReply) {
+	f.mu.Lock()
+	now := f.options.Clock()
+	f.members.Heard(now, args.Caller)
+	if args.Members != nil {
+		f.members.Sighted(now, args.Members)
+		reply.Members = f.members.Sightings(now)
+	}
+	f.mu.Unlock()
+	f.await(args)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply.Self = f.members.Self()
+	reply.Age = f.age(f.options.Clock())
+	reply.Delta = f.catalog.Since(args.At)
+}
+
+// await waits while the caller lacks nothing and this gateway's news are fresh.
+func (f *Feed) await(args NewsArgs) {
+	timer := time.NewTimer(args.Wait)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		changed := f.changed
+		at := f.catalog.Position()
+		ahead := at.Config > args.At.Config || at.Servers > args.At.Servers
+		dull := !f.live(f.options.Clock())
+		leaving := f.members.Self().Leaving
+		f.mu.Unlock()
+		if ahead || dull || leaving {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/balancer.go
@@ -0,0 +1,210 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/internal/upstream"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+// hedgePart is the part of the second sends that hedges may use; the rest is
+// kept for requests whose first send failed.
+const hedgePart = 0.7
+
+// balancer chooses servers and makes sends.
+type balancer struct {
+	options  Options
+	services *services
+}
+
+func newBalancer(o Options) *balancer {
+	return &balancer{options: o, services: newServices(o)}
+}
+
+// run sends a request until there is an answer to pass on, as often as the
+// verdicts, the route, the budget and the deadline allow.
+func (b *balancer) run(ctx context.Context, x *exchange) (*upstream.Answer, *verdict.Error) {
+	state := b.services.get(x.service)
+	state.countRequest(b.options.Clock())
+	var last *verdict.Error
+	for {
+		placed, failure := b.place(ctx, x, state)
+		if failure != nil {
+			return nil, b.conclude(x, last, failure)
+		}
+		answer, failure := b.attempt(ctx, x, state, placed)
+		if failure == nil {
+			failure = judge(answer)
+		}
+		if failure == nil {
+			return answer, nil
+		}
+		if failure.Verdict() != verdict.NotRun {
+			x.mayHaveRun = true
+		}
+		x.avoid = append(x.avoid, placed.server.ID)
+		if !b.mayRetry(ctx, x, state, failure) {
+			if answer != nil && !answer.Refused {
+				return answer, nil
+			}
+			return nil, b.conclude(x, failure, failure)
+		}
+		last = failure
+	}
+}
+
+// judge tells whether an answer should rather be had from another server.
+func judge(a *upstream.Answer) *verdict.Error {
+	switch {
+	case a.Refused:
+		return verdict.New(verdict.NotRun, verdict.ReasonShed, "the server did not run the request")
+	case a.Status >= http.StatusInternalServerError:
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonTargetFailed, "the server failed")
+	default:
+		return nil
+	}
+}
+
+func (b *balancer) mayRetry(ctx context.Context, x *exchange, state *service, f *verdict.Error) bool {
+	if ctx.Err() != nil || f.Verdict() != verdict.NotRun && !x.route.Repeatable() {
+		return false
+	}
+	if f.Reason() == verdict.ReasonUnreachable {
+		return len(x.avoid) <= mostUnreachable
+	}
+	return int(x.sends.Load()) < x.route.MaxAttempts && state.spend(b.options.Clock(), 1)
+}
+
+// mostUnreachable bounds the servers that are tried for one request and cannot
+// be reached; no request was sent to them.
+const mostUnreachable = 8
+
+// conclude makes the final answer from how the sends ended.
+func (b *balancer) conclude(x *exchange, last, failure *verdict.Error) *verdict.Error {
+	if failure.Reason() == verdict.ReasonClientGone {
+		return failure
+	}
+	if x.mayHaveRun {
+		if last != nil {
+			failure = last
+		}
+		reason := verdict.ReasonTargetFailed
+		if failure.Reason() == verdict.ReasonDeadline {
+			reason = verdict.ReasonDeadline
+		}
+		return verdict.New(verdict.MayHaveRun, reason, failure.Detail()).WithCause(failure)
+	}
+	reason := failure.Reason()
+	if reason == verdict.ReasonDeadline {
+		reason = verdict.ReasonTooLate
+	}
+	state := b.services.get(x.service)
+	return verdict.New(verdict.NotRun, reason, failure.Detail()).WithCause(failure).
+		WithRetryAfter(state.comeBack(b.options.Draw()))
+}
+
+// attempt makes one send, and a second one beside it if the first is slow and
+// the request may run twice. The first whole answer counts.
+func (b *balancer) attempt(ctx context.Context, x *exchange, state *service, placed *sounding) (*upstream.Answer, *verdict.Error) {
+	delay, ok := b.hedgeDelay(x, state)
+	if !ok {
+		return b.send(ctx, x, state, placed)
+	}
+	first, cancelFirst := context.WithCancel(ctx)
+	defer cancelFirst()
+	second, cancelSecond := context.WithCancel(ctx)
+	defer cancelSecond()
+	var hedged *upstream.Answer
+	done := make(chan struct{})
+	timer := time.AfterFunc(delay, func() {
+		defer close(done)
+		if hedged = b.hedge(second, x, state, placed); hedged != nil {
+			cancelFirst()
+		}
+	})
+	answer, failure := b.send(first, x, state, placed)
+	if timer.Stop() || failure == nil && judge(answer) == nil {
+		return answer, failure
+	}
+	<-done
+	if hedged != nil {
+		return hedged, nil
+	}
+	return answer, failure
+}
+
+// hedgeDelay is when a second send is worth its cost, if it ever is.
+func (b *balancer) hedgeDelay(x *exchange, state *service) (time.Duration, bool) {
+	if !x.route.Repeatable() || x.route.Objective <= 0 || x.sends.Load()+1 >= int32(x.route.MaxAttempts) {
+		return 0, false
+	}
+	usual := state.usual(x.route)
+	held := b.options.Clock().Sub(x.began)
+	latest := x.route.Objective - usual - usual/2 - held
+	return max(latest, usual+usual/3), true
+}
+
+// hedge sends the request to a second server that can begin it at once.
+func (b *balancer) hedge(ctx context.Context, x *exchange, state *service, first *sounding) *upstream.Answer {
+	if !state.canSpend(b.options.Clock(), hedgePart) {
+		return nil
+	}
+	avoid := append([]string{first.server.ID}, x.avoid...)
+	placed := b.best(ctx, x, state, avoid)
+	if placed == nil {
+		return nil
+	}
+	if !placed.free() || placed.reading.Slowness > hedgeSlowness || !state.spend(b.options.Clock(), hedgePart) {
+		b.options.Pool.Put(placed.conn)
+		return nil
+	}
+	answer, failure := b.send(ctx, x, state, placed)
+	if failure != nil || judge(answer) != nil {
+		return nil
+	}
+	return answer
+}
+
+// hedgeSlowness is the slowest server that a hedge is sent to.
+const hedgeSlowness = 1.5
+
+// send makes one send and learns from how it ended.
+func (b *balancer) send(ctx context.Context, x *exchange, state *service, placed *sounding) (*upstream.Answer, *verdict.Error) {
+	x.sends.Add(1)
+	began := b.options.Clock()
+	state.begin(placed.server.ID)
+	answer, failure := placed.conn.Exchange(ctx, b.outgoing(x, placed.server.ID, began))
+	b.options.Pool.Put(placed.conn)
+	state.end(placed.server.ID)
+	now := b.options.Clock()
+	switch {
+	case failure == nil && answer.Refused:
+		state.refused(now, placed.server.ID, answer.Status == http.StatusMisdirectedRequest)
+	case failure == nil && answer.Status >= http.StatusInternalServerError:
+		state.failed(now, placed.server.ID)
+	case failure == nil:
+		state.succeeded(placed.server.ID, x.route, now.Sub(began), placed.reading)
+	case failure.Reason() == verdict.ReasonTargetFailed:
+		state.failed(now, placed.server.ID)
+	}
+	return answer, failure
+}
+
+// outgoing makes the request as it goes to a server.
+func (b *balancer) outgoing(x *exchange, server string, now time.Time) upstream.Request {
+	names := b.options.Names
+	h := x.in.Header.Clone()
+	headers.RemoveHopByHop(h)
+	h.Del("Content-Length")
+	h.Del("Expect")
+	left := max(x.deadline.Sub(now).Milliseconds(), 1)
+	h.Set(names.Deadline, strconv.FormatInt(left, 10))
+	h.Set(names.ExpectInstance, server)
+	return upstream.Request{
+		Method: x.in.Method, URI: x.in.RequestURI, Host: x.in.Host, Header: h, Body: x.body, ID: x.id,
+	}
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,239 @@
+// Package forward is the gateway's data path: it takes a client's request,
+// finds its route, chooses a server by fresh readings of load, sends the
+// request as often as its route, the budget and the clock allow, and passes
+// the whole answer on.
+//
+// # Usage
+//
+//	h := forward.New(forward.Options{Names: names, Believe: feed.View, ...})
+//	http.Serve(listener, h)
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/catalog"
+	"github.com/sprucecrank/sprucecrank/core/routing"
+	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/internal/upstream"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+// View is what the process believes at one moment; it never changes once made.
+type View struct {
+	// Table is nil while no configuration is known.
+	Table *routing.Table
+	// Servers are the servers of each service that take new requests.
+	Servers map[string][]catalog.Server
+}
+
+// Retry configures second sends.
+type Retry struct {
+	// Window is the span over which they are counted.
+	Window time.Duration
+	// Ratio is the greatest share of second sends among the requests.
+	Ratio float64
+}
+
+// Options configure a Handler.
+type Options struct {
+	Names headers.Names
+	// Zone is where this process stands.
+	Zone string
+	// View gives what is believed now.
+	View func() *View
+	// Current says whether what is believed was confirmed lately.
+	Current func() bool
+	// Stopping says whether the process is stopping.
+	Stopping func() bool
+	Pool     *upstream.Pool
+	Retry    Retry
+	Clock    func() time.Time
+	Log      *slog.Logger
+	// Draw gives a uniform number in [0, 1).
+	Draw func() float64
+}
+
+// Handler serves the clients' requests.
+type Handler struct {
+	options Options
+	balance *balancer
+	active  atomic.Int64
+}
+
+// New makes a handler.
+func New(o Options) *Handler {
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.Draw == nil {
+		o.Draw = rand.Float64
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Handler{options: o, balance: newBalancer(o)}
+}
+
+// Active is how many requests are under way.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
+// exchange is one request of a client on its way through the gateway.
+type exchange struct {
+	id       string
+	in       *http.Request
+	body     []byte
+	route    *routing.Route
+	service  string
+	servers  []catalog.Server
+	health   string
+	began    time.Time
+	deadline time.Time
+	sends    atomic.Int32
+	avoid    []string
+	// mayHaveRun is set once a send ended without a promise.
+	mayHaveRun bool
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	x := &exchange{id: r.Header.Get(h.options.Names.RequestID), in: r, began: h.options.Clock()}
+	if h.options.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	answer, failure := h.serve(w, x)
+	if failure != nil {
+		h.refuse(w, x, failure)
+		return
+	}
+	h.pass(w, x, answer)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, x *exchange) (*upstream.Answer, *verdict.Error) {
+	view := h.options.View()
+	if failure := h.prepare(view, x); failure != nil {
+		return nil, failure
+	}
+	if failure := h.readBody(w, view.Table.Limits(), x); failure != nil {
+		return nil, failure
+	}
+	ctx, cancel := context.WithDeadline(x.in.Context(), x.deadline)
+	defer cancel()
+	return h.balance.run(ctx, x)
+}
+
+// prepare finds the route, the service and the deadline of a request.
+func (h *Handler) prepare(view *View, x *exchange) *verdict.Error {
+	if view.Table == nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonNotReady, "no configuration is known yet").WithRetryAfter(notReadyPause)
+	}
+	route, ok := view.Table.Match(x.in.Host, x.in.URL.Path)
+	if !ok {
+		if !h.options.Current() {
+			return verdict.New(verdict.NotRun, verdict.ReasonNotReady, "no route, but the configuration may be out of date").WithRetryAfter(notReadyPause)
+		}
+		return verdict.New(verdict.NotRun, verdict.ReasonNoService, "no route in force covers this host and path")
+	}
+	x.route = route
+	x.service = route.Pick(h.options.Draw())
+	x.servers = view.Servers[x.service]
+	if service, ok := view.Table.Service(x.service); ok {
+		x.health = service.HealthPath
+	}
+	x.deadline = x.began.Add(h.patience(x))
+	return nil
+}
+
+// notReadyPause is when to come back to a process that knows too little.
+const notReadyPause = 300 * time.Millisecond
+
+// patience is how long the request may be held: the lesser of what the client
+// and the route allow.
+func (h *Handler) patience(x *exchange) time.Duration {
+	most := x.route.Timeout
+	if most <= 0 {
+		most = defaultTimeout
+	}
+	ms, err := strconv.ParseInt(x.in.Header.Get(h.options.Names.Deadline), 10, 64)
+	if err != nil || ms < 0 || ms > most.Milliseconds() {
+		return most
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// defaultTimeout holds where neither client nor route names a time.
+const defaultTimeout = 30 * time.Second
+
+// readBody takes the body in whole, so that a slow client holds no server.
+func (h *Handler) readBody(w http.ResponseWriter, limits routing.Limits, x *exchange) *verdict.Error {
+	if x.in.Body == nil || x.in.Body == http.NoBody {
+		return nil
+	}
+	most := limits.BodyBytes
+	if most <= 0 {
+		most = math.MaxInt64
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, x.in.Body, most))
+	if err == nil {
+		x.body = body
+		return nil
+	}
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		return verdict.New(verdict.NotRun, verdict.ReasonBodyTooLarge, "the body is larger than the limits allow")
+	}
+	return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the body could not be read whole").WithCause(err)
+}
+
+// pass gives the client a server's answer.
+func (h *Handler) pass(w http.ResponseWriter, x *exchange, a *upstream.Answer) {
+	headers.RemoveHopByHop(a.Header)
+	out := w.Header()
+	for name, values := range a.Header {
+		out[name] = values
+	}
+	out.Del(h.options.Names.Load)
+	if x.in.Method != http.MethodHead {
+		out.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+	h.logServed(x, a)
+}
+
+// refuse gives the client an answer of the gateway's own.
+func (h *Handler) refuse(w http.ResponseWriter, x *exchange, f *verdict.Error) {
+	if f.Reason() == verdict.ReasonClientGone {
+		h.logFailed(x, f)
+		panic(http.ErrAbortHandler)
+	}
+	out := w.Header()
+	out.Set(h.options.Names.RequestID, x.id)
+	out.Set(verdict.Header, f.Verdict().String())
+	if pause := f.RetryAfter(); pause > 0 {
+		out.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
+	}
+	out.Set("Content-Length", "0")
+	w.WriteHeader(f.Status())
+	h.logFailed(x, f)
+}
+
+func (h *Handler) logServed(x *exchange, a *upstream.Answer) {
+	h.options.Log.Debug("served", "request", x.id, "status", a.Status)
+}
+
+func (h *Handler) logFailed(x *exchange, f *verdict.Error) {
+	h.options.Log.Info("failed", "request", x.id, "verdict", f.Verdict().String(), "reason", string(f.Reason()),
+		"service", x.service, "sends", x.sends.Load(), "held_ms", h.options.Clock().Sub(x.began).Milliseconds(), "cause", f.Error())
+}
--- /dev/null
+++ b/internal/forward/place.go
@@ -0,0 +1,269 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/catalog"
+	"github.com/sprucecrank/sprucecrank/core/choice"
+	"github.com/sprucecrank/sprucecrank/internal/pause"
+	"github.com/sprucecrank/sprucecrank/internal/upstream"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+const (
+	// nearChecks and farChecks are how many servers of the own zone and of all
+	// zones are asked for their load in one round.
+	nearChecks = 3
+	farChecks  = 3
+	// placePart is the part of a route's objective that finding a server may
+	// take before the request is refused.
+	placePart = 0.2
+	// checkPart is the part that one round of checks may take.
+	checkPart = 0.08
+	// inTimePart is the part of the objective within which an answer must be
+	// expected for a server to be taken at once.
+	inTimePart = 0.9
+	// easySlowness and easyFree mark a server that no other could better.
+	easySlowness = 1.2
+	easyFree     = 2
+	// farPenalty is what a server in another zone must be faster by.
+	farPenalty = 20 * time.Millisecond
+	// checkTimeout bounds one check; a round does not wait for it.
+	checkTimeout = 250 * time.Millisecond
+	leastRound   = 4 * time.Millisecond
+)
+
+// sounding is a server with a connection to it and its load, if it told it.
+type sounding struct {
+	server    catalog.Server
+	conn      *upstream.Conn
+	reading   choice.Reading
+	known     bool // the reading is one
+	well      bool
+	predicted time.Duration
+	failed    bool
+}
+
+func (s *sounding) free() bool { return s.known && s.well && s.reading.Free() > 0 }
+
+// place finds the server for the next send and a connection to it.
+func (b *balancer) place(ctx context.Context, x *exchange, state *service) (*sounding, *verdict.Error) {
+	latest := x.began.Add(time.Duration(placePart * float64(x.route.Objective)))
+	for {
+		best := b.best(ctx, x, state, x.avoid)
+		if ctx.Err() != nil {
+			b.release(best)
+			return nil, ended(ctx)
+		}
+		now := b.options.Clock()
+		if best == nil && len(x.servers) == 0 {
+			return nil, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "no server of the service is known")
+		}
+		if best != nil && (!best.known || b.inTime(now, x, best)) {
+			return best, nil
+		}
+		if now.After(latest) {
+			if best != nil && best.reading.Free() > 0 {
+				return best, nil
+			}
+			b.release(best)
+			return nil, verdict.New(verdict.NotRun, verdict.ReasonTooLate, "every server asked is too full to answer in time")
+		}
+		b.release(best)
+		if !pause.For(ctx, b.round(x)) {
+			return nil, ended(ctx)
+		}
+	}
+}
+
+func ended(ctx context.Context) *verdict.Error {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return verdict.New(verdict.NotRun, verdict.ReasonTooLate, "the deadline passed before a server was found")
+	}
+	return verdict.New(verdict.NotRun, verdict.ReasonClientGone, "the client went away")
+}
+
+func (b *balancer) release(s *sounding) {
+	if s != nil && s.conn != nil {
+		b.options.Pool.Put(s.conn)
+	}
+}
+
+// inTime says whether an answer within the route's objective is to be expected.
+func (b *balancer) inTime(now time.Time, x *exchange, s *sounding) bool {
+	if !s.well {
+		return false
+	}
+	left := time.Duration(inTimePart*float64(x.route.Objective)) - now.Sub(x.began)
+	return s.predicted <= left
+}
+
+func (b *balancer) round(x *exchange) time.Duration {
+	return max(time.Duration(checkPart*float64(x.route.Objective)), leastRound)
+}
+
+// best asks some servers for their load, those of the own zone first, and
+// returns the one that should answer soonest.
+func (b *balancer) best(ctx context.Context, x *exchange, state *service, avoid []string) *sounding {
+	near, far := b.candidates(x, state, avoid)
+	if !state.tellsLoad() {
+		return b.unasked(ctx, state, append(near, far...))
+	}
+	best := b.ask(ctx, x, state, near, nil)
+	if best != nil && best.free() && b.inTime(b.options.Clock(), x, best) && best.reading.Slowness <= easySlowness {
+		return best
+	}
+	return b.ask(ctx, x, state, far, best)
+}
+
+// candidates draws servers that are not to be avoided.
+func (b *balancer) candidates(x *exchange, state *service, avoid []string) (near, far []catalog.Server) {
+	now := b.options.Clock()
+	var aside []catalog.Server
+	for _, s := range x.servers {
+		switch {
+		case slices.Contains(avoid, s.ID):
+		case state.isAside(now, s.ID):
+			aside = append(aside, s)
+		case s.Zone == b.options.Zone:
+			near = append(near, s)
+		default:
+			far = append(far, s)
+		}
+	}
+	if len(near)+len(far) == 0 {
+		far = aside
+	}
+	shuffle(near)
+	shuffle(far)
+	extra := near[min(nearChecks, len(near)):]
+	far = append(extra[:len(extra):len(extra)], far...)
+	shuffle(far)
+	return near[:min(nearChecks, len(near))], far[:min(farChecks, len(far))]
+}
+
+func shuffle(s []catalog.Server) {
+	rand.Shuffle(len(s), func(i, j int) { s[i], s[j] = s[j], s[i] })
+}
+
+// ask sounds servers at once and returns the best of them and of best.
+func (b *balancer) ask(ctx context.Context, x *exchange, state *service, servers []catalog.Server, best *sounding) *sounding {
+	if len(servers) == 0 {
+		return best
+	}
+	results := make(chan *sounding, len(servers))
+	for _, server := range servers {
+		go func() { results <- b.sound(ctx, x, state, server) }()
+	}
+	timer := time.NewTimer(b.round(x))
+	defer timer.Stop()
+	for open := len(servers); open > 0; {
+		select {
+		case found := <-results:
+			open--
+			best = b.better(best, found)
+			if best != nil && best.free() && best.reading.Free() >= easyFree && best.reading.Slowness <= easySlowness {
+				b.collect(results, open)
+				return best
+			}
+		case <-timer.C:
+			b.collect(results, open)
+			return best
+		}
+	}
+	return best
+}
+
+// collect takes in the answers that nobody waits for any more.
+func (b *balancer) collect(results <-chan *sounding, open int) {
+	if open == 0 {
+		return
+	}
+	go func() {
+		for range open {
+			b.release(<-results)
+		}
+	}()
+}
+
+func (b *balancer) better(best, found *sounding) *sounding {
+	if found.failed {
+		return best
+	}
+	if best == nil {
+		return found
+	}
+	if b.cost(found) < b.cost(best) {
+		best, found = found, best
+	}
+	b.release(found)
+	return best
+}
+
+// unwellPenalty ranks servers that say they are ill behind all others: some
+// say so though they are well.
+const unwellPenalty = time.Minute
+
+func (b *balancer) cost(s *sounding) time.Duration {
+	cost := s.predicted
+	if s.server.Zone != b.options.Zone {
+		cost += farPenalty
+	}
+	if !s.well {
+		cost += unwellPenalty
+	}
+	return cost
+}
+
+// sound asks one server for its load.
+func (b *balancer) sound(ctx context.Context, x *exchange, state *service, server catalog.Server) *sounding {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	s := &sounding{server: server}
+	conn, failure := b.options.Pool.Get(ctx, server)
+	if failure != nil {
+		s.failed = true
+		if ctx.Err() == nil {
+			state.failed(b.options.Clock(), server.ID)
+		}
+		return s
+	}
+	s.conn = conn
+	health, err := conn.Check(ctx, x.health)
+	if err != nil {
+		b.release(s)
+		s.failed = true
+		if ctx.Err() == nil {
+			state.failed(b.options.Clock(), server.ID)
+		}
+		return s
+	}
+	s.well, s.known, s.reading = health.Well, health.HasLoad, health.Load
+	state.learnTells(health)
+	s.predicted = state.usual(x.route)
+	if s.known {
+		s.predicted = s.reading.Predict(s.predicted)
+	}
+	return s
+}
+
+// unasked chooses by own counts alone, for services that do not tell their load.
+func (b *balancer) unasked(ctx context.Context, state *service, servers []catalog.Server) *sounding {
+	slices.SortStableFunc(servers, func(a, c catalog.Server) int {
+		return state.load(a.ID, a.Slots) - state.load(c.ID, c.Slots)
+	})
+	for _, server := range servers {
+		conn, failure := b.options.Pool.Get(ctx, server)
+		if failure == nil {
+			return &sounding{server: server, conn: conn, well: true, reading: choice.Reading{Slots: server.Slots, Slowness: 1}}
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		state.failed(b.options.Clock(), server.ID)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/forward/services.go
@@ -0,0 +1,215 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/budget"
+	"github.com/sprucecrank/sprucecrank/core/choice"
+	"github.com/sprucecrank/sprucecrank/core/routing"
+	"github.com/sprucecrank/sprucecrank/internal/upstream"
+)
+
+const (
+	firstAside   = 200 * time.Millisecond
+	longestAside = 3 * time.Second
+	// failuresAside is how many failures in a row set a server aside.
+	failuresAside = 1
+	// misdirectedAside is how long a server is left alone whose address now
+	// belongs to another one.
+	misdirectedAside = 10 * time.Second
+	// medianStep is how far one duration moves the median.
+	medianStep = 0.06
+	// firstUsual is the usual time before any was measured, as a part of the
+	// route's objective.
+	firstUsual = 0.35
+	// silentChecks is how many checks without a load show that a service does
+	// not tell it.
+	silentChecks = 8
+	// allowance is the second sends of a process beyond the ratio.
+	allowance = 1
+)
+
+// services holds what is known of each service.
+type services struct {
+	options Options
+	mu      sync.Mutex
+	byName  map[string]*service
+}
+
+func newServices(o Options) *services {
+	return &services{options: o, byName: map[string]*service{}}
+}
+
+func (s *services) get(name string) *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byName[name] == nil {
+		retry := s.options.Retry
+		s.byName[name] = &service{
+			budget:  budget.NewWindow(retry.Window, retry.Ratio, allowance),
+			medians: map[string]time.Duration{}, servers: map[string]*serverState{},
+		}
+	}
+	return s.byName[name]
+}
+
+// service is what is known of one service and its servers.
+type service struct {
+	mu      sync.Mutex
+	budget  *budget.Window
+	medians map[string]time.Duration // usual time by route
+	servers map[string]*serverState
+	typical time.Duration // usual time over all routes
+	silent  int           // checks in a row without a load
+	told    bool          // some check held a load
+}
+
+// serverState is what is known of one server.
+type serverState struct {
+	active     int
+	failures   int
+	asideUntil time.Time
+	asideFor   time.Duration
+}
+
+func (s *service) server(id string) *serverState {
+	if s.servers[id] == nil {
+		s.servers[id] = &serverState{}
+	}
+	return s.servers[id]
+}
+
+func (s *service) countRequest(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Request(now)
+}
+
+// spend takes a second send from the budget.
+func (s *service) spend(now time.Time, part float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Spend(now, part)
+}
+
+// canSpend says whether spend would succeed.
+func (s *service) canSpend(now time.Time, part float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return float64(s.budget.Used()+1) <= part*s.budget.Allowed()
+}
+
+func (s *service) begin(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.server(id).active++
+}
+
+func (s *service) end(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.server(id).active--
+}
+
+// load is how full a server is by own counts, in thousandths.
+func (s *service) load(id string, slots int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.server(id).active * 1000 / max(slots, 1)
+}
+
+func (s *service) isAside(now time.Time, id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state, ok := s.servers[id]
+	return ok && now.Before(state.asideUntil)
+}
+
+func (s *service) failed(now time.Time, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.server(id)
+	state.failures++
+	if state.failures < failuresAside {
+		return
+	}
+	state.asideFor = min(max(2*state.asideFor, firstAside), longestAside)
+	state.asideUntil = now.Add(state.asideFor)
+}
+
+func (s *service) refused(now time.Time, id string, misdirected bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pause := firstAside / 4
+	if misdirected {
+		pause = misdirectedAside
+	}
+	s.server(id).asideUntil = now.Add(pause)
+}
+
+// succeeded learns the usual time of a route from a request's own.
+func (s *service) succeeded(id string, route *routing.Route, took time.Duration, reading choice.Reading) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.server(id)
+	state.failures, state.asideFor = 0, 0
+	if reading.Slowness > 0 {
+		took = time.Duration(float64(took) / reading.Slowness)
+	}
+	s.medians[route.Name] = towards(s.medianOf(route), took)
+	s.typical = towards(max(s.typical, took/10), took)
+}
+
+// towards moves a median by one step.
+func towards(median, took time.Duration) time.Duration {
+	step := time.Duration(medianStep * float64(median))
+	if took > median {
+		return median + min(step, took-median)
+	}
+	return median - min(step, median-took)
+}
+
+func (s *service) medianOf(route *routing.Route) time.Duration {
+	if usual, ok := s.medians[route.Name]; ok {
+		return usual
+	}
+	return time.Duration(firstUsual * float64(route.Objective))
+}
+
+// usual is how long a request of a route usually takes.
+func (s *service) usual(route *routing.Route) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.medianOf(route)
+}
+
+// comeBack is when a refused client should try again; draw spreads them.
+func (s *service) comeBack(draw float64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	base := min(max(2*s.typical, leastPause), mostPause)
+	return time.Duration((0.5 + draw) * float64(base))
+}
+
+const (
+	leastPause = 200 * time.Millisecond
+	mostPause  = 600 * time.Millisecond
+)
+
+func (s *service) learnTells(h upstream.Health) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h.HasLoad {
+		s.told, s.silent = true, 0
+		return
+	}
+	s.silent++
+}
+
+// tellsLoad says whether asking servers for their load is of use.
+func (s *service) tellsLoad() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.told || s.silent < silentChecks
+}
--- /dev/null
+++ b/internal/headers/headers.go
@@ -0,0 +1,62 @@
+// Package headers names the HTTP headers that a gateway, its clients and the
+// servers exchange, so that one data path serves deployments that spell them
+// differently.
+//
+// # Usage
+//
+//	names := headers.Defaults()
+//	id := request.Header.Get(names.RequestID)
+package headers
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// Names are the headers' names in canonical form.
+type Names struct {
+	// RequestID identifies one attempt of a client; servers repeat it.
+	RequestID string
+	// Deadline is what the caller will still wait, in whole milliseconds.
+	Deadline string
+	// ExpectInstance names the only server that may run the request.
+	ExpectInstance string
+	// Instance is the id by which a server answers a health check.
+	Instance string
+	// Load is a server's load: running, waiting, slots, percent of usual time.
+	Load string
+	// NotRun marks an answer of a server that did not run the request.
+	NotRun string
+}
+
+// Defaults are the product's own names.
+func Defaults() Names {
+	return Names{
+		RequestID:      "X-Request-Id",
+		Deadline:       "Sprucecrank-Deadline-Ms",
+		ExpectInstance: "Sprucecrank-Expect-Instance",
+		Instance:       "Target-Instance",
+		Load:           "Target-Load",
+		NotRun:         "Target-Verdict",
+	}
+}
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// RemoveHopByHop drops the headers of one connection, those that the
+// Connection header names among them.
+func RemoveHopByHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,252 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/choice"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+const (
+	// writeAtOnce is the largest request that is written before its answer is
+	// looked for; a larger one is written beside it, since a server may answer
+	// before it has read a long body.
+	writeAtOnce = 2 << 10
+	// mostSurplus bounds the answers of other requests that are dropped.
+	mostSurplus = 4
+)
+
+// Request is one request as it goes to a server.
+type Request struct {
+	Method string
+	// URI is the target of the request line, as the client sent it.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// ID is the request's id, which the answer must repeat.
+	ID string
+}
+
+// Answer is a server's whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Refused says that the server promises not to run the request.
+	Refused bool
+	// Load is the server's load, if it told it.
+	Load    choice.Reading
+	HasLoad bool
+}
+
+var (
+	errSurplus = errors.New("too many answers of other requests lay on the connection")
+	errUnnamed = errors.New("the answer does not name its request")
+	errTooLong = errors.New("the answer is too long")
+)
+
+// Exchange sends a request and reads its answer whole. The connection can be
+// given back afterwards, whatever came of it.
+func (c *Conn) Exchange(ctx context.Context, r Request) (*Answer, *verdict.Error) {
+	c.exchanges++
+	c.reusable = false
+	uninterrupted := context.AfterFunc(ctx, c.interrupt)
+	sent := c.send(r)
+	answer, again, err := c.receive(r)
+	if err != nil {
+		uninterrupted()
+		c.Close() // before the wait: it ends a write that nobody reads
+		wrote := <-sent
+		return nil, failureOf(ctx, err, wrote)
+	}
+	again = again && c.reader.Buffered() == 0
+	select {
+	case wrote := <-sent:
+		c.reusable = uninterrupted() && again && wrote.err == nil
+	default:
+		uninterrupted() // the rest of the body has no reader; Put closes
+	}
+	return answer, nil
+}
+
+// interrupt ends reads and writes that are under way.
+func (c *Conn) interrupt() { _ = c.net.SetDeadline(time.Unix(1, 0)) }
+
+type written struct {
+	bytes int
+	err   error
+}
+
+// send writes the request and reports on the channel how far it came.
+func (c *Conn) send(r Request) <-chan written {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	done := make(chan written, 1)
+	write := func() {
+		n, err := c.net.Write(b.Bytes())
+		done <- written{bytes: n, err: err}
+	}
+	if b.Len() <= writeAtOnce {
+		write()
+	} else {
+		go write()
+	}
+	return done
+}
+
+// receive reads answers until the one to this request; again says whether the
+// connection's framing allows another exchange.
+func (c *Conn) receive(r Request) (answer *Answer, again bool, err error) {
+	names := c.pool.options.Names
+	for range mostSurplus {
+		response, body, err := c.readOne(r.Method)
+		if err != nil {
+			return nil, false, err
+		}
+		framed := !response.Close && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
+		id := response.Header.Get(names.RequestID)
+		mine := id == r.ID || id == "" && c.exchanges == 1
+		if mine {
+			c.learnIdle(response.Header)
+			return c.answer(response, body), framed, nil
+		}
+		if id == "" {
+			return nil, false, errUnnamed
+		}
+		if !framed {
+			return nil, false, errSurplus
+		}
+	}
+	return nil, false, errSurplus
+}
+
+// readOne reads the next answer on the connection, leaving out interim ones.
+func (c *Conn) readOne(method string) (*http.Response, []byte, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		body, err := readBody(response, c.pool.options.AnswerBytes)
+		return response, body, err
+	}
+}
+
+func readBody(r *http.Response, most int64) ([]byte, error) {
+	defer func() { _ = r.Body.Close() }()
+	if r.Body == http.NoBody {
+		return nil, nil
+	}
+	if r.ContentLength > most {
+		return nil, errTooLong
+	}
+	if r.ContentLength >= 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	if err == nil && int64(len(body)) > most {
+		return nil, errTooLong
+	}
+	return body, err
+}
+
+func (c *Conn) answer(r *http.Response, body []byte) *Answer {
+	names := c.pool.options.Names
+	a := &Answer{Status: r.StatusCode, Header: r.Header, Body: body}
+	a.Refused = r.Header.Get(names.NotRun) != "" || r.StatusCode == http.StatusMisdirectedRequest
+	if load, err := choice.ParseReading(r.Header.Get(names.Load), c.pool.options.Clock()); err == nil {
+		a.Load, a.HasLoad = load, true
+	}
+	return a
+}
+
+// learnIdle reads how long the server keeps a resting connection.
+func (c *Conn) learnIdle(h http.Header) {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds > 0 {
+			c.idleLimit = time.Duration(idlePart * float64(seconds) * float64(time.Second))
+		}
+	}
+}
+
+// failureOf tells whether the server may have run a request without an answer.
+func failureOf(ctx context.Context, cause error, wrote written) *verdict.Error {
+	v := verdict.MayHaveRun
+	if wrote.bytes == 0 && wrote.err != nil {
+		v = verdict.NotRun
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.New(v, verdict.ReasonDeadline, "the server did not answer before the deadline").WithCause(cause)
+	case ctx.Err() != nil:
+		return verdict.New(v, verdict.ReasonClientGone, "the request was cancelled").WithCause(cause)
+	default:
+		return verdict.New(v, verdict.ReasonTargetFailed, "the connection broke or held no whole answer").WithCause(cause)
+	}
+}
+
+// errNotItself says that another server answered.
+var errNotItself = errors.New("another server answered the health check")
+
+// Health is what a server says of itself.
+type Health struct {
+	Well    bool
+	Load    choice.Reading
+	HasLoad bool
+}
+
+// Check asks the server how it is.
+func (c *Conn) Check(ctx context.Context, path string) (Health, error) {
+	c.exchanges++
+	c.reusable = false
+	uninterrupted := context.AfterFunc(ctx, c.interrupt)
+	defer uninterrupted()
+	request := "GET " + path + " HTTP/1.1\r\nHost: " + c.server.Address + "\r\n\r\n"
+	if _, err := io.WriteString(c.net, request); err != nil {
+		return Health{}, err
+	}
+	response, _, err := c.readOne(http.MethodGet)
+	if err != nil {
+		return Health{}, err
+	}
+	names := c.pool.options.Names
+	if id := response.Header.Get(names.Instance); id != "" && id != c.server.ID {
+		return Health{}, errNotItself
+	}
+	if response.Header.Get(names.RequestID) != "" {
+		return Health{}, errSurplus
+	}
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	c.learnIdle(response.Header)
+	c.reusable = uninterrupted() && framed && !response.Close && c.reader.Buffered() == 0
+	h := Health{Well: response.StatusCode == http.StatusOK}
+	if load, err := choice.ParseReading(response.Header.Get(names.Load), c.pool.options.Clock()); err == nil {
+		h.Load, h.HasLoad = load, true
+	}
+	return h, nil
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,206 @@
+// Package upstream holds the gateway's connections to servers and makes
+// exchanges on them. It never sends a request twice by itself: whoever calls
+// Exchange has made exactly one send, and the error's verdict says whether the
+// server may have run it.
+//
+// An answer is read whole before it is given out, and it is given out only if
+// it repeats the id of the request: a surplus answer of an earlier request is
+// dropped, wherever it lies on the connection.
+//
+// # Usage
+//
+//	pool := upstream.New(upstream.Options{Names: names, Clock: time.Now})
+//	conn, failure := pool.Get(ctx, server)
+//	answer, failure := conn.Exchange(ctx, request)
+//	pool.Put(conn)
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/catalog"
+	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+const (
+	// defaultIdle is how long a connection may rest where servers don't say.
+	defaultIdle = 4 * time.Second
+	// idlePart is the part of a server's own idle time that is used.
+	idlePart       = 0.75
+	readBufferSize = 4 << 10
+	// DefaultAnswerBytes is the largest answer that is taken in.
+	DefaultAnswerBytes = 8 << 20
+)
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options configure a Pool; zero values are usable.
+type Options struct {
+	Names headers.Names
+	Clock func() time.Time
+	Dial  Dial
+	// DialTimeout bounds the making of a connection.
+	DialTimeout time.Duration
+	// AnswerBytes bounds one answer.
+	AnswerBytes int64
+	// Opened is called for each new connection.
+	Opened func()
+}
+
+// Pool keeps connections to servers between requests.
+type Pool struct {
+	options Options
+	mu      sync.Mutex
+	idle    map[string][]*Conn // by the server's id, latest used last
+}
+
+// New makes an empty pool.
+func New(o Options) *Pool {
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = time.Second
+	}
+	if o.AnswerBytes == 0 {
+		o.AnswerBytes = DefaultAnswerBytes
+	}
+	if o.Opened == nil {
+		o.Opened = func() {}
+	}
+	return &Pool{options: o, idle: map[string][]*Conn{}}
+}
+
+// Conn is one connection to one start of a server. One exchange at a time may
+// be made on it.
+type Conn struct {
+	pool      *Pool
+	server    catalog.Server
+	net       net.Conn
+	reader    *bufio.Reader
+	exchanges int
+	idleLimit time.Duration
+	restedAt  time.Time
+	reusable  bool
+}
+
+// Server is the server at the other end.
+func (c *Conn) Server() catalog.Server { return c.server }
+
+// Get takes a resting connection to a server, or makes a new one.
+func (p *Pool) Get(ctx context.Context, server catalog.Server) (*Conn, *verdict.Error) {
+	for {
+		conn := p.takeIdle(server.ID)
+		if conn == nil {
+			return p.open(ctx, server)
+		}
+		if conn.quiet() {
+			return conn, nil
+		}
+		conn.Close()
+	}
+}
+
+func (p *Pool) takeIdle(id string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	resting := p.idle[id]
+	if len(resting) == 0 {
+		return nil
+	}
+	conn := resting[len(resting)-1]
+	p.idle[id] = resting[:len(resting)-1]
+	return conn
+}
+
+func (p *Pool) open(ctx context.Context, server catalog.Server) (*Conn, *verdict.Error) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	defer cancel()
+	raw, err := p.options.Dial(ctx, "tcp", server.Address)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no connection to the server could be made").WithCause(err)
+	}
+	p.options.Opened()
+	return &Conn{
+		pool: p, server: server, net: raw, idleLimit: defaultIdle, reusable: true,
+		reader: bufio.NewReaderSize(raw, readBufferSize),
+	}, nil
+}
+
+// Put gives a connection back; one that can't be used again is closed.
+func (p *Pool) Put(c *Conn) {
+	if !c.reusable {
+		c.Close()
+		return
+	}
+	c.restedAt = p.options.Clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[c.server.ID] = append(p.idle[c.server.ID], c)
+}
+
+// Close ends the connection.
+func (c *Conn) Close() {
+	c.reusable = false
+	_ = c.net.Close()
+}
+
+// quiet says whether a resting connection can be used: it has not rested for
+// too long, the server has not closed it, and nothing lies unread on it.
+func (c *Conn) quiet() bool {
+	if c.pool.options.Clock().Sub(c.restedAt) > c.idleLimit || c.reader.Buffered() > 0 {
+		return false
+	}
+	system, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false
+	}
+	nothing := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, readErr := syscall.Read(int(fd), one[:])
+		nothing = readErr == syscall.EAGAIN
+		return true
+	})
+	return err == nil && nothing
+}
+
+// Retain closes the resting connections that have rested for too long and
+// those to servers that keep does not name.
+func (p *Pool) Retain(keep func(id string) bool) {
+	now := p.options.Clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, resting := range p.idle {
+		kept := resting[:0]
+		for _, conn := range resting {
+			if keep(id) && now.Sub(conn.restedAt) <= conn.idleLimit {
+				kept = append(kept, conn)
+				continue
+			}
+			conn.Close()
+		}
+		clear(resting[len(kept):])
+		p.idle[id] = kept
+		if len(kept) == 0 {
+			delete(p.idle, id)
+		}
+	}
+}
+
+// Close ends all resting connections.
+func (p *Pool) Close() { p.Retain(func(string) bool { return false }) }
