Read the store at once after a restart; let requests wait for the first knowledge

Cause: after the closing power-off a gateway waited 0.4 s for peers before it read the store and refused all that came; by the log, first answers 0.45 s after the start. Change: a gateway that knows nothing reads at once unless the whole fleet is new (settings: first_start); requests wait up to 0.2 s for it. The configuration is read as a list, so that there is a revision to watch from before the first one. One log line a request with what decided each send, through a bounded writer. Ruled out: slow process start (log line 'started' stands 0.1 s after the restart).

--- a/cmd/sprucecrank-gateway/main.go
+++ b/cmd/sprucecrank-gateway/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/sprucecrank/sprucecrank/gateway"
+	"github.com/sprucecrank/sprucecrank/internal/logging"
 	"github.com/sprucecrank/sprucecrank/platform"
 )
 
@@ -27,10 +28,12 @@
 	if err != nil {
 		return err
 	}
+	logs := logging.NewWriter(os.Stdout, logging.Options{})
+	defer logs.Close()
 	client := platform.NewClient(settings.Store)
 	g, err := gateway.New(settings, gateway.Options{
 		Source: client.Source(), Decode: platform.DecodeConfig, Wire: platform.Wire(),
-		Log: slog.New(slog.NewJSONHandler(os.Stdout, nil)),
+		Log: slog.New(slog.NewJSONHandler(logs, nil)),
 	})
 	if err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,13 +129,13 @@
 	o := g.options
 	self := member.Box{ID: s.ID, Peer: s.PeerListen, Hall: s.Zone, Start: uint64(o.Clock().UnixNano())}
 	g.feed = feed.New(feed.Options{
-		Self: self, Seeds: func() []string { return g.settings.Load().Seeds },
+		Self: self, FirstStart: s.FirstStart, Seeds: func() []string { return g.settings.Load().Seeds },
 		Source: o.Source, Decode: o.Decode, Timing: timing(s), Clock: o.Clock, Log: g.log,
 	})
 	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock})
 	g.forward = forward.New(forward.Options{
 		Names: o.Wire.Headers, Zone: s.Zone, View: g.feed.View, Current: g.feed.Current,
-		Stopping: g.stopping.Load, Pool: g.pool, Clock: o.Clock, Log: g.log,
+		Ready: g.feed.Ready(), Stopping: g.stopping.Load, Pool: g.pool, Clock: o.Clock, Log: g.log,
 		Retry: forward.Retry{Window: seconds(s.RetryWindow), Ratio: s.RetryRatio},
 	})
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -23,6 +23,8 @@
 	PeerListen string `json:"peer_listen"`
 	// MetricsListen serves metrics; empty for none.
 	MetricsListen string `json:"metrics_listen,omitempty"`
+	// FirstStart says that the whole fleet is starting for the first time.
+	FirstStart bool `json:"first_start,omitempty"`
 	// Seeds are peer addresses of some gateways; they may be out of date.
 	Seeds []string `json:"seeds,omitempty"`
 	// Store is the address of the store that holds configuration and servers.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -29,9 +29,8 @@
 
 // ConfigObject is the configuration as the store holds it.
 type ConfigObject struct {
-	Version  uint64
-	Revision uint64
-	Body     []byte
+	Version uint64
+	Body    []byte
 }
 
 // ServerList is all servers at a revision of the store.
@@ -49,14 +48,14 @@
 // ConfigChanges is what happened to the configuration up to a revision.
 type ConfigChanges struct {
 	Revision uint64
-	// Latest is nil when nothing changed.
+	// Latest is nil when nothing changed, or when there is none yet.
 	Latest *ConfigObject
 }
 
 // Source reads the store. A watch that asks for a forgotten history fails with
 // store.ErrGone.
 type Source struct {
-	Config       func(ctx context.Context) (ConfigObject, error)
+	Config       func(ctx context.Context) (ConfigChanges, error)
 	WatchConfig  func(ctx context.Context, from uint64, wait time.Duration) (ConfigChanges, error)
 	Servers      func(ctx context.Context) (ServerList, error)
 	WatchServers func(ctx context.Context, from uint64, wait time.Duration) (ServerChanges, error)
@@ -79,14 +78,17 @@
 
 // Options configure a Feed.
 type Options struct {
-	Self   member.Box
-	Seeds  func() []string
-	Source Source
-	Decode func(body []byte) (*routing.Table, error)
-	Timing Timing
-	Clock  func() time.Time
-	Log    *slog.Logger
-	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Self member.Box
+	// FirstStart says that all gateways are starting for the first time, so that
+	// none is serving yet and each can wait for what the readers find.
+	FirstStart bool
+	Seeds      func() []string
+	Source     Source
+	Decode     func(body []byte) (*routing.Table, error)
+	Timing     Timing
+	Clock      func() time.Time
+	Log        *slog.Logger
+	Dial       func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Feed holds what is believed and how fresh it is.
--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -19,7 +19,8 @@
 	// dutyReader names the duty of reading the store.
 	dutyReader = "reader"
 	// settleAfter is how long a gateway that has just begun looks for others
-	// before it believes that the reading falls to it.
+	// before it believes that the reading falls to it. Unless the whole fleet is
+	// new, one that knows nothing reads at once: clients are waiting.
 	settleAfter   = 400 * time.Millisecond
 	idleLook      = 100 * time.Millisecond
 	firstRetry    = 100 * time.Millisecond
@@ -131,11 +132,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock()
-	rank := f.rank(now)
-	if now.Sub(f.started) < settleAfter {
+	position := f.catalog.Position()
+	knows := position.ConfigRevision > 0 && position.Servers > 0
+	settling := now.Sub(f.started) < settleAfter
+	if settling && (knows || f.options.FirstStart) {
 		return false
 	}
-	if rank < readers {
+	rank := f.rank(now)
+	if !knows && !f.options.FirstStart || rank < readers {
 		return true
 	}
 	silent := f.options.Timing.SilentAfter + min(time.Duration(rank)*rankDelay, mostRankDelay)
@@ -162,25 +166,26 @@
 func (f *Feed) stepConfig(ctx context.Context, whole bool) error {
 	from := f.position().ConfigRevision
 	if whole || from == 0 {
-		object, err := f.options.Source.Config(ctx)
+		now, err := f.options.Source.Config(ctx)
 		if err != nil {
 			return err
 		}
-		f.takeConfig(&object, object.Revision)
+		f.takeConfig(now)
 		return nil
 	}
 	changes, err := f.options.Source.WatchConfig(ctx, from, f.wait())
 	if err != nil {
 		return err
 	}
-	f.takeConfig(changes.Latest, changes.Revision)
+	f.takeConfig(changes)
 	return nil
 }
 
-func (f *Feed) takeConfig(object *ConfigObject, revision uint64) {
+func (f *Feed) takeConfig(changes ConfigChanges) {
 	f.apply("store", func(c *catalog.Catalog) (bool, bool) {
-		changed := object != nil && c.SetConfig(object.Version, object.Body)
-		c.SeenConfig(revision)
+		latest := changes.Latest
+		changed := latest != nil && c.SetConfig(latest.Version, latest.Body)
+		c.SeenConfig(changes.Revision)
 		return changed, false
 	})
 }
--- a/internal/forward/balancer.go
+++ b/internal/forward/balancer.go
@@ -162,6 +162,7 @@
 		b.options.Pool.Put(placed.conn)
 		return nil
 	}
+	placed.hedge = true
 	answer, failure := b.send(ctx, x, state, placed)
 	if failure != nil || judge(answer) != nil {
 		return nil
@@ -181,6 +182,7 @@
 	b.options.Pool.Put(placed.conn)
 	state.end(placed.server.ID)
 	now := b.options.Clock()
+	x.trail.add(describe(placed, began, now, answer, failure))
 	switch {
 	case failure == nil && answer.Refused:
 		state.refused(now, placed.server.ID, answer.Status == http.StatusMisdirectedRequest)
@@ -194,6 +196,26 @@
 	return answer, failure
 }
 
+func describe(placed *sounding, began, now time.Time, answer *upstream.Answer, failure *verdict.Error) sent {
+	s := sent{
+		server: placed.server.ID, zone: placed.server.Zone, hedge: placed.hedge,
+		predicted: placed.predicted, took: now.Sub(began),
+	}
+	if placed.known {
+		r := placed.reading
+		s.running, s.waiting, s.slots, s.slowness, s.age = r.Running, r.Waiting, r.Slots, r.Slowness, began.Sub(r.At)
+	}
+	switch {
+	case failure != nil:
+		s.result = string(failure.Reason())
+	case answer.Refused:
+		s.result = string(verdict.ReasonShed)
+	default:
+		s.result = strconv.Itoa(answer.Status)
+	}
+	return s
+}
+
 // outgoing makes the request as it goes to a server.
 func (b *balancer) outgoing(x *exchange, server string, now time.Time) upstream.Request {
 	names := b.options.Names
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -51,6 +51,8 @@
 	Zone string
 	// View gives what is believed now.
 	View func() *View
+	// Ready is closed once enough is known to serve.
+	Ready <-chan struct{}
 	// Current says whether what is believed was confirmed lately.
 	Current func() bool
 	// Stopping says whether the process is stopping.
@@ -100,6 +102,9 @@
 	deadline time.Time
 	sends    atomic.Int32
 	avoid    []string
+	waits    int
+	config   uint64 // the version by which the request was handled
+	trail    trail
 	// mayHaveRun is set once a send ended without a promise.
 	mayHaveRun bool
 }
@@ -121,6 +126,7 @@
 }
 
 func (h *Handler) serve(w http.ResponseWriter, x *exchange) (*upstream.Answer, *verdict.Error) {
+	h.awaitReady(x)
 	view := h.options.View()
 	if failure := h.prepare(view, x); failure != nil {
 		return nil, failure
@@ -138,6 +144,7 @@
 	if view.Table == nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonNotReady, "no configuration is known yet").WithRetryAfter(notReadyPause)
 	}
+	x.config = view.Table.Version()
 	route, ok := view.Table.Match(x.in.Host, x.in.URL.Path)
 	if !ok {
 		if !h.options.Current() {
@@ -155,6 +162,26 @@
 	return nil
 }
 
+// startPatience is how long a request waits for a process that has just begun
+// to learn the configuration and the servers.
+const startPatience = 200 * time.Millisecond
+
+// awaitReady waits a little for a process that has just begun.
+func (h *Handler) awaitReady(x *exchange) {
+	select {
+	case <-h.options.Ready:
+		return
+	default:
+	}
+	timer := time.NewTimer(startPatience)
+	defer timer.Stop()
+	select {
+	case <-h.options.Ready:
+	case <-timer.C:
+	case <-x.in.Context().Done():
+	}
+}
+
 // notReadyPause is when to come back to a process that knows too little.
 const notReadyPause = 300 * time.Millisecond
 
@@ -209,13 +236,13 @@
 	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
-	h.logServed(x, a)
+	h.log(x, a.Status, nil)
 }
 
 // refuse gives the client an answer of the gateway's own.
 func (h *Handler) refuse(w http.ResponseWriter, x *exchange, f *verdict.Error) {
 	if f.Reason() == verdict.ReasonClientGone {
-		h.logFailed(x, f)
+		h.log(x, 0, f)
 		panic(http.ErrAbortHandler)
 	}
 	out := w.Header()
@@ -226,14 +253,5 @@
 	}
 	out.Set("Content-Length", "0")
 	w.WriteHeader(f.Status())
-	h.logFailed(x, f)
-}
-
-func (h *Handler) logServed(x *exchange, a *upstream.Answer) {
-	h.options.Log.Debug("served", "request", x.id, "status", a.Status)
-}
-
-func (h *Handler) logFailed(x *exchange, f *verdict.Error) {
-	h.options.Log.Info("failed", "request", x.id, "verdict", f.Verdict().String(), "reason", string(f.Reason()),
-		"service", x.service, "sends", x.sends.Load(), "held_ms", h.options.Clock().Sub(x.began).Milliseconds(), "cause", f.Error())
+	h.log(x, f.Status(), f)
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -45,6 +45,7 @@
 	well      bool
 	predicted time.Duration
 	failed    bool
+	hedge     bool
 }
 
 func (s *sounding) free() bool { return s.known && s.well && s.reading.Free() > 0 }
@@ -73,6 +74,7 @@
 			return nil, verdict.New(verdict.NotRun, verdict.ReasonTooLate, "every server asked is too full to answer in time")
 		}
 		b.release(best)
+		x.waits++
 		if !pause.For(ctx, b.round(x)) {
 			return nil, ended(ctx)
 		}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,144 @@
+// Package logging writes a process's structured logs without ever holding up
+// what logs: lines go into a bounded ring with a writer of its own, and a rate
+// bounds how many are written. Lines that find no room are counted, and a line
+// says how many were dropped.
+//
+// # Usage
+//
+//	w := logging.NewWriter(os.Stdout, logging.Options{})
+//	log := slog.New(slog.NewJSONHandler(w, nil))
+//	defer w.Close()
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Options bound a Writer; zero values mean the defaults.
+type Options struct {
+	// Lines is how many lines may wait to be written.
+	Lines int
+	// PerSecond and Burst bound how many are taken in.
+	PerSecond float64
+	Burst     int
+	// FlushEvery is how long a line may wait for others to be written with it.
+	FlushEvery time.Duration
+}
+
+const (
+	defaultLines     = 2048
+	defaultPerSecond = 300
+	defaultBurst     = 1000
+	defaultFlush     = 200 * time.Millisecond
+	closeWithin      = 500 * time.Millisecond
+)
+
+// Writer takes whole lines and never blocks. It implements io.Writer.
+type Writer struct {
+	out     io.Writer
+	options Options
+	limit   *rate.Limiter
+	mu      sync.Mutex
+	waiting [][]byte
+	wake    chan struct{}
+	dropped atomic.Uint64
+	closed  chan struct{}
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewWriter begins to write to out.
+func NewWriter(out io.Writer, o Options) *Writer {
+	if o.Lines == 0 {
+		o.Lines = defaultLines
+	}
+	if o.PerSecond == 0 {
+		o.PerSecond = defaultPerSecond
+	}
+	if o.Burst == 0 {
+		o.Burst = defaultBurst
+	}
+	if o.FlushEvery == 0 {
+		o.FlushEvery = defaultFlush
+	}
+	w := &Writer{
+		out: out, options: o, limit: rate.NewLimiter(rate.Limit(o.PerSecond), o.Burst),
+		wake: make(chan struct{}, 1), closed: make(chan struct{}), done: make(chan struct{}),
+	}
+	go w.run()
+	return w
+}
+
+// Dropped counts the lines that found no room.
+func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
+
+// Write takes in one line; it always succeeds.
+func (w *Writer) Write(line []byte) (int, error) {
+	if !w.limit.Allow() {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.waiting) >= w.options.Lines {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	w.waiting = append(w.waiting, bytes.Clone(line))
+	if len(w.waiting) == 1 {
+		select {
+		case w.wake <- struct{}{}:
+		default:
+		}
+	}
+	return len(line), nil
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	var told uint64
+	for {
+		select {
+		case <-w.closed:
+			w.flush(&told)
+			return
+		case <-w.wake:
+		}
+		select {
+		case <-w.closed:
+		case <-time.After(w.options.FlushEvery):
+		}
+		w.flush(&told)
+	}
+}
+
+// flush writes what waits, and how many lines were dropped since the last time.
+func (w *Writer) flush(told *uint64) {
+	w.mu.Lock()
+	lines := w.waiting
+	w.waiting = nil
+	w.mu.Unlock()
+	if dropped := w.dropped.Load(); dropped > *told {
+		lines = append(lines, fmt.Appendf(nil, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"dropped\":%d,\"total\":%d}\n", dropped-*told, dropped))
+		*told = dropped
+	}
+	if len(lines) > 0 {
+		_, _ = w.out.Write(bytes.Join(lines, nil))
+	}
+}
+
+// Close writes what waits, unless out takes nothing for too long.
+func (w *Writer) Close() {
+	w.once.Do(func() { close(w.closed) })
+	select {
+	case <-w.done:
+	case <-time.After(closeWithin):
+	}
+}
