Learn what a server's last slot costs; queue at the gateway before a server's queue

Change: each service's price of the last slot is learnt; an easy server is one that is usual fast and has room beyond it; a request waits at the gateway, re-checking, before it joins a server's queue; hedges go to easy servers only and not while requests wait; less urgent requests leave the last slot to more urgent ones that found none.

--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -62,20 +62,30 @@
 // Free is how many more requests the server can begin at once.
 func (r Reading) Free() int { return max(r.Slots-r.Running-r.Waiting, 0) }
 
-// crowding is how much longer work takes on a server whose last slot is taken.
-// Some servers slow down when they are nearly full; on others it only breaks
-// ties in favour of the emptier one.
-const crowding = 0.25
+// LastSlot says whether a request that is sent now would take the server's last
+// slot, or wait. A server with one slot has no other.
+func (r Reading) LastSlot() bool { return r.Slots > 1 && r.Free() <= 1 }
 
-// Predict is the time until a request would end that usually takes usual, were
-// it sent now.
-func (r Reading) Predict(usual time.Duration) time.Duration {
+// Predict is the time until a request would end, were it sent now. usual is how
+// long it takes on an easy server, and crowding how much longer on the last
+// slot of one: some servers slow down when they are nearly full.
+func (r Reading) Predict(usual time.Duration, crowding float64) time.Duration {
 	work := float64(usual) * r.Slowness
-	taken := min(float64(r.Running+1)/float64(r.Slots), 1)
-	own := work * (1 + crowding*taken*taken)
+	if r.Slots > 1 {
+		// Of two easy servers the emptier one is better by a little.
+		work *= 1 + emptier*float64(r.Running)/float64(r.Slots)
+	}
+	if !r.LastSlot() && r.Free() > 0 {
+		return time.Duration(work)
+	}
+	work *= crowding
 	if r.Free() > 0 {
-		return time.Duration(own)
+		return time.Duration(work)
 	}
 	ahead := float64(r.Waiting+1) / float64(r.Slots)
-	return time.Duration(own + ahead*work*(1+crowding))
+	return time.Duration(work * (1 + ahead))
 }
+
+// emptier is what a full server's work counts for more than an empty one's, so
+// that among equals the emptier is chosen.
+const emptier = 0.1
--- a/internal/forward/balancer.go
+++ b/internal/forward/balancer.go
@@ -150,7 +150,8 @@
 
 // hedge sends the request to a second server that can begin it at once.
 func (b *balancer) hedge(ctx context.Context, x *exchange, state *service, first *sounding) *upstream.Answer {
-	if !state.canSpend(b.options.Clock(), hedgePart) {
+	now := b.options.Clock()
+	if state.pressed(now) || !state.canSpend(now, hedgePart) {
 		return nil
 	}
 	avoid := append([]string{first.server.ID}, x.avoid...)
@@ -158,7 +159,7 @@
 	if placed == nil {
 		return nil
 	}
-	if !placed.free() || placed.reading.Slowness > hedgeSlowness || !state.spend(b.options.Clock(), hedgePart) {
+	if !placed.easy() || !state.spend(b.options.Clock(), hedgePart) {
 		b.options.Pool.Put(placed.conn)
 		return nil
 	}
@@ -170,9 +171,6 @@
 	return answer
 }
 
-// hedgeSlowness is the slowest server that a hedge is sent to.
-const hedgeSlowness = 1.5
-
 // send makes one send and learns from how it ended.
 func (b *balancer) send(ctx context.Context, x *exchange, state *service, placed *sounding) (*upstream.Answer, *verdict.Error) {
 	x.sends.Add(1)
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -26,14 +26,15 @@
 	// inTimePart is the part of the objective within which an answer must be
 	// expected for a server to be taken at once.
 	inTimePart = 0.9
-	// easySlowness and easyFree mark a server that no other could better.
+	// easySlowness is the slowest server that counts as working as usual.
 	easySlowness = 1.2
-	easyFree     = 2
 	// farPenalty is what a server in another zone must be faster by.
 	farPenalty = 20 * time.Millisecond
 	// checkTimeout bounds one check; a round does not wait for it.
 	checkTimeout = 250 * time.Millisecond
 	leastRound   = 4 * time.Millisecond
+	// longestRound is the longest pause between two rounds of checks.
+	longestRound = 25 * time.Millisecond
 )
 
 // sounding is a server with a connection to it and its load, if it told it.
@@ -45,11 +46,18 @@
 	well      bool
 	predicted time.Duration
 	failed    bool
-	hedge     bool
+	// crowded says that the request would take longer for want of room.
+	crowded bool
+	hedge   bool
 }
 
 func (s *sounding) free() bool { return s.known && s.well && s.reading.Free() > 0 }
 
+// easy says whether no other server could be better by much.
+func (s *sounding) easy() bool {
+	return s.free() && !s.crowded && s.reading.Slowness <= easySlowness
+}
+
 // place finds the server for the next send and a connection to it.
 func (b *balancer) place(ctx context.Context, x *exchange, state *service) (*sounding, *verdict.Error) {
 	latest := x.began.Add(time.Duration(placePart * float64(x.route.Objective)))
@@ -63,24 +71,39 @@
 		if best == nil && len(x.servers) == 0 {
 			return nil, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "no server of the service is known")
 		}
-		if best != nil && (!best.known || b.inTime(now, x, best)) {
+		last := now.After(latest)
+		if best != nil && b.acceptable(now, x, state, best, last) {
 			return best, nil
 		}
-		if now.After(latest) {
-			if best != nil && best.reading.Free() > 0 {
-				return best, nil
-			}
+		state.waits(now, x.route.Priority)
+		if last {
 			b.release(best)
 			return nil, verdict.New(verdict.NotRun, verdict.ReasonTooLate, "every server asked is too full to answer in time")
 		}
 		b.release(best)
 		x.waits++
-		if !pause.For(ctx, b.round(x)) {
+		if !pause.For(ctx, min(b.round(x), longestRound)) {
 			return nil, ended(ctx)
 		}
 	}
 }
 
+// acceptable says whether the request should go to a server now. In the last
+// round a server's queue will do, if the answer is still expected in time, and
+// so will any free server.
+func (b *balancer) acceptable(now time.Time, x *exchange, state *service, s *sounding, last bool) bool {
+	if !s.known {
+		return true
+	}
+	if s.free() && s.reading.LastSlot() && state.yields(now, x.route.Priority) {
+		return false
+	}
+	if last {
+		return s.reading.Free() > 0 || b.inTime(now, x, s)
+	}
+	return s.free() && b.inTime(now, x, s)
+}
+
 func ended(ctx context.Context) *verdict.Error {
 	if context.Cause(ctx) == context.DeadlineExceeded {
 		return verdict.New(verdict.NotRun, verdict.ReasonTooLate, "the deadline passed before a server was found")
@@ -115,7 +138,7 @@
 		return b.unasked(ctx, state, append(near, far...))
 	}
 	best := b.ask(ctx, x, state, near, nil)
-	if best != nil && best.free() && b.inTime(b.options.Clock(), x, best) && best.reading.Slowness <= easySlowness {
+	if best != nil && best.easy() {
 		return best
 	}
 	return b.ask(ctx, x, state, far, best)
@@ -167,7 +190,7 @@
 		case found := <-results:
 			open--
 			best = b.better(best, found)
-			if best != nil && best.free() && best.reading.Free() >= easyFree && best.reading.Slowness <= easySlowness {
+			if best != nil && best.easy() {
 				b.collect(results, open)
 				return best
 			}
@@ -247,7 +270,7 @@
 	state.learnTells(health)
 	s.predicted = state.usual(x.route)
 	if s.known {
-		s.predicted = s.reading.Predict(s.predicted)
+		s.predicted, s.crowded = state.predict(x.route, s.reading)
 	}
 	return s
 }
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -26,6 +26,15 @@
 	// silentChecks is how many checks without a load show that a service does
 	// not tell it.
 	silentChecks = 8
+	// firstCrowding is believed before any request took a last slot; one more
+	// moves it by crowdingStep.
+	firstCrowding = 1.3
+	crowdingStep  = 0.02
+	mostCrowding  = 4
+	// easyCrowding is the most that counts as no crowding.
+	easyCrowding = 1.2
+	// yieldFor is how long a request that found no free server is remembered.
+	yieldFor = 500 * time.Millisecond
 	// allowance is the second sends of a process beyond the ratio.
 	allowance = 1
 )
@@ -49,6 +58,7 @@
 		s.byName[name] = &service{
 			budget:  budget.NewWindow(retry.Window, retry.Ratio, allowance),
 			medians: map[string]time.Duration{}, servers: map[string]*serverState{},
+			crowding: firstCrowding, waited: map[int]time.Time{},
 		}
 	}
 	return s.byName[name]
@@ -61,8 +71,12 @@
 	medians map[string]time.Duration // usual time by route
 	servers map[string]*serverState
 	typical time.Duration // usual time over all routes
-	silent  int           // checks in a row without a load
-	told    bool          // some check held a load
+	// crowding is how much longer requests take on the last slot of a server.
+	crowding float64
+	// waited is when a request last found no free server, by its priority.
+	waited map[int]time.Time
+	silent int  // checks in a row without a load
+	told   bool // some check held a load
 }
 
 // serverState is what is known of one server.
@@ -154,11 +168,63 @@
 	defer s.mu.Unlock()
 	state := s.server(id)
 	state.failures, state.asideFor = 0, 0
-	if reading.Slowness > 0 {
-		took = time.Duration(float64(took) / reading.Slowness)
+	switch {
+	case reading.Slowness > easySlowness || reading.Waiting > 0:
+	case reading.LastSlot():
+		s.learnCrowding(float64(took) / float64(max(s.medianOf(route), time.Millisecond)))
+	default:
+		s.medians[route.Name] = towards(s.medianOf(route), took)
+		s.typical = towards(max(s.typical, took/10), took)
 	}
-	s.medians[route.Name] = towards(s.medianOf(route), took)
-	s.typical = towards(max(s.typical, took/10), took)
+}
+
+func (s *service) learnCrowding(ratio float64) {
+	step := crowdingStep
+	if ratio < s.crowding {
+		step = -step
+	}
+	s.crowding = min(max(s.crowding+step, 1), mostCrowding)
+}
+
+// predict is the time that a server of the service would take for a request,
+// and whether that is longer for want of room.
+func (s *service) predict(route *routing.Route, reading choice.Reading) (took time.Duration, crowded bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	crowded = reading.Free() == 0 || reading.LastSlot() && s.crowding > easyCrowding
+	return reading.Predict(s.medianOf(route), s.crowding), crowded
+}
+
+// waits notes that a request found no free server.
+func (s *service) waits(now time.Time, priority int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waited[priority] = now
+}
+
+// yields says whether a request should leave the last slot of a server to more
+// urgent ones, since such have lately found none.
+func (s *service) yields(now time.Time, priority int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for other, at := range s.waited {
+		if other < priority && now.Sub(at) < yieldFor {
+			return true
+		}
+	}
+	return false
+}
+
+// pressed says whether any request has lately found no free server.
+func (s *service) pressed(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.waited {
+		if now.Sub(at) < yieldFor {
+			return true
+		}
+	}
+	return false
 }
 
 // towards moves a median by one step.
