--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -14,10 +14,16 @@
 )
 
 const (
-	// nearChecks and farChecks are how many servers of the own zone and of all
-	// zones are asked for their load in one round.
-	nearChecks = 3
-	farChecks  = 3
+	// waveSize is how many servers are asked for their load at once, while none
+	// of those asked before is easy: first servers of the own zone, then others,
+	// whose bytes cost more.
+	waveSize = 2
+	// nearChecks and farChecks bound how many are asked in one round. While
+	// requests wait, few servers are easy and each check takes time from their
+	// work, so that only pressedChecks are asked of each.
+	nearChecks    = 4
+	farChecks     = 4
+	pressedChecks = 2
 	// placePart is the part of a route's objective that finding a server may
 	// take before the request is refused.
 	placePart = 0.2
@@ -137,11 +143,22 @@
 	if !state.tellsLoad() {
 		return b.unasked(ctx, state, append(near, far...))
 	}
-	best := b.ask(ctx, x, state, near, nil)
-	if best != nil && best.easy() {
-		return best
+	mostNear, mostFar := nearChecks, farChecks
+	if state.pressed(b.options.Clock()) {
+		mostNear, mostFar = pressedChecks, pressedChecks
+	}
+	near = near[:min(mostNear, len(near))]
+	far = far[:min(mostFar, len(far))]
+	var best *sounding
+	for _, servers := range [][]catalog.Server{near, far} {
+		for wave := range slices.Chunk(servers, waveSize) {
+			best = b.ask(ctx, x, state, wave, best)
+			if best != nil && best.easy() {
+				return best
+			}
+		}
 	}
-	return b.ask(ctx, x, state, far, best)
+	return best
 }
 
 // candidates draws servers that are not to be avoided.
@@ -164,10 +181,7 @@
 	}
 	shuffle(near)
 	shuffle(far)
-	extra := near[min(nearChecks, len(near)):]
-	far = append(extra[:len(extra):len(extra)], far...)
-	shuffle(far)
-	return near[:min(nearChecks, len(near))], far[:min(farChecks, len(far))]
+	return near, far
 }
 
 func shuffle(s []catalog.Server) {
