--- a/internal/forward/balancer.go
+++ b/internal/forward/balancer.go
@@ -102,9 +102,24 @@
 	if reason == verdict.ReasonDeadline {
 		reason = verdict.ReasonTooLate
 	}
-	state := b.services.get(x.service)
-	return verdict.New(verdict.NotRun, reason, failure.Detail()).WithCause(failure).
-		WithRetryAfter(state.comeBack(b.options.Draw()))
+	return verdict.New(verdict.NotRun, reason, failure.Detail()).WithCause(failure).WithRetryAfter(b.comeBack(x))
+}
+
+const (
+	// comeBackPart is the part of the time that a client has left which it
+	// spends waiting at most before it comes back.
+	comeBackPart  = 1.0 / 3
+	leastComeBack = 150 * time.Millisecond
+	// comeBackFrom is where the draw begins, as a part of the longest pause.
+	comeBackFrom = 0.3
+)
+
+// comeBack is when a refused client should try again. The clients of one burst
+// are spread over the time that they have, so that they don't return as one.
+func (b *balancer) comeBack(x *exchange) time.Duration {
+	longest := time.Duration(comeBackPart * float64(x.clientDeadline.Sub(b.options.Clock())))
+	drawn := comeBackFrom + (1-comeBackFrom)*b.options.Draw()
+	return max(time.Duration(drawn*float64(longest)), leastComeBack)
 }
 
 // attempt makes one send, and a second one beside it if the first is slow and
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -100,11 +100,13 @@
 	health   string
 	began    time.Time
 	deadline time.Time
-	sends    atomic.Int32
-	avoid    []string
-	waits    int
-	config   uint64 // the version by which the request was handled
-	trail    trail
+	// clientDeadline is when the client stops waiting.
+	clientDeadline time.Time
+	sends          atomic.Int32
+	avoid          []string
+	waits          int
+	config         uint64 // the version by which the request was handled
+	trail          trail
 	// mayHaveRun is set once a send ended without a promise.
 	mayHaveRun bool
 }
@@ -158,7 +160,7 @@
 	if service, ok := view.Table.Service(x.service); ok {
 		x.health = service.HealthPath
 	}
-	x.deadline = x.began.Add(h.patience(x))
+	h.setDeadlines(x)
 	return nil
 }
 
@@ -185,20 +187,28 @@
 // notReadyPause is when to come back to a process that knows too little.
 const notReadyPause = 300 * time.Millisecond
 
-// patience is how long the request may be held: the lesser of what the client
-// and the route allow.
-func (h *Handler) patience(x *exchange) time.Duration {
+// setDeadlines works out how long the client waits, and how long the request
+// may be held: the lesser of what the client and the route allow.
+func (h *Handler) setDeadlines(x *exchange) {
 	most := x.route.Timeout
 	if most <= 0 {
 		most = defaultTimeout
 	}
+	x.deadline = x.began.Add(most)
+	x.clientDeadline = x.deadline
 	ms, err := strconv.ParseInt(x.in.Header.Get(h.options.Names.Deadline), 10, 64)
-	if err != nil || ms < 0 || ms > most.Milliseconds() {
-		return most
+	if err != nil || ms < 0 || ms > maxDeadline.Milliseconds() {
+		return
+	}
+	x.clientDeadline = x.began.Add(time.Duration(ms) * time.Millisecond)
+	if x.clientDeadline.Before(x.deadline) {
+		x.deadline = x.clientDeadline
 	}
-	return time.Duration(ms) * time.Millisecond
 }
 
+// maxDeadline is the longest time that a client can be believed to wait.
+const maxDeadline = time.Hour
+
 // defaultTimeout holds where neither client nor route names a time.
 const defaultTimeout = 30 * time.Second
 
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -70,7 +70,6 @@
 	budget  *budget.Window
 	medians map[string]time.Duration // usual time by route
 	servers map[string]*serverState
-	typical time.Duration // usual time over all routes
 	// crowding is how much longer requests take on the last slot of a server.
 	crowding float64
 	// waited is when a request last found no free server, by its priority.
@@ -174,7 +173,6 @@
 		s.learnCrowding(float64(took) / float64(max(s.medianOf(route), time.Millisecond)))
 	default:
 		s.medians[route.Name] = towards(s.medianOf(route), took)
-		s.typical = towards(max(s.typical, took/10), took)
 	}
 }
 
@@ -250,19 +248,6 @@
 	return s.medianOf(route)
 }
 
-// comeBack is when a refused client should try again; draw spreads them.
-func (s *service) comeBack(draw float64) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	base := min(max(2*s.typical, leastPause), mostPause)
-	return time.Duration((0.5 + draw) * float64(base))
-}
-
-const (
-	leastPause = 200 * time.Millisecond
-	mostPause  = 600 * time.Millisecond
-)
-
 func (s *service) learnTells(h upstream.Health) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
