Let one gateway read the store, with watches no longer than silence may be trusted

So a watch must end within the time after which the store counts as stable: a setting of its own (watch_trust_s). Kept: one reader, watches of 0.8 of that time, changes gathered for 0.1 s. Any gateway whose news grow old still reads for itself.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,8 +111,9 @@
 	pollPart      = 0.15
 	pollSlackPart = 0.12
 	silentPart    = 0.45
-	watchPart     = 1.5
-	watchSlack    = 300 * time.Millisecond
+	watchPart     = 0.8 // of the time for which a watch may be trusted
+	batchPart     = 0.05
+	watchSlack    = 200 * time.Millisecond
 )
 
 func timing(s Settings) feed.Timing {
@@ -120,7 +121,8 @@
 		Poll:        seconds(pollPart * s.ApplyWithin),
 		PollSlack:   seconds(pollSlackPart * s.ApplyWithin),
 		SilentAfter: seconds(silentPart * s.ApplyWithin),
-		Watch:       seconds(watchPart * s.ApplyWithin),
+		Watch:       seconds(watchPart*s.WatchTrust) - watchSlack,
+		Batch:       seconds(batchPart * s.ApplyWithin),
 		WatchSlack:  watchSlack,
 	}
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -34,6 +34,9 @@
 	// ApplyWithin is the time within which a configuration or a leaving server
 	// must be known, in seconds.
 	ApplyWithin float64 `json:"apply_within_s"`
+	// WatchTrust is how long a waiting watch of the store may be trusted that
+	// says nothing, in seconds: a store that lost its history may not wake it.
+	WatchTrust float64 `json:"watch_trust_s"`
 	// StopWithin is the time from the signal to stop until the process is
 	// killed, in seconds.
 	StopWithin float64 `json:"stop_within_s"`
@@ -49,6 +52,7 @@
 const (
 	defaultApplyWithin = 2.0
 	defaultStopWithin  = 6.0
+	defaultWatchTrust  = 3.0
 	defaultRetryRatio  = 0.1
 	defaultRetryWindow = 10.0
 )
@@ -56,7 +60,7 @@
 // ParseSettings reads and checks a settings document.
 func ParseSettings(raw []byte) (Settings, error) {
 	s := Settings{
-		ApplyWithin: defaultApplyWithin, StopWithin: defaultStopWithin,
+		ApplyWithin: defaultApplyWithin, StopWithin: defaultStopWithin, WatchTrust: defaultWatchTrust,
 		RetryRatio: defaultRetryRatio, RetryWindow: defaultRetryWindow, LogLevel: "info",
 	}
 	if err := json.Unmarshal(raw, &s); err != nil {
@@ -78,7 +82,7 @@
 		name  string
 		value float64
 	}{
-		{"apply_within_s", s.ApplyWithin}, {"stop_within_s", s.StopWithin}, {"retry_window_s", s.RetryWindow},
+		{"apply_within_s", s.ApplyWithin}, {"stop_within_s", s.StopWithin}, {"watch_trust_s", s.WatchTrust}, {"retry_window_s", s.RetryWindow},
 	} {
 		if field.value <= 0 {
 			return fmt.Errorf("settings field %s is %v; give seconds above 0", field.name, field.value)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -72,6 +72,8 @@
 	PollSlack time.Duration
 	// Watch is how long one watch of the store waits for changes.
 	Watch time.Duration
+	// Batch is the pause after news from the store, in which more may gather.
+	Batch time.Duration
 	// WatchSlack is how much later than Watch its answer may come.
 	WatchSlack time.Duration
 }
--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -15,7 +15,7 @@
 
 const (
 	// readers is how many gateways of the whole fleet read the store.
-	readers = 2
+	readers = 1
 	// dutyReader names the duty of reading the store.
 	dutyReader = "reader"
 	// settleAfter is how long a gateway that has just begun looks for others
@@ -75,6 +75,7 @@
 			continue
 		}
 		f.begin(r)
+		before := f.position()
 		callCtx, cancel := context.WithTimeout(ctx, f.options.Timing.Watch+f.options.Timing.WatchSlack)
 		err := next(callCtx, whole)
 		cancel()
@@ -83,6 +84,9 @@
 		switch {
 		case err == nil:
 			retry.Reset()
+			if moved := f.position() != before; moved && !pause.For(ctx, f.options.Timing.Batch) {
+				return nil
+			}
 		case !whole && !pause.For(ctx, retry.NextBackOff()):
 			return nil
 		}
