Idle gateways look and talk less

Change: a gateway looks again when the reading may fall to it; gateways describe themselves each 1.5 s only.

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -18,7 +18,7 @@
 	// dutyRelay names the duty of telling the other gateways of a zone.
 	dutyRelay = "relay/"
 	// tellMembersEvery is how often two gateways swap whom they have heard from.
-	tellMembersEvery = 2 * time.Second
+	tellMembersEvery = 1500 * time.Millisecond
 	// quietPause is the wait before a gateway without fresh news is asked again.
 	quietPause = 100 * time.Millisecond
 	// dullFor is how long a gateway without fresh news is passed over.
@@ -27,19 +27,20 @@
 
 // NewsArgs asks a gateway for what the caller lacks.
 type NewsArgs struct {
-	Caller member.Box
-	At     catalog.Position
-	Wait   time.Duration
-	// Members are given now and then, and then asked for as well.
+	At   catalog.Position
+	Wait time.Duration
+	// Members are given now and then, the caller first, and then asked for as
+	// well.
 	Members []member.Sighting
 }
 
 // NewsReply is what the caller lacks.
 type NewsReply struct {
-	Self member.Box
 	// Age is how long ago what the answering gateway believes was confirmed.
-	Age     time.Duration
-	Delta   catalog.Delta
+	Age   time.Duration
+	Delta catalog.Delta
+	// Members are given when they are asked for, the answering gateway first,
+	// and when it leaves.
 	Members []member.Sighting
 }
 
@@ -75,7 +76,7 @@
 				return nil
 			}
 		case reply.Age >= f.options.Timing.SilentAfter:
-			dull[reply.Self.ID] = f.options.Clock().Add(dullFor)
+			dull[id] = f.options.Clock().Add(dullFor)
 			if !pause.For(ctx, quietPause) {
 				return nil
 			}
@@ -123,6 +124,7 @@
 	defer f.mu.Unlock()
 	if id != "" {
 		f.members.Fail(f.options.Clock(), id)
+		f.wake() // the reading may fall to this gateway now
 		f.options.Log.Info("peer lost", "peer", id, "address", address, "error", err.Error())
 	}
 }
@@ -148,7 +150,7 @@
 		return nil, call.Error
 	}
 	reply := call.Reply.(*NewsReply)
-	f.learn(reply)
+	f.learn(address, reply)
 	return reply, nil
 }
 
@@ -156,7 +158,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock()
-	args := NewsArgs{Caller: f.members.Self(), At: f.catalog.Position(), Wait: f.options.Timing.Poll}
+	args := NewsArgs{At: f.catalog.Position(), Wait: f.options.Timing.Poll}
 	if now.Sub(at.told) > tellMembersEvery {
 		at.told = now
 		args.Members = f.members.Sightings(now)
@@ -164,20 +166,27 @@
 	return args
 }
 
-func (f *Feed) learn(reply *NewsReply) {
-	f.apply(reply.Self.ID, func(c *catalog.Catalog) (bool, bool) { return c.Merge(reply.Delta) })
+func (f *Feed) learn(from string, reply *NewsReply) {
+	f.apply(from, func(c *catalog.Catalog) (bool, bool) { return c.Merge(reply.Delta) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock()
-	f.members.Heard(now, reply.Self)
-	if reply.Members != nil {
-		f.members.Sighted(now, reply.Members)
-	}
+	f.meet(now, reply.Members)
 	if confirmed := now.Add(-reply.Age); confirmed.After(f.confirmed) {
 		f.confirmed = confirmed
 	}
 }
 
+// meet takes in whom another gateway, the first of the sightings, has heard of;
+// the lock is held.
+func (f *Feed) meet(now time.Time, sightings []member.Sighting) {
+	if len(sightings) == 0 {
+		return
+	}
+	f.members.Heard(now, sightings[0].Box)
+	f.members.Sighted(now, sightings[1:])
+}
+
 func (l *link) open(ctx context.Context, address string, dial func(context.Context, string, string) (net.Conn, error), timeout time.Duration) error {
 	if l.client != nil && l.address == address {
 		return nil
--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -21,8 +21,11 @@
 	// settleAfter is how long a gateway that has just begun looks for others
 	// before it believes that the reading falls to it. Unless the whole fleet is
 	// new, one that knows nothing reads at once: clients are waiting.
-	settleAfter   = 400 * time.Millisecond
-	idleLook      = 100 * time.Millisecond
+	settleAfter = 400 * time.Millisecond
+	// leastLook and mostLook bound the time between two looks at whether the
+	// reading has fallen to this gateway.
+	leastLook     = 20 * time.Millisecond
+	mostLook      = 250 * time.Millisecond
 	firstRetry    = 100 * time.Millisecond
 	longestRetry  = time.Second
 	mostRankDelay = 300 * time.Millisecond
@@ -67,9 +70,9 @@
 	retry.InitialInterval, retry.MaxInterval = firstRetry, longestRetry
 	whole := false
 	for ctx.Err() == nil {
-		if !f.mustRead() {
+		if wait := f.untilRead(); wait > 0 {
 			f.rest(r)
-			if !pause.For(ctx, idleLook) {
+			if !f.idle(ctx, wait) {
 				return nil
 			}
 			continue
@@ -130,9 +133,27 @@
 	return err.Error()
 }
 
-// mustRead says whether this gateway should read the store now: it is one of
-// the readers, or it has heard no fresh news for too long.
-func (f *Feed) mustRead() bool {
+// idle waits until the reading may fall to this gateway: after a time, or when
+// something is heard.
+func (f *Feed) idle(ctx context.Context, wait time.Duration) bool {
+	f.mu.Lock()
+	changed := f.changed
+	f.mu.Unlock()
+	timer := time.NewTimer(min(max(wait, leastLook), mostLook))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
+// untilRead is how long this gateway need not read the store, as things stand:
+// not at all if it is one of the readers, or has heard no fresh news for too
+// long.
+func (f *Feed) untilRead() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock()
@@ -140,14 +161,14 @@
 	knows := position.ConfigRevision > 0 && position.Servers > 0
 	settling := now.Sub(f.started) < settleAfter
 	if settling && (knows || f.options.FirstStart) {
-		return false
+		return settleAfter - now.Sub(f.started)
 	}
 	rank := f.rank(now)
 	if !knows && !f.options.FirstStart || rank < readers {
-		return true
+		return 0
 	}
 	silent := f.options.Timing.SilentAfter + min(time.Duration(rank)*rankDelay, mostRankDelay)
-	return now.Sub(f.confirmed) > silent
+	return silent - now.Sub(f.confirmed)
 }
 
 // rank is this gateway's place in the order of readers; the lock is held.
--- a/internal/feed/serve.go
+++ b/internal/feed/serve.go
@@ -33,16 +33,14 @@
 func (f *Feed) answer(args NewsArgs, reply *NewsReply) {
 	f.mu.Lock()
 	now := f.options.Clock()
-	f.members.Heard(now, args.Caller)
-	if args.Members != nil {
-		f.members.Sighted(now, args.Members)
-		reply.Members = f.members.Sightings(now)
-	}
+	f.meet(now, args.Members)
 	f.mu.Unlock()
 	f.await(args)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply.Self = f.members.Self()
+	if args.Members != nil || f.members.Self().Leaving {
+		reply.Members = f.members.Sightings(f.options.Clock())
+	}
 	reply.Age = f.age(f.options.Clock())
 	reply.Delta = f.catalog.Since(args.At)
 }
