--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,11 +108,11 @@
 // Parts of the time within which news must be in force that the ways of
 // hearing them may take, so that two that fail one after the other still fit.
 const (
-	pollPart      = 0.15
+	pollPart      = 0.2
 	pollSlackPart = 0.12
-	silentPart    = 0.45
+	silentPart    = 0.5
 	watchPart     = 0.8 // of the time for which a watch may be trusted
-	batchPart     = 0.05
+	batchPart     = 0.15
 	watchSlack    = 200 * time.Millisecond
 )
 
--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -25,7 +25,7 @@
 	// leastLook and mostLook bound the time between two looks at whether the
 	// reading has fallen to this gateway.
 	leastLook     = 20 * time.Millisecond
-	mostLook      = 250 * time.Millisecond
+	mostLook      = time.Second
 	firstRetry    = 100 * time.Millisecond
 	longestRetry  = time.Second
 	mostRankDelay = 300 * time.Millisecond
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -259,8 +259,6 @@
 
 // sound asks one server for its load.
 func (b *balancer) sound(ctx context.Context, x *exchange, state *service, server catalog.Server) *sounding {
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
 	s := &sounding{server: server}
 	conn, failure := b.options.Pool.Get(ctx, server)
 	if failure != nil {
@@ -271,7 +269,7 @@
 		return s
 	}
 	s.conn = conn
-	health, err := conn.Check(ctx, x.health)
+	health, err := conn.Check(x.health, checkTimeout)
 	if err != nil {
 		b.release(s)
 		s.failed = true
--- a/internal/forward/trail.go
+++ b/internal/forward/trail.go
@@ -57,6 +57,9 @@
 
 // log writes the one line of a request: how it ended and what decided it.
 func (h *Handler) log(x *exchange, status int, f *verdict.Error) {
+	if !h.options.Log.Enabled(context.Background(), slog.LevelInfo) {
+		return
+	}
 	attributes := make([]slog.Attr, 0, 12)
 	attributes = append(attributes,
 		slog.String("request", x.id), slog.Int("status", status),
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -220,12 +220,13 @@
 	HasLoad bool
 }
 
-// Check asks the server how it is.
-func (c *Conn) Check(ctx context.Context, path string) (Health, error) {
+// Check asks the server how it is; it ends within the given time.
+func (c *Conn) Check(path string, within time.Duration) (Health, error) {
 	c.exchanges++
 	c.reusable = false
-	uninterrupted := context.AfterFunc(ctx, c.interrupt)
-	defer uninterrupted()
+	if err := c.net.SetDeadline(time.Now().Add(within)); err != nil {
+		return Health{}, err
+	}
 	request := "GET " + path + " HTTP/1.1\r\nHost: " + c.server.Address + "\r\n\r\n"
 	if _, err := io.WriteString(c.net, request); err != nil {
 		return Health{}, err
@@ -243,7 +244,7 @@
 	}
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	c.learnIdle(response.Header)
-	c.reusable = uninterrupted() && framed && !response.Close && c.reader.Buffered() == 0
+	c.reusable = c.net.SetDeadline(time.Time{}) == nil && framed && !response.Close && c.reader.Buffered() == 0
 	h := Health{Well: response.StatusCode == http.StatusOK}
 	if load, err := choice.ParseReading(response.Header.Get(names.Load), c.pool.options.Clock()); err == nil {
 		h.Load, h.HasLoad = load, true
