--- a/internal/forward/balancer.go
+++ b/internal/forward/balancer.go
@@ -11,10 +11,6 @@
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
-// hedgePart is the part of the second sends that hedges may use; the rest is
-// kept for requests whose first send failed.
-const hedgePart = 0.7
-
 // balancer chooses servers and makes sends.
 type balancer struct {
 	options  Options
@@ -122,70 +118,6 @@
 	return max(time.Duration(drawn*float64(longest)), leastComeBack)
 }
 
-// attempt makes one send, and a second one beside it if the first is slow and
-// the request may run twice. The first whole answer counts.
-func (b *balancer) attempt(ctx context.Context, x *exchange, state *service, placed *sounding) (*upstream.Answer, *verdict.Error) {
-	delay, ok := b.hedgeDelay(x, state)
-	if !ok {
-		return b.send(ctx, x, state, placed)
-	}
-	first, cancelFirst := context.WithCancel(ctx)
-	defer cancelFirst()
-	second, cancelSecond := context.WithCancel(ctx)
-	defer cancelSecond()
-	var hedged *upstream.Answer
-	done := make(chan struct{})
-	timer := time.AfterFunc(delay, func() {
-		defer close(done)
-		if hedged = b.hedge(second, x, state, placed); hedged != nil {
-			cancelFirst()
-		}
-	})
-	answer, failure := b.send(first, x, state, placed)
-	if timer.Stop() || failure == nil && judge(answer) == nil {
-		return answer, failure
-	}
-	<-done
-	if hedged != nil {
-		return hedged, nil
-	}
-	return answer, failure
-}
-
-// hedgeDelay is when a second send is worth its cost, if it ever is.
-func (b *balancer) hedgeDelay(x *exchange, state *service) (time.Duration, bool) {
-	if !x.route.Repeatable() || x.route.Objective <= 0 || x.sends.Load()+1 >= int32(x.route.MaxAttempts) {
-		return 0, false
-	}
-	usual := state.usual(x.route)
-	held := b.options.Clock().Sub(x.began)
-	latest := x.route.Objective - usual - usual/2 - held
-	return max(latest, usual+usual/3), true
-}
-
-// hedge sends the request to a second server that can begin it at once.
-func (b *balancer) hedge(ctx context.Context, x *exchange, state *service, first *sounding) *upstream.Answer {
-	now := b.options.Clock()
-	if state.pressed(now) || !state.canSpend(now, hedgePart) {
-		return nil
-	}
-	avoid := append([]string{first.server.ID}, x.avoid...)
-	placed := b.best(ctx, x, state, avoid)
-	if placed == nil {
-		return nil
-	}
-	if !placed.easy() || !state.spend(b.options.Clock(), hedgePart) {
-		b.options.Pool.Put(placed.conn)
-		return nil
-	}
-	placed.hedge = true
-	answer, failure := b.send(ctx, x, state, placed)
-	if failure != nil || judge(answer) != nil {
-		return nil
-	}
-	return answer
-}
-
 // send makes one send and learns from how it ended.
 func (b *balancer) send(ctx context.Context, x *exchange, state *service, placed *sounding) (*upstream.Answer, *verdict.Error) {
 	x.sends.Add(1)
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -27,6 +27,9 @@
 	// placePart is the part of a route's objective that finding a server may
 	// take before the request is refused.
 	placePart = 0.2
+	// hopePart is how much of its usual time a request must have left to be
+	// answered within the objective by a server that works as usual.
+	hopePart = 1.4
 	// checkPart is the part that one round of checks may take.
 	checkPart = 0.08
 	// inTimePart is the part of the objective within which an answer must be
@@ -67,6 +70,7 @@
 // place finds the server for the next send and a connection to it.
 func (b *balancer) place(ctx context.Context, x *exchange, state *service) (*sounding, *verdict.Error) {
 	latest := x.began.Add(time.Duration(placePart * float64(x.route.Objective)))
+	hopeless := x.began.Add(x.route.Objective - time.Duration(hopePart*float64(state.usual(x.route))))
 	for {
 		best := b.best(ctx, x, state, x.avoid)
 		if ctx.Err() != nil {
@@ -81,8 +85,12 @@
 		if best != nil && b.acceptable(now, x, state, best, last) {
 			return best, nil
 		}
+		free := best != nil && best.reading.Free() > 0
+		if free && now.After(hopeless) {
+			return best, nil
+		}
 		state.waits(now, x.route.Priority)
-		if last {
+		if last && !free {
 			b.release(best)
 			return nil, verdict.New(verdict.NotRun, verdict.ReasonTooLate, "every server asked is too full to answer in time")
 		}
@@ -95,8 +103,9 @@
 }
 
 // acceptable says whether the request should go to a server now. In the last
-// round a server's queue will do, if the answer is still expected in time, and
-// so will any free server.
+// round a server's queue will do, if the answer is still expected in time. A
+// server that is free but slow is taken only once no faster one could answer in
+// time any more.
 func (b *balancer) acceptable(now time.Time, x *exchange, state *service, s *sounding, last bool) bool {
 	if !s.known {
 		return true
@@ -104,10 +113,7 @@
 	if s.free() && s.reading.LastSlot() && state.yields(now, x.route.Priority) {
 		return false
 	}
-	if last {
-		return s.reading.Free() > 0 || b.inTime(now, x, s)
-	}
-	return s.free() && b.inTime(now, x, s)
+	return (last || s.free()) && b.inTime(now, x, s)
 }
 
 func ended(ctx context.Context) *verdict.Error {
