--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -53,6 +53,8 @@
 	View func() *View
 	// Ready is closed once enough is known to serve.
 	Ready <-chan struct{}
+	// StartPatience is how long a request waits for that; 0 means 200 ms.
+	StartPatience time.Duration
 	// Current says whether what is believed was confirmed lately.
 	Current func() bool
 	// Stopping says whether the process is stopping.
@@ -80,6 +82,9 @@
 	if o.Draw == nil {
 		o.Draw = rand.Float64
 	}
+	if o.StartPatience == 0 {
+		o.StartPatience = startPatience
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -175,7 +180,7 @@
 		return
 	default:
 	}
-	timer := time.NewTimer(startPatience)
+	timer := time.NewTimer(h.options.StartPatience)
 	defer timer.Stop()
 	select {
 	case <-h.options.Ready:
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,524 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/core/catalog"
+	"github.com/sprucecrank/sprucecrank/core/routing"
+	"github.com/sprucecrank/sprucecrank/internal/forward"
+	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/internal/upstream"
+	"github.com/sprucecrank/sprucecrank/policy"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+var names = headers.Defaults()
+
+const (
+	readPath  = "/read/"
+	orderPath = "/order/"
+	splitPath = "/split/"
+	eventual  = 10 * time.Second
+	// objective is long, so that a busy machine does not change what is decided.
+	objective = 4 * time.Second
+	timeout   = 30 * time.Second
+)
+
+// standin is a server that tells its load and does what a test says.
+type standin struct {
+	catalog.Server
+	load  atomic.Pointer[string]
+	runs  atomic.Int32
+	seen  sync.Map // header of each request by its id
+	do    http.HandlerFunc
+	entry *httptest.Server
+}
+
+func newStandin(t *testing.T, id, service, zone string, do http.HandlerFunc) *standin {
+	t.Helper()
+	s := &standin{do: do}
+	s.setLoad("0,0,3,100")
+	s.entry = httptest.NewServer(s)
+	t.Cleanup(func() {
+		s.entry.CloseClientConnections()
+		s.entry.Close()
+	})
+	s.Server = catalog.Server{ID: id, Service: service, Zone: zone, Address: s.entry.Listener.Addr().String(), Slots: 3}
+	return s
+}
+
+func (s *standin) setLoad(load string) { s.load.Store(&load) }
+
+func (s *standin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(names.Load, *s.load.Load())
+	if r.URL.Path == "/health" {
+		w.Header().Set(names.Instance, s.ID)
+		return
+	}
+	id := r.Header.Get(names.RequestID)
+	w.Header().Set(names.RequestID, id)
+	if want := r.Header.Get(names.ExpectInstance); want != s.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.runs.Add(1)
+	s.seen.Store(id, r.Header.Clone())
+	s.do(w, r)
+}
+
+func (s *standin) header(id string) http.Header {
+	h, ok := s.seen.Load(id)
+	if !ok {
+		return nil
+	}
+	return h.(http.Header)
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole answer") }
+
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(names.NotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func breakOff(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "half")
+	panic(http.ErrAbortHandler)
+}
+
+func hang(gone chan<- struct{}) http.HandlerFunc {
+	return func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // only then does net/http see the other side leave
+		<-r.Context().Done()
+		if gone != nil {
+			close(gone)
+		}
+	}
+}
+
+// fixture is a gateway's data path before some servers.
+type fixture struct {
+	t       *testing.T
+	options forward.Options
+	view    *forward.View
+	current bool
+	ready   chan struct{}
+	stop    atomic.Bool
+	entry   *httptest.Server
+	next    atomic.Int32
+}
+
+func newFixture(t *testing.T, servers ...*standin) *fixture {
+	t.Helper()
+	f := &fixture{t: t, current: true, ready: make(chan struct{})}
+	close(f.ready)
+	f.view = &forward.View{Table: newTable(2, timeout), Servers: map[string][]catalog.Server{}}
+	for _, s := range servers {
+		f.view.Servers[s.Service] = append(f.view.Servers[s.Service], s.Server)
+	}
+	f.options = forward.Options{
+		Names: names, Zone: "a", View: func() *forward.View { return f.view }, Ready: f.ready,
+		Current: func() bool { return f.current }, Stopping: f.stop.Load,
+		Pool:  upstream.New(upstream.Options{Names: names}),
+		Retry: forward.Retry{Window: 10 * time.Second, Ratio: 0.2},
+	}
+	return f
+}
+
+func newTable(attempts int, timeout time.Duration) *routing.Table {
+	route := func(prefix string, mode policy.Mode, shares ...routing.Share) routing.Route {
+		return routing.Route{
+			Name: prefix, Host: "shop.example", Prefix: prefix, Mode: mode, Shares: shares,
+			Objective: objective, Timeout: timeout, MaxAttempts: attempts,
+		}
+	}
+	return routing.New(routing.Config{Version: 7, Limits: routing.Limits{BodyBytes: 1 << 20}, Routes: []routing.Route{
+		route(readPath, policy.Repeatable, routing.Share{Service: "shop", Weight: 1}),
+		route(orderPath, policy.Single, routing.Share{Service: "shop", Weight: 1}),
+		route(splitPath, policy.Repeatable, routing.Share{Service: "shop", Weight: 3}, routing.Share{Service: "farm", Weight: 1}),
+	}, Services: []routing.Service{{Name: "shop", HealthPath: "/health"}, {Name: "farm", HealthPath: "/health"}}})
+}
+
+func (f *fixture) start() *fixture {
+	f.entry = httptest.NewServer(forward.New(f.options))
+	f.t.Cleanup(func() {
+		f.entry.CloseClientConnections()
+		f.entry.Close()
+		f.options.Pool.Close()
+	})
+	return f
+}
+
+type result struct {
+	id     string
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+// send makes one request; extra are headers as name, value, name, value.
+func (f *fixture) send(ctx context.Context, method, path string, extra ...string) result {
+	f.t.Helper()
+	id := fmt.Sprint("request-", f.next.Add(1))
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("an order")
+	}
+	r, err := http.NewRequestWithContext(ctx, method, f.entry.URL+path+"x?q=1", body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Host = "shop.example"
+	r.Header.Set(names.RequestID, id)
+	for i := 0; i+1 < len(extra); i += 2 {
+		r.Header.Set(extra[i], extra[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return result{id: id, err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(response.Body)
+	return result{id: id, status: response.StatusCode, body: string(raw), header: response.Header, err: err}
+}
+
+func (f *fixture) read() result  { return f.send(f.t.Context(), http.MethodGet, readPath) }
+func (f *fixture) order() result { return f.send(f.t.Context(), http.MethodPost, orderPath) }
+
+func TestAnAnswerIsPassedOnWholeWithItsOwnId(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandin(t, "s1", "shop", "a", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Kept", "yes")
+		w.Header().Set("Keep-Alive", "timeout=9")
+		body, _ := io.ReadAll(r.Body)
+		_, _ = fmt.Fprintf(w, "%s %s %s %s", r.Method, r.RequestURI, r.Host, body)
+	})
+	f := newFixture(t, s).start()
+	got := f.send(t.Context(), http.MethodPost, orderPath, "X-Own", "1", names.Deadline, "600")
+	g.Expect(got.err).NotTo(HaveOccurred())
+	g.Expect(got.status).To(Equal(http.StatusOK))
+	g.Expect(got.body).To(Equal("POST /order/x?q=1 shop.example an order"))
+	g.Expect(got.header.Get(names.RequestID)).To(Equal(got.id))
+	g.Expect(got.header.Get("X-Kept")).To(Equal("yes"))
+	g.Expect(got.header).NotTo(HaveKey("Keep-Alive"))
+	g.Expect(got.header).NotTo(HaveKey(names.Load))
+	seen := s.header(got.id)
+	g.Expect(seen.Get("X-Own")).To(Equal("1"))
+	g.Expect(seen.Get(names.ExpectInstance)).To(Equal("s1"))
+	left, err := strconv.Atoi(seen.Get(names.Deadline))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(left).To(And(BeNumerically(">", 0), BeNumerically("<=", 600)))
+}
+
+func TestAnUnsafeRequestIsSentOnceUnlessItCertainlyDidNotRun(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		first  http.HandlerFunc
+		runs   int32 // at both servers together
+		status int
+	}{
+		{"refused", refuse, 2, http.StatusOK},
+		{"broken off", breakOff, 1, http.StatusBadGateway},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			first := newStandin(t, "s1", "shop", "a", c.first)
+			second := newStandin(t, "s2", "shop", "a", ok)
+			second.setLoad("2,0,3,100") // the first looks better
+			f := newFixture(t, first, second).start()
+			got := f.order()
+			for range 20 {
+				if first.runs.Load() > 0 {
+					break
+				}
+				second.runs.Store(0)
+				got = f.order()
+			}
+			g.Expect(first.runs.Load()).To(Equal(int32(1)))
+			g.Expect(got.status).To(Equal(c.status))
+			g.Expect(first.runs.Load() + second.runs.Load()).To(Equal(c.runs))
+		})
+	}
+}
+
+func TestARefusalOfTheGatewayIsAPromiseAndSaysWhenToComeBack(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandin(t, "s1", "shop", "a", ok)
+	s.setLoad("3,9,3,500")
+	f := newFixture(t, s).start()
+	got := f.order()
+	g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(got.header.Get(verdict.Header)).To(Equal("not-run"))
+	pause, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(pause).To(BeNumerically(">", 0))
+	g.Expect(s.runs.Load()).To(BeZero())
+}
+
+func TestAFreeButSlowServerIsTakenBeforeARequestIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandin(t, "s1", "shop", "a", ok)
+	s.setLoad("0,0,3,900")
+	f := newFixture(t, s).start()
+	g.Expect(f.read().status).To(Equal(http.StatusOK))
+}
+
+func TestSecondSendsStayWithinTheBudgetAndTheRoutesAttempts(t *testing.T) {
+	g := NewWithT(t)
+	var servers []*standin
+	for i := range 5 {
+		servers = append(servers, newStandin(t, fmt.Sprint("s", i), "shop", "a", refuse))
+	}
+	f := newFixture(t, servers...)
+	f.view.Table = newTable(3, timeout)
+	f.start()
+	const requests = 50
+	for range requests {
+		g.Expect(f.order().status).To(Equal(http.StatusServiceUnavailable))
+	}
+	arrivals := int32(0)
+	for _, s := range servers {
+		arrivals += s.runs.Load()
+	}
+	g.Expect(arrivals).To(BeNumerically(">=", requests))
+	g.Expect(arrivals).To(BeNumerically("<=", requests+requests*0.2+1))
+}
+
+func TestAServerThatCannotBeReachedCostsNoSecondSend(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	dead := catalog.Server{ID: "dead", Service: "shop", Zone: "a", Address: listener.Addr().String()}
+	_ = listener.Close()
+	alive := newStandin(t, "s1", "shop", "b", ok)
+	f := newFixture(t, alive)
+	f.view.Table = newTable(1, timeout)
+	f.view.Servers["shop"] = append(f.view.Servers["shop"], dead)
+	f.start()
+	for range 10 {
+		g.Expect(f.order().status).To(Equal(http.StatusOK))
+	}
+	g.Expect(alive.runs.Load()).To(Equal(int32(10)))
+}
+
+func TestASlowLookupIsSentToASecondServerAndTheLoserCancelled(t *testing.T) {
+	g := NewWithT(t)
+	gone := make(chan struct{})
+	var first atomic.Bool
+	slow := newStandin(t, "s1", "shop", "a", func(w http.ResponseWriter, r *http.Request) {
+		if first.Load() {
+			hang(gone)(w, r)
+		}
+	})
+	quick := newStandin(t, "s2", "shop", "b", ok) // the own zone goes first
+	f := newFixture(t, slow, quick).start()
+	for range 10 { // these earn the budget for a second send
+		g.Expect(f.read().status).To(Equal(http.StatusOK))
+	}
+	first.Store(true)
+	got := f.read()
+	g.Expect(got.status).To(Equal(http.StatusOK))
+	g.Expect(got.body).To(Equal("whole answer"))
+	g.Expect(quick.runs.Load()).To(Equal(int32(1)))
+	g.Eventually(gone, eventual).Should(BeClosed())
+}
+
+func TestASlowUnsafeRequestIsNeverSentToASecondServer(t *testing.T) {
+	g := NewWithT(t)
+	slow := newStandin(t, "s1", "shop", "a", hang(nil))
+	quick := newStandin(t, "s2", "shop", "b", ok)
+	f := newFixture(t, slow, quick)
+	f.view.Table = newTable(2, 3*time.Second) // longer than a lookup waits for its hedge
+	f.start()
+	got := f.order()
+	g.Expect(got.status).To(Equal(http.StatusGatewayTimeout), "no promise")
+	g.Expect(got.header.Get("Retry-After")).To(BeEmpty())
+	g.Expect(quick.runs.Load()).To(BeZero())
+}
+
+func TestAClientThatLeavesEndsTheWorkForIt(t *testing.T) {
+	g := NewWithT(t)
+	arrived, gone := make(chan struct{}), make(chan struct{})
+	s := newStandin(t, "s1", "shop", "a", func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		hang(gone)(w, r)
+	})
+	f := newFixture(t, s)
+	f.view.Table = newTable(2, time.Minute)
+	f.start()
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		leave()
+	}()
+	got := f.send(ctx, http.MethodPost, orderPath)
+	g.Expect(got.err).To(HaveOccurred())
+	g.Eventually(gone, eventual).Should(BeClosed())
+}
+
+func TestTheLesserOfTheClientsAndTheRoutesTimeHolds(t *testing.T) {
+	for _, c := range []struct{ name, client string }{{"route", "60000"}, {"client", "500"}} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newStandin(t, "s1", "shop", "a", hang(nil))
+			f := newFixture(t, s)
+			f.view.Table = newTable(1, 500*time.Millisecond)
+			if c.name == "client" {
+				f.view.Table = newTable(1, time.Minute)
+			}
+			f.start()
+			got := f.send(t.Context(), http.MethodGet, readPath, names.Deadline, c.client)
+			g.Expect(got.status).To(Equal(http.StatusGatewayTimeout))
+			left, err := strconv.Atoi(s.header(got.id).Get(names.Deadline))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(left).To(BeNumerically("<=", 500))
+		})
+	}
+}
+
+func TestAnAddressThatNowBelongsToAnotherServerIsLeftAlone(t *testing.T) {
+	g := NewWithT(t)
+	other := newStandin(t, "other", "farm", "a", ok)
+	mine := newStandin(t, "s1", "shop", "b", ok)
+	f := newFixture(t, mine)
+	f.view.Servers["shop"] = append(f.view.Servers["shop"], catalog.Server{ID: "gone", Service: "shop", Zone: "a", Address: other.Address})
+	f.start()
+	for range 5 {
+		g.Expect(f.read().status).To(Equal(http.StatusOK))
+	}
+	g.Expect(other.runs.Load()).To(BeZero())
+	g.Expect(mine.runs.Load()).To(Equal(int32(5)))
+}
+
+func TestAServersOwnFailureKeepsItsStatus(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandin(t, "s1", "shop", "a", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Signature", "s1")
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	f := newFixture(t, s).start()
+	got := f.order()
+	g.Expect(got.status).To(Equal(http.StatusInternalServerError))
+	g.Expect(got.header.Get("X-Signature")).To(Equal("s1"))
+}
+
+func TestWhatIsNotKnownIsNotDenied(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(f *fixture)
+		status  int
+	}{
+		{"a route that the newest configuration lacks", func(*fixture) {}, http.StatusNotFound},
+		{"the same, but the configuration may be old", func(f *fixture) { f.current = false }, http.StatusServiceUnavailable},
+		{"no configuration at all", func(f *fixture) { f.view = &forward.View{}; f.ready = make(chan struct{}); f.options.Ready = f.ready }, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFixture(t)
+			c.prepare(f)
+			f.start()
+			got := f.send(t.Context(), http.MethodGet, "/nowhere/")
+			g.Expect(got.status).To(Equal(c.status))
+			if c.status == http.StatusServiceUnavailable {
+				g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+		})
+	}
+}
+
+func TestARequestWaitsForAProcessThatHasJustBegun(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandin(t, "s1", "shop", "a", ok)
+	f := newFixture(t, s)
+	known, unknown := f.view, &forward.View{}
+	var view atomic.Pointer[forward.View]
+	view.Store(unknown)
+	f.ready = make(chan struct{})
+	f.options.Ready = f.ready
+	f.options.View = view.Load
+	f.options.StartPatience = timeout
+	f.start()
+	time.AfterFunc(20*time.Millisecond, func() {
+		view.Store(known)
+		close(f.ready)
+	})
+	g.Expect(f.read().status).To(Equal(http.StatusOK))
+}
+
+func TestAStoppingProcessEndsItsConnections(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandin(t, "s1", "shop", "a", ok)
+	f := newFixture(t, s).start()
+	f.stop.Store(true)
+	r, err := http.NewRequest(http.MethodGet, f.entry.URL+readPath, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	r.Host = "shop.example"
+	r.Header.Set(names.RequestID, "last")
+	response, err := http.DefaultTransport.RoundTrip(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	g.Expect(response.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(response.Close).To(BeTrue())
+}
+
+func TestALargeBodyIsRefusedByTheLimits(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandin(t, "s1", "shop", "a", ok)
+	f := newFixture(t, s).start()
+	r, err := http.NewRequest(http.MethodPost, f.entry.URL+orderPath, strings.NewReader(strings.Repeat("a", 1<<20+1)))
+	g.Expect(err).NotTo(HaveOccurred())
+	r.Host = "shop.example"
+	response, err := http.DefaultTransport.RoundTrip(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	g.Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+	g.Expect(s.runs.Load()).To(BeZero())
+}
+
+func TestTrafficIsSplitByWeight(t *testing.T) {
+	g := NewWithT(t)
+	shop, farm := newStandin(t, "s1", "shop", "a", ok), newStandin(t, "f1", "farm", "a", ok)
+	f := newFixture(t, shop, farm)
+	var drawn atomic.Int32
+	f.options.Draw = func() float64 { return float64(drawn.Add(1)%4) / 4 }
+	f.start()
+	for range 40 {
+		g.Expect(f.send(t.Context(), http.MethodGet, splitPath).status).To(Equal(http.StatusOK))
+	}
+	g.Expect(shop.runs.Load()).To(Equal(int32(30)))
+	g.Expect(farm.runs.Load()).To(Equal(int32(10)))
+}
+
+func TestServersThatDoNotTellTheirLoadAreNotAskedForLong(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandin(t, "s1", "shop", "a", ok)
+	s.setLoad("")
+	var checks atomic.Int32
+	entry := s.entry.Config.Handler
+	s.entry.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			checks.Add(1)
+		}
+		entry.ServeHTTP(w, r)
+	})
+	f := newFixture(t, s).start()
+	for range 40 {
+		g.Expect(f.read().status).To(Equal(http.StatusOK))
+	}
+	g.Expect(checks.Load()).To(BeNumerically("<", 20))
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,353 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/core/catalog"
+	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/internal/upstream"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+var names = headers.Defaults()
+
+// rawServer answers each request on its connections by a script, byte by byte.
+type rawServer struct {
+	server   catalog.Server
+	accepted atomic.Int32
+	requests atomic.Int32
+}
+
+type script func(conn net.Conn, r *http.Request, n int32)
+
+func serve(t *testing.T, answer script) *rawServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &rawServer{server: catalog.Server{ID: "server-1", Address: listener.Addr().String()}}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted.Add(1)
+			go s.converse(conn, answer)
+		}
+	}()
+	return s
+}
+
+func (s *rawServer) converse(conn net.Conn, answer script) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		answer(conn, r, s.requests.Add(1))
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+	}
+}
+
+func whole(id, body string, extra ...string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n%s\r\n%s", names.RequestID, id, len(body), strings.Join(extra, ""), body)
+}
+
+func write(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+func newPool() *upstream.Pool { return upstream.New(upstream.Options{Names: names}) }
+
+func request(id string) upstream.Request {
+	return upstream.Request{Method: http.MethodGet, URI: "/a?b=c", Host: "shop.example", ID: id, Header: http.Header{names.RequestID: {id}}}
+}
+
+// exchange makes one exchange on a connection of the pool and gives it back.
+func exchange(t *testing.T, pool *upstream.Pool, s *rawServer, r upstream.Request) (*upstream.Answer, *verdict.Error) {
+	t.Helper()
+	conn, failure := pool.Get(context.Background(), s.server)
+	if failure != nil {
+		return nil, failure
+	}
+	defer pool.Put(conn)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return conn.Exchange(ctx, r)
+}
+
+func TestAWholeAnswerIsReadAndTheConnectionKept(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(c net.Conn, r *http.Request, _ int32) {
+		write(c, whole(r.Header.Get(names.RequestID), "hello", names.Load+": 1,0,3,500\r\n"))
+	})
+	pool := newPool()
+	for _, id := range []string{"one", "two"} {
+		a, failure := exchange(t, pool, s, request(id))
+		g.Expect(failure).To(BeNil())
+		g.Expect(string(a.Body)).To(Equal("hello"))
+		g.Expect(a.HasLoad).To(BeTrue())
+		g.Expect(a.Load.Slowness).To(Equal(5.0))
+	}
+	g.Expect(s.accepted.Load()).To(Equal(int32(1)))
+}
+
+func TestNoAnswerOfAnotherRequestIsEverGivenOut(t *testing.T) {
+	// Each case leaves something behind the first answer; the second request
+	// must get its own answer or none.
+	for name, surplus := range map[string]string{
+		"a surplus answer":            whole("stranger", "not yours"),
+		"two surplus answers":         whole("stranger", "no") + whole("stranger", "no"),
+		"a surplus answer with no id": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
+		"bytes that are no answer":    "\x00\x01garbage\r\n\r\n",
+	} {
+		for _, late := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, late %v", name, late), func(t *testing.T) {
+				g := NewWithT(t)
+				s := serve(t, func(c net.Conn, r *http.Request, n int32) {
+					own := whole(r.Header.Get(names.RequestID), "own")
+					switch {
+					case n == 1 && !late:
+						write(c, own+surplus)
+					case n == 2 && late:
+						write(c, surplus+own)
+					default:
+						write(c, own)
+					}
+				})
+				pool := newPool()
+				for _, id := range []string{"one", "two", "three"} {
+					a, failure := exchange(t, pool, s, request(id))
+					if failure == nil {
+						g.Expect(string(a.Body)).To(Equal("own"), id)
+						g.Expect(a.Header.Get(names.RequestID)).To(Equal(id))
+					}
+				}
+			})
+		}
+	}
+}
+
+func TestALateSurplusAnswerIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(c net.Conn, r *http.Request, n int32) {
+		if n == 2 {
+			write(c, whole("one", "again"))
+		}
+		write(c, whole(r.Header.Get(names.RequestID), "own"))
+	})
+	pool := newPool()
+	for _, id := range []string{"one", "two"} {
+		a, failure := exchange(t, pool, s, request(id))
+		g.Expect(failure).To(BeNil())
+		g.Expect(string(a.Body)).To(Equal("own"))
+	}
+}
+
+func TestAnAnswerThatEndsEarlyIsAFailureThatMayHaveRun(t *testing.T) {
+	for name, answer := range map[string]string{
+		"no byte":            "",
+		"half a head":        "HTTP/1.1 200 OK\r\nContent-Le",
+		"half a body":        "HTTP/1.1 200 OK\r\n" + names.RequestID + ": one\r\nContent-Length: 9\r\n\r\nhalf",
+		"half the chunks":    "HTTP/1.1 200 OK\r\n" + names.RequestID + ": one\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"bytes of no answer": "\x16\x03\x01 hello",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(c net.Conn, _ *http.Request, _ int32) {
+				write(c, answer)
+				_ = c.Close()
+			})
+			_, failure := exchange(t, newPool(), s, request("one"))
+			g.Expect(failure).NotTo(BeNil())
+			g.Expect(failure.Verdict()).To(Equal(verdict.MayHaveRun))
+			g.Expect(s.requests.Load()).To(Equal(int32(1)), "nothing is sent again by itself")
+		})
+	}
+}
+
+func TestAnAnswerWithoutALengthIsWholeOnlyIfItsConnectionEndsCleanly(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n" + names.RequestID + ": one\r\nConnection: close\r\n\r\nall of it"
+	for _, reset := range []bool{false, true} {
+		t.Run(fmt.Sprint("reset ", reset), func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(c net.Conn, _ *http.Request, _ int32) {
+				write(c, head)
+				if reset {
+					// Let the bytes arrive before the reset discards them.
+					time.Sleep(20 * time.Millisecond)
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				_ = c.Close()
+			})
+			a, failure := exchange(t, newPool(), s, request("one"))
+			if reset {
+				g.Expect(failure).NotTo(BeNil())
+				return
+			}
+			g.Expect(failure).To(BeNil())
+			g.Expect(string(a.Body)).To(Equal("all of it"))
+		})
+	}
+}
+
+func TestAConnectionThatTheServerClosedIsNotUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	closed := make(chan struct{})
+	s := serve(t, func(c net.Conn, r *http.Request, n int32) {
+		write(c, whole(r.Header.Get(names.RequestID), "own"))
+		if n == 1 {
+			_ = c.Close()
+			close(closed)
+		}
+	})
+	pool := newPool()
+	_, failure := exchange(t, pool, s, request("one"))
+	g.Expect(failure).To(BeNil())
+	<-closed
+	_, failure = exchange(t, pool, s, request("two"))
+	g.Expect(failure).To(BeNil())
+	g.Expect(s.accepted.Load()).To(Equal(int32(2)))
+}
+
+func TestAServersWordOnConnectionsIsHeeded(t *testing.T) {
+	for name, header := range map[string]string{"close": "Connection: close\r\n", "idle time over": "Keep-Alive: timeout=1\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(c net.Conn, r *http.Request, _ int32) {
+				write(c, whole(r.Header.Get(names.RequestID), "own", header))
+			})
+			now := time.Unix(1000, 0)
+			pool := upstream.New(upstream.Options{Names: names, Clock: func() time.Time { return now }})
+			for _, id := range []string{"one", "two"} {
+				_, failure := exchange(t, pool, s, request(id))
+				g.Expect(failure).To(BeNil())
+				now = now.Add(900 * time.Millisecond)
+			}
+			g.Expect(s.accepted.Load()).To(Equal(int32(2)))
+		})
+	}
+}
+
+func TestAnAnswerBeforeTheEndOfALongBodyLeavesNoOtherBytesInItsPlace(t *testing.T) {
+	g := NewWithT(t)
+	bodies := make(chan string, 4)
+	s := serve(t, func(c net.Conn, r *http.Request, _ int32) {
+		write(c, strings.Replace(whole(r.Header.Get(names.RequestID), "no"), "200 OK", "503 Busy", 1))
+		body, _ := io.ReadAll(r.Body)
+		bodies <- string(body)
+	})
+	pool := newPool()
+	long := upstream.Request{Method: http.MethodPost, URI: "/", Host: "h", ID: "one", Header: http.Header{}, Body: []byte(strings.Repeat("a", 4<<20))}
+	a, failure := exchange(t, pool, s, long)
+	g.Expect(failure).To(BeNil())
+	g.Expect(a.Status).To(Equal(http.StatusServiceUnavailable))
+	_, failure = exchange(t, pool, s, request("two"))
+	g.Expect(failure).To(BeNil())
+	var first string
+	g.Eventually(bodies, 5*time.Second).Should(Receive(&first))
+	g.Expect(strings.Trim(first, "a")).To(BeEmpty(), "only bytes of the first request")
+}
+
+func TestACancelledRequestEndsItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	arrived, gone := make(chan struct{}), make(chan struct{})
+	s := serve(t, func(c net.Conn, _ *http.Request, _ int32) {
+		close(arrived)
+		_, _ = c.Read(make([]byte, 1)) // ends when the other side closes
+		close(gone)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	pool := newPool()
+	conn, failure := pool.Get(ctx, s.server)
+	g.Expect(failure).To(BeNil())
+	_, failure = conn.Exchange(ctx, request("one"))
+	g.Expect(failure.Reason()).To(Equal(verdict.ReasonClientGone))
+	g.Expect(failure.Verdict()).To(Equal(verdict.MayHaveRun))
+	g.Eventually(gone, 5*time.Second).Should(BeClosed())
+}
+
+func TestAServerThatCannotBeReachedDidNotRunTheRequest(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, failure := newPool().Get(context.Background(), catalog.Server{ID: "x", Address: address})
+	g.Expect(failure.Verdict()).To(Equal(verdict.NotRun))
+	g.Expect(failure.Reason()).To(Equal(verdict.ReasonUnreachable))
+}
+
+func TestAHealthCheckBelievesOnlyTheServerItself(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		well   bool
+		fails  bool
+	}{
+		"itself":         {"HTTP/1.1 200 OK\r\n" + names.Instance + ": server-1\r\n" + names.Load + ": 1,0,3\r\nContent-Length: 0\r\n\r\n", true, false},
+		"ill":            {"HTTP/1.1 503 Ill\r\n" + names.Instance + ": server-1\r\nContent-Length: 0\r\n\r\n", false, false},
+		"another server": {"HTTP/1.1 200 OK\r\n" + names.Instance + ": server-2\r\nContent-Length: 0\r\n\r\n", false, true},
+		"another answer": {whole("stranger", "no"), false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(conn net.Conn, _ *http.Request, _ int32) { write(conn, c.answer) })
+			pool := newPool()
+			conn, failure := pool.Get(context.Background(), s.server)
+			g.Expect(failure).To(BeNil())
+			defer pool.Put(conn)
+			health, err := conn.Check("/health", 5*time.Second)
+			g.Expect(err != nil).To(Equal(c.fails))
+			g.Expect(health.Well).To(Equal(c.well))
+		})
+	}
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add(whole("one", "hello"))
+	f.Add("HTTP/1.1 100 Continue\r\n\r\n" + whole("one", "x"))
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n")
+	f.Fuzz(func(t *testing.T, bytes string) {
+		ours, theirs := net.Pipe()
+		go func() {
+			_, _ = http.ReadRequest(bufio.NewReader(theirs))
+			write(theirs, bytes)
+			_ = theirs.Close()
+		}()
+		pool := upstream.New(upstream.Options{Names: names, AnswerBytes: 1 << 16,
+			Dial: func(context.Context, string, string) (net.Conn, error) { return ours, nil }})
+		conn, failure := pool.Get(context.Background(), catalog.Server{ID: "s"})
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		answer, failure := conn.Exchange(context.Background(), request("one"))
+		if failure == nil {
+			if id := answer.Header.Get(names.RequestID); id != "one" && id != "" {
+				t.Fatalf("gave out the answer of %q", id)
+			}
+		}
+		pool.Put(conn)
+		pool.Close()
+	})
+}
