--- a/cmd/sprucecrank-gateway/main.go
+++ b/cmd/sprucecrank-gateway/main.go
@@ -30,15 +30,16 @@
 	}
 	logs := logging.NewWriter(os.Stdout, logging.Options{})
 	defer logs.Close()
+	log := slog.New(slog.NewJSONHandler(logs, nil))
 	client := platform.NewClient(settings.Store)
 	g, err := gateway.New(settings, gateway.Options{
 		Source: client.Source(), Decode: platform.DecodeConfig, Wire: platform.Wire(),
-		Log: slog.New(slog.NewJSONHandler(logs, nil)),
+		Log: log,
 	})
 	if err != nil {
 		return err
 	}
-	go reload(g)
+	go reload(g, log)
 	return g.Run(ctx)
 }
 
@@ -52,13 +53,13 @@
 }
 
 // reload reads the settings again at each SIGHUP; bad ones change nothing.
-func reload(g *gateway.Gateway) {
+func reload(g *gateway.Gateway, log *slog.Logger) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	for range hangups {
 		settings, err := read()
 		if err != nil {
-			slog.Error("settings not reloaded", "error", err.Error())
+			log.Error("settings not reloaded", "error", err.Error())
 			continue
 		}
 		g.Reload(settings)
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,443 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/core/catalog"
+	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/core/routing"
+	"github.com/sprucecrank/sprucecrank/internal/feed"
+	"github.com/sprucecrank/sprucecrank/store"
+)
+
+const eventual = 15 * time.Second
+
+var errDown = errors.New("the store is down")
+
+// fakeStore holds a configuration and servers and wakes watches.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	version  uint64
+	servers  map[string]catalog.Server
+	changes  []catalog.Change
+	configAt uint64
+	body     string // of the configuration; empty for its version
+	floor    uint64
+	woken    chan struct{}
+	calls    atomic.Int32
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{servers: map[string]catalog.Server{}, woken: make(chan struct{}), revision: 1}
+}
+
+func (s *fakeStore) change(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	f()
+	close(s.woken)
+	s.woken = make(chan struct{})
+}
+
+func (s *fakeStore) setConfig(version uint64) {
+	s.change(func() { s.version, s.configAt = version, s.revision })
+}
+
+func (s *fakeStore) setServer(id string, leaving bool) {
+	s.change(func() {
+		server := catalog.Server{ID: id, Service: "shop", Address: "10.0.0.1:80", Leaving: leaving}
+		s.servers[id] = server
+		s.changes = append(s.changes, catalog.Change{Revision: s.revision, Server: server})
+	})
+}
+
+// forget drops the history, as after a compaction.
+func (s *fakeStore) forget() { s.change(func() { s.floor, s.changes = s.revision, nil }) }
+
+// access is one gateway's way to the store, which a test can cut.
+type access struct {
+	store  *fakeStore
+	down   atomic.Bool // calls fail at once
+	silent atomic.Bool // calls get no answer
+}
+
+func (a *access) reach(ctx context.Context) error {
+	a.store.calls.Add(1)
+	if a.silent.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if a.down.Load() {
+		return errDown
+	}
+	return nil
+}
+
+// await waits until something happens after from; the store's lock is held when
+// it returns without an error.
+func (a *access) await(ctx context.Context, from uint64, wait time.Duration) error {
+	if err := a.reach(ctx); err != nil {
+		return err
+	}
+	s := a.store
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for over := false; ; {
+		s.mu.Lock()
+		if a.silent.Load() {
+			s.mu.Unlock()
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		if from < s.floor {
+			s.mu.Unlock()
+			return store.ErrGone
+		}
+		if over || s.revision > from {
+			return nil
+		}
+		woken := s.woken
+		s.mu.Unlock()
+		select {
+		case <-woken:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (a *access) latest(from uint64) feed.ConfigChanges {
+	s := a.store
+	changes := feed.ConfigChanges{Revision: s.revision}
+	if s.version > 0 && s.configAt > from {
+		body := s.body
+		if body == "" {
+			body = strconv.FormatUint(s.version, 10)
+		}
+		changes.Latest = &feed.ConfigObject{Version: s.version, Body: []byte(body)}
+	}
+	return changes
+}
+
+func (a *access) source() feed.Source {
+	return feed.Source{
+		Config: func(ctx context.Context) (feed.ConfigChanges, error) {
+			if err := a.reach(ctx); err != nil {
+				return feed.ConfigChanges{}, err
+			}
+			a.store.mu.Lock()
+			defer a.store.mu.Unlock()
+			return a.latest(0), nil
+		},
+		WatchConfig: func(ctx context.Context, from uint64, wait time.Duration) (feed.ConfigChanges, error) {
+			if err := a.await(ctx, from, wait); err != nil {
+				return feed.ConfigChanges{}, err
+			}
+			defer a.store.mu.Unlock()
+			return a.latest(from), nil
+		},
+		Servers: func(ctx context.Context) (feed.ServerList, error) {
+			if err := a.reach(ctx); err != nil {
+				return feed.ServerList{}, err
+			}
+			a.store.mu.Lock()
+			defer a.store.mu.Unlock()
+			list := feed.ServerList{Revision: a.store.revision}
+			for _, server := range a.store.servers {
+				list.Servers = append(list.Servers, server)
+			}
+			return list, nil
+		},
+		WatchServers: func(ctx context.Context, from uint64, wait time.Duration) (feed.ServerChanges, error) {
+			if err := a.await(ctx, from, wait); err != nil {
+				return feed.ServerChanges{}, err
+			}
+			defer a.store.mu.Unlock()
+			changes := feed.ServerChanges{Revision: a.store.revision}
+			for _, change := range a.store.changes {
+				if change.Revision > from {
+					changes.Changes = append(changes.Changes, change)
+				}
+			}
+			return changes, nil
+		},
+	}
+}
+
+// gateway is one feed with its listener and its access to the store.
+type gateway struct {
+	*feed.Feed
+	access   *access
+	listener net.Listener
+	stop     context.CancelFunc
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+// Accept keeps the connections, so that a kill can end them.
+func (g *gateway) Accept() (net.Conn, error) {
+	conn, err := g.listener.Accept()
+	if err == nil {
+		g.mu.Lock()
+		g.conns = append(g.conns, conn)
+		g.mu.Unlock()
+	}
+	return conn, err
+}
+
+func (g *gateway) Close() error   { return g.listener.Close() }
+func (g *gateway) Addr() net.Addr { return g.listener.Addr() }
+
+// kill ends the gateway as a killed process ends.
+func (g *gateway) kill() {
+	g.stop()
+	_ = g.listener.Close()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, conn := range g.conns {
+		_ = conn.Close()
+	}
+}
+
+func (g *gateway) version() uint64 {
+	if table := g.View().Table; table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+func (g *gateway) servers() []string {
+	var ids []string
+	for _, s := range g.View().Servers["shop"] {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
+var timing = feed.Timing{
+	SilentAfter: time.Second, Poll: 300 * time.Millisecond, PollSlack: 300 * time.Millisecond,
+	Watch: time.Second, WatchSlack: 300 * time.Millisecond, Batch: time.Millisecond,
+}
+
+// fleet starts gateways in two zones that know the first two as seeds.
+func fleet(t *testing.T, s *fakeStore, n int, prepare func(i int, a *access)) []*gateway {
+	t.Helper()
+	listeners := make([]net.Listener, n)
+	for i := range listeners {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[i] = listener
+	}
+	var seeds []string
+	for _, l := range listeners[:min(2, n)] {
+		seeds = append(seeds, l.Addr().String())
+	}
+	var out []*gateway
+	for i, listener := range listeners {
+		a := &access{store: s}
+		if prepare != nil {
+			prepare(i, a)
+		}
+		out = append(out, start(t, "gateway-"+strconv.Itoa(i), i, listener, a, seeds))
+	}
+	return out
+}
+
+func start(t *testing.T, id string, i int, listener net.Listener, a *access, seeds []string) *gateway {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	g := &gateway{access: a, listener: listener, stop: stop}
+	g.Feed = feed.New(feed.Options{
+		Self:  member.Box{ID: id, Peer: listener.Addr().String(), Hall: "zone-" + strconv.Itoa(i%2), Start: uint64(time.Now().UnixNano())},
+		Seeds: func() []string { return seeds }, Source: a.source(), Timing: timing,
+		Decode: func(body []byte) (*routing.Table, error) {
+			version, err := strconv.ParseUint(string(body), 10, 64)
+			return routing.New(routing.Config{Version: version}), err
+		},
+	})
+	for _, duty := range []func(context.Context) error{g.Follow, g.ReadConfig, g.ReadServers} {
+		go func() { _ = duty(ctx) }()
+	}
+	go func() { _ = g.Serve(g) }()
+	t.Cleanup(g.kill)
+	return g
+}
+
+func expectAll(g *WithT, gateways []*gateway, version uint64) {
+	for _, gw := range gateways {
+		g.Eventually(gw.version, eventual).Should(Equal(version))
+	}
+}
+
+func TestAllGatewaysHearOfAChangeAndFewReadTheStore(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeStore()
+	s.setConfig(3)
+	s.setServer("s1", false)
+	gateways := fleet(t, s, 6, nil)
+	expectAll(g, gateways, 3)
+	s.setConfig(7)
+	s.setServer("s2", false)
+	s.setServer("s1", true)
+	expectAll(g, gateways, 7)
+	for _, gw := range gateways {
+		g.Eventually(gw.servers, eventual).Should(ConsistOf("s2"), "leaving servers take nothing new")
+	}
+	// From here on only one of the six reads: each change is two calls, one for
+	// either watch, and no other gateway makes any.
+	g.Eventually(func() int32 {
+		before := s.calls.Load()
+		for version := range uint64(10) {
+			s.setConfig(100 + uint64(before) + version)
+		}
+		expectAll(g, gateways, 100+uint64(before)+9)
+		return s.calls.Load() - before
+	}, eventual).Should(BeNumerically("<", 6*2))
+}
+
+func TestAGatewayThatIsCutFromTheStoreHearsFromOthers(t *testing.T) {
+	for name, cut := range map[string]func(*access){
+		"refused": func(a *access) { a.down.Store(true) },
+		"silent":  func(a *access) { a.silent.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newFakeStore()
+			s.setConfig(1)
+			s.setServer("s1", false)
+			gateways := fleet(t, s, 4, nil)
+			expectAll(g, gateways, 1)
+			for _, gw := range gateways[:3] {
+				cut(gw.access)
+			}
+			s.setConfig(2)
+			expectAll(g, gateways, 2)
+		})
+	}
+}
+
+func TestTheReadersDeathHidesNoChange(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeStore()
+	s.setConfig(1)
+	s.setServer("s1", false)
+	gateways := fleet(t, s, 5, nil)
+	expectAll(g, gateways, 1)
+	for version := uint64(2); len(gateways) > 1; version++ {
+		gateways[0].kill() // sooner or later this is the reader
+		gateways = slices.Clone(gateways[1:])
+		s.setConfig(version)
+		expectAll(g, gateways, version)
+	}
+}
+
+func TestAGatewayThatStartsWhileTheStoreIsDownLearnsFromPeers(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeStore()
+	s.setConfig(4)
+	s.setServer("s1", false)
+	gateways := fleet(t, s, 2, nil)
+	expectAll(g, gateways, 4)
+	for _, gw := range gateways {
+		gw.access.down.Store(true)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	late := &access{store: s}
+	late.down.Store(true)
+	seeds := []string{"127.0.0.1:1", gateways[0].listener.Addr().String()} // the first seed is gone
+	gw := start(t, "late", 2, listener, late, seeds)
+	g.Eventually(gw.Ready(), eventual).Should(BeClosed())
+	g.Expect(gw.version()).To(Equal(uint64(4)))
+	g.Expect(gw.servers()).To(ConsistOf("s1"))
+	g.Eventually(gw.Current, eventual).Should(BeFalse(), "nobody can confirm what is believed")
+}
+
+func TestAForgottenHistoryIsReadAnew(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeStore()
+	s.setConfig(1)
+	s.setServer("s1", false)
+	gateways := fleet(t, s, 3, nil)
+	expectAll(g, gateways, 1)
+	for _, gw := range gateways {
+		gw.access.silent.Store(true)
+	}
+	s.setConfig(2)
+	s.setServer("s2", false)
+	s.forget()
+	for _, gw := range gateways {
+		gw.access.silent.Store(false)
+	}
+	expectAll(g, gateways, 2)
+	for _, gw := range gateways {
+		g.Eventually(gw.servers, eventual).Should(ConsistOf("s1", "s2"))
+	}
+}
+
+func TestNoGatewayEverFallsBackToAnOlderConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeStore()
+	s.setConfig(1)
+	s.setServer("s1", false)
+	gateways := fleet(t, s, 4, nil)
+	expectAll(g, gateways, 1)
+	stop := make(chan struct{})
+	var watchers sync.WaitGroup
+	for _, gw := range gateways {
+		watchers.Go(func() {
+			for last := uint64(0); ; {
+				now := gw.version()
+				if now < last {
+					t.Errorf("fell from %d to %d", last, now)
+				}
+				last = now
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Millisecond):
+				}
+			}
+		})
+	}
+	for version := uint64(2); version < 60; version++ {
+		gateways[version%4].access.down.Store(version%3 == 0)
+		s.setConfig(version)
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, gw := range gateways {
+		gw.access.down.Store(false)
+	}
+	expectAll(g, gateways, 59)
+	close(stop)
+	watchers.Wait()
+}
+
+func TestAnUnreadableConfigurationChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeStore()
+	s.setConfig(1)
+	s.setServer("s1", false)
+	gateways := fleet(t, s, 1, nil)
+	expectAll(g, gateways, 1)
+	s.change(func() { s.version, s.configAt, s.body = 2, s.revision, "not a number" })
+	g.Consistently(gateways[0].version, 300*time.Millisecond).Should(Equal(uint64(1)))
+	s.change(func() { s.version, s.configAt, s.body = 3, s.revision, "" })
+	expectAll(g, gateways, 3)
+}
