--- a/cmd/sprucecrank-gateway/main.go
+++ b/cmd/sprucecrank-gateway/main.go
@@ -34,7 +34,7 @@
 	client := platform.NewClient(settings.Store)
 	g, err := gateway.New(settings, gateway.Options{
 		Source: client.Source(), Decode: platform.DecodeConfig, Wire: platform.Wire(),
-		Log: log,
+		Log: log, LogDropped: logs.Dropped,
 	})
 	if err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/feed"
 	"github.com/sprucecrank/sprucecrank/internal/forward"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
+	"github.com/sprucecrank/sprucecrank/internal/telemetry"
 	"github.com/sprucecrank/sprucecrank/internal/upstream"
 )
 
@@ -43,6 +44,8 @@
 	Wire   Wire
 	Log    *slog.Logger
 	Clock  func() time.Time
+	// LogDropped counts the log lines that found no room; it may be nil.
+	LogDropped func() uint64
 }
 
 // Gateway is one gateway process.
@@ -53,12 +56,13 @@
 	feed      *feed.Feed
 	pool      *upstream.Pool
 	forward   *forward.Handler
+	metrics   *telemetry.Gateway
 	stopping  atomic.Bool
 	listeners listeners
 }
 
 type listeners struct {
-	clients, ready, peers net.Listener
+	clients, ready, peers, metrics net.Listener
 }
 
 // New puts a gateway together and opens its sockets; nothing is served yet.
@@ -74,7 +78,11 @@
 	if err := g.listen(s); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	g.assemble(s)
+	g.listenMetrics(s)
+	if err := g.assemble(s); err != nil {
+		g.listeners.close()
+		return nil, trace.Wrap(err)
+	}
 	return g, nil
 }
 
@@ -97,8 +105,20 @@
 	return nil
 }
 
+// listenMetrics opens the socket of the metrics. A port that is taken is no
+// reason not to serve clients.
+func (g *Gateway) listenMetrics(s Settings) {
+	if s.MetricsListen == "" {
+		return
+	}
+	var err error
+	if g.listeners.metrics, err = net.Listen("tcp", s.MetricsListen); err != nil {
+		g.log.Error("metrics are not served", "metrics_listen", s.MetricsListen, "error", err.Error())
+	}
+}
+
 func (l *listeners) close() {
-	for _, one := range []net.Listener{l.clients, l.ready, l.peers} {
+	for _, one := range []net.Listener{l.clients, l.ready, l.peers, l.metrics} {
 		if one != nil {
 			_ = one.Close()
 		}
@@ -127,19 +147,38 @@
 	}
 }
 
-func (g *Gateway) assemble(s Settings) {
+func (g *Gateway) assemble(s Settings) error {
 	o := g.options
+	if g.listeners.metrics != nil {
+		var err error
+		if g.metrics, err = telemetry.NewGateway(g.state); err != nil {
+			return err
+		}
+	}
 	self := member.Box{ID: s.ID, Peer: s.PeerListen, Hall: s.Zone, Start: uint64(o.Clock().UnixNano())}
 	g.feed = feed.New(feed.Options{
 		Self: self, FirstStart: s.FirstStart, Seeds: func() []string { return g.settings.Load().Seeds },
-		Source: o.Source, Decode: o.Decode, Timing: timing(s), Clock: o.Clock, Log: g.log,
+		Source: o.Source, Decode: o.Decode, Timing: timing(s), Clock: o.Clock, Log: g.log, Metrics: g.metrics,
 	})
-	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock})
+	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Opened: g.metrics.Opened})
 	g.forward = forward.New(forward.Options{
 		Names: o.Wire.Headers, Zone: s.Zone, View: g.feed.View, Current: g.feed.Current,
-		Ready: g.feed.Ready(), Stopping: g.stopping.Load, Pool: g.pool, Clock: o.Clock, Log: g.log,
+		Ready: g.feed.Ready(), Stopping: g.stopping.Load, Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
 		Retry: forward.Retry{Window: seconds(s.RetryWindow), Ratio: s.RetryRatio},
 	})
+	return nil
+}
+
+// state is what the metrics tell of this moment.
+func (g *Gateway) state() telemetry.State {
+	state := telemetry.State{Active: g.forward.Active(), ConfigAge: g.feed.Age().Seconds()}
+	if table := g.feed.View().Table; table != nil {
+		state.ConfigVersion = table.Version()
+	}
+	if g.options.LogDropped != nil {
+		state.LogDropped = g.options.LogDropped()
+	}
+	return state
 }
 
 // Reload puts new settings in force. Addresses and names stay as they were at
@@ -178,6 +217,10 @@
 	}
 	group.Add(func() error { return g.feed.Serve(g.listeners.peers) }, func(error) { _ = g.listeners.peers.Close() })
 	group.Add(func() error { return ready.Serve(g.listeners.ready) }, func(error) { _ = ready.Close() })
+	if g.listeners.metrics != nil {
+		metrics := &http.Server{Handler: g.metrics.Handler()}
+		group.Add(func() error { return metrics.Serve(g.listeners.metrics) }, func(error) { _ = metrics.Close() })
+	}
 	drained := make(chan struct{})
 	group.Add(func() error { return serveUntil(clients, g.listeners.clients, drained) }, func(error) { _ = clients.Close() })
 	group.Add(func() error {
@@ -267,6 +310,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration((lastPart-acceptPart)*float64(within)))
 	defer cancel()
 	if err := clients.Shutdown(ctx); err != nil {
+		g.metrics.Cut(g.forward.Active())
 		g.log.Error("requests were still in flight when the time for stopping ran out", "active", g.forward.Active(), "error", err.Error())
 	}
 	return errStopped
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -25,6 +25,7 @@
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/core/routing"
 	"github.com/sprucecrank/sprucecrank/internal/forward"
+	"github.com/sprucecrank/sprucecrank/internal/telemetry"
 )
 
 // ConfigObject is the configuration as the store holds it.
@@ -89,8 +90,10 @@
 	Decode     func(body []byte) (*routing.Table, error)
 	Timing     Timing
 	Clock      func() time.Time
-	Log        *slog.Logger
-	Dial       func(ctx context.Context, network, address string) (net.Conn, error)
+	// Metrics may be nil.
+	Metrics *telemetry.Gateway
+	Log     *slog.Logger
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Feed holds what is believed and how fresh it is.
@@ -154,6 +157,13 @@
 	return f.live(f.options.Clock())
 }
 
+// Age is how long ago what is believed was confirmed.
+func (f *Feed) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age(f.options.Clock())
+}
+
 // live says whether what is believed was confirmed lately.
 func (f *Feed) live(now time.Time) bool {
 	return f.age(now) < f.options.Timing.SilentAfter
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -123,6 +123,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if id != "" {
+		f.options.Metrics.PeerLost()
 		f.members.Fail(f.options.Clock(), id)
 		f.wake() // the reading may fall to this gateway now
 		f.options.Log.Info("peer lost", "peer", id, "address", address, "error", err.Error())
--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -97,6 +97,12 @@
 	return nil
 }
 
+// Results of a call to the store, as metrics name them.
+const (
+	callAnswered = "answered"
+	callFailed   = "failed"
+)
+
 func (f *Feed) begin(r *reading) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -117,6 +123,11 @@
 	if failed != r.broken {
 		f.options.Log.Info("store", "watch", name, "lost", failed, "error", errorText(err))
 	}
+	result := callAnswered
+	if failed {
+		result = callFailed
+	}
+	f.options.Metrics.StoreCall(name, result)
 	r.broken = failed
 	if !failed {
 		r.answered = f.options.Clock()
--- a/internal/forward/balancer.go
+++ b/internal/forward/balancer.go
@@ -120,14 +120,16 @@
 
 // send makes one send and learns from how it ended.
 func (b *balancer) send(ctx context.Context, x *exchange, state *service, placed *sounding) (*upstream.Answer, *verdict.Error) {
-	x.sends.Add(1)
+	first := x.sends.Add(1) == 1
 	began := b.options.Clock()
 	state.begin(placed.server.ID)
 	answer, failure := placed.conn.Exchange(ctx, b.outgoing(x, placed.server.ID, began))
 	b.options.Pool.Put(placed.conn)
 	state.end(placed.server.ID)
 	now := b.options.Clock()
-	x.trail.add(describe(placed, began, now, answer, failure))
+	described := describe(placed, began, now, answer, failure)
+	x.trail.add(described)
+	b.options.Metrics.Send(x.service, described.result, first)
 	switch {
 	case failure == nil && answer.Refused:
 		state.refused(now, placed.server.ID, answer.Status == http.StatusMisdirectedRequest)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,7 @@
 	"github.com/sprucecrank/sprucecrank/core/catalog"
 	"github.com/sprucecrank/sprucecrank/core/routing"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/internal/telemetry"
 	"github.com/sprucecrank/sprucecrank/internal/upstream"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
@@ -61,8 +62,10 @@
 	Stopping func() bool
 	Pool     *upstream.Pool
 	Retry    Retry
-	Clock    func() time.Time
-	Log      *slog.Logger
+	// Metrics may be nil.
+	Metrics *telemetry.Gateway
+	Clock   func() time.Time
+	Log     *slog.Logger
 	// Draw gives a uniform number in [0, 1).
 	Draw func() float64
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -90,6 +90,7 @@
 			return best, nil
 		}
 		state.waits(now, x.route.Priority)
+		b.options.Metrics.Wait(x.service)
 		if last && !free {
 			b.release(best)
 			return nil, verdict.New(verdict.NotRun, verdict.ReasonTooLate, "every server asked is too full to answer in time")
@@ -276,6 +277,7 @@
 	}
 	s.conn = conn
 	health, err := conn.Check(x.health, checkTimeout)
+	b.options.Metrics.Check(x.service, checkResult(health, err))
 	if err != nil {
 		b.release(s)
 		s.failed = true
@@ -293,6 +295,24 @@
 	return s
 }
 
+// Results of a health check, as metrics name them.
+const (
+	checkWell   = "well"
+	checkIll    = "ill"
+	checkFailed = "failed"
+)
+
+func checkResult(h upstream.Health, err error) string {
+	switch {
+	case err != nil:
+		return checkFailed
+	case h.Well:
+		return checkWell
+	default:
+		return checkIll
+	}
+}
+
 // unasked chooses by own counts alone, for services that do not tell their load.
 func (b *balancer) unasked(ctx context.Context, state *service, servers []catalog.Server) *sounding {
 	slices.SortStableFunc(servers, func(a, c catalog.Server) int {
--- a/internal/forward/trail.go
+++ b/internal/forward/trail.go
@@ -57,6 +57,11 @@
 
 // log writes the one line of a request: how it ended and what decided it.
 func (h *Handler) log(x *exchange, status int, f *verdict.Error) {
+	reason := ""
+	if f != nil {
+		reason = string(f.Reason())
+	}
+	h.options.Metrics.Request(x.service, status, reason, h.options.Clock().Sub(x.began))
 	if !h.options.Log.Enabled(context.Background(), slog.LevelInfo) {
 		return
 	}
--- /dev/null
+++ b/internal/telemetry/gateway.go
@@ -0,0 +1,182 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Gateway holds the instruments of a gateway. A nil Gateway records nothing.
+type Gateway struct {
+	registry   *prometheus.Registry
+	requests   metric.Int64Counter
+	duration   metric.Float64Histogram
+	refusals   metric.Int64Counter
+	waits      metric.Int64Counter
+	sends      metric.Int64Counter
+	checks     metric.Int64Counter
+	opened     metric.Int64Counter
+	storeCalls metric.Int64Counter
+	peersLost  metric.Int64Counter
+	cut        metric.Int64Counter
+}
+
+// State is what a gateway tells of itself when its metrics are read.
+type State struct {
+	// ConfigVersion is the version in force, ConfigAge how long ago, in
+	// seconds, it was confirmed to be the newest.
+	ConfigVersion uint64
+	ConfigAge     float64
+	// Active is how many requests are under way.
+	Active int64
+	// LogDropped is how many log lines found no room.
+	LogDropped uint64
+}
+
+// NewGateway sets up a gateway's metrics; state is read at each scrape.
+func NewGateway(state func() State) (*Gateway, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, err
+	}
+	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter(scope)
+	t := &Gateway{registry: registry}
+	if err := t.makeCounters(meter); err != nil {
+		return nil, err
+	}
+	return t, observe(meter, state)
+}
+
+func (t *Gateway) makeCounters(meter metric.Meter) error {
+	for _, c := range []struct {
+		set  *metric.Int64Counter
+		name string
+		help string
+	}{
+		{&t.requests, "sprucecrank.gateway.requests", "Requests answered, by service and status."},
+		{&t.refusals, "sprucecrank.gateway.refusals", "Requests that the gateway itself ended, by service and reason."},
+		{&t.waits, "sprucecrank.gateway.waits", "Rounds in which a request found no server to go to, by service."},
+		{&t.sends, "sprucecrank.gateway.sends", "Sends to servers, by service, result and whether it was the first of its request."},
+		{&t.checks, "sprucecrank.gateway.checks", "Health checks, by service and result."},
+		{&t.opened, "sprucecrank.gateway.connections.opened", "New connections to servers."},
+		{&t.storeCalls, "sprucecrank.gateway.store.calls", "Calls to the store, by watch and result."},
+		{&t.peersLost, "sprucecrank.gateway.peers.lost", "Gateways that did not answer."},
+		{&t.cut, "sprucecrank.gateway.requests.cut", "Requests that were still under way when the time for a stop ran out."},
+	} {
+		counter, err := meter.Int64Counter(c.name, metric.WithDescription(c.help))
+		if err != nil {
+			return err
+		}
+		*c.set = counter
+	}
+	var err error
+	t.duration, err = meter.Float64Histogram("sprucecrank.gateway.request.duration", metric.WithUnit("s"), buckets,
+		metric.WithDescription("Time from a request's head to the end of its answer, by service."))
+	return err
+}
+
+func observe(meter metric.Meter, state func() State) error {
+	version, err := meter.Int64ObservableGauge("sprucecrank.gateway.config.version", metric.WithDescription("The configuration's version in force."))
+	if err != nil {
+		return err
+	}
+	age, err := meter.Float64ObservableGauge("sprucecrank.gateway.config.age", metric.WithUnit("s"), metric.WithDescription("How long ago the configuration was confirmed to be the newest."))
+	if err != nil {
+		return err
+	}
+	active, err := meter.Int64ObservableGauge("sprucecrank.gateway.requests.active", metric.WithDescription("Requests under way."))
+	if err != nil {
+		return err
+	}
+	dropped, err := meter.Int64ObservableCounter("sprucecrank.gateway.log.dropped", metric.WithDescription("Log lines that found no room."))
+	if err != nil {
+		return err
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		now := state()
+		o.ObserveInt64(version, int64(now.ConfigVersion))
+		o.ObserveFloat64(age, now.ConfigAge)
+		o.ObserveInt64(active, now.Active)
+		o.ObserveInt64(dropped, int64(now.LogDropped))
+		return nil
+	}, version, age, active, dropped)
+	return err
+}
+
+// Handler serves the metrics in Prometheus form.
+func (t *Gateway) Handler() http.Handler {
+	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{})
+}
+
+func add(counter metric.Int64Counter, attributes ...attribute.KeyValue) {
+	counter.Add(context.Background(), 1, metric.WithAttributes(attributes...))
+}
+
+// Request counts an answered request; reason is empty for a server's answer.
+func (t *Gateway) Request(service string, status int, reason string, took time.Duration) {
+	if t == nil {
+		return
+	}
+	add(t.requests, attribute.String("service", service), attribute.Int("status", status))
+	t.duration.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("service", service)))
+	if reason != "" {
+		add(t.refusals, attribute.String("service", service), attribute.String("reason", reason))
+	}
+}
+
+// Wait counts a round in which a request found no server.
+func (t *Gateway) Wait(service string) {
+	if t != nil {
+		add(t.waits, attribute.String("service", service))
+	}
+}
+
+// Send counts a send; first says whether it was the first of its request.
+func (t *Gateway) Send(service, result string, first bool) {
+	if t != nil {
+		add(t.sends, attribute.String("service", service), attribute.String("result", result), attribute.Bool("first", first))
+	}
+}
+
+// Check counts a health check.
+func (t *Gateway) Check(service, result string) {
+	if t != nil {
+		add(t.checks, attribute.String("service", service), attribute.String("result", result))
+	}
+}
+
+// Opened counts a new connection to a server.
+func (t *Gateway) Opened() {
+	if t != nil {
+		add(t.opened)
+	}
+}
+
+// StoreCall counts a call to the store.
+func (t *Gateway) StoreCall(watch, result string) {
+	if t != nil {
+		add(t.storeCalls, attribute.String("watch", watch), attribute.String("result", result))
+	}
+}
+
+// PeerLost counts a gateway that did not answer.
+func (t *Gateway) PeerLost() {
+	if t != nil {
+		add(t.peersLost)
+	}
+}
+
+// Cut counts requests that a stop cut off.
+func (t *Gateway) Cut(n int64) {
+	if t != nil {
+		t.cut.Add(context.Background(), n)
+	}
+}
