--- a/box/objects.go
+++ b/box/objects.go
@@ -5,8 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
@@ -49,7 +47,7 @@
 	if version == 0 || env.Deleted {
 		return c.JSON(http.StatusNotFound, adminProblem{Detail: "there is no such " + string(o.noun)})
 	}
-	c.Response().Header().Set("ETag", strconv.Quote(strconv.FormatUint(version, 10)))
+	c.Response().Header().Set("ETag", store.Tag(version))
 	return c.JSONBlob(http.StatusOK, env.Value)
 }
 
@@ -75,7 +73,7 @@
 // write submits a change under the version that the caller saw. A caller that
 // names none is refused: it can't know what it would overwrite.
 func (o objects) write(c echo.Context, change submit.Change) error {
-	expect, ok := expectedVersion(c.Request().Header)
+	expect, ok := store.ExpectedVersion(c.Request().Header)
 	if !ok {
 		return c.JSON(http.StatusPreconditionRequired, adminProblem{Detail: "send If-Match with the version that you saw, or If-None-Match: * for a new object"})
 	}
@@ -89,24 +87,16 @@
 	if err != nil {
 		return o.failed(c, err)
 	}
-	c.Response().Header().Set("ETag", strconv.Quote(strconv.FormatUint(version, 10)))
+	c.Response().Header().Set("ETag", store.Tag(version))
 	return c.NoContent(http.StatusNoContent)
 }
 
-func expectedVersion(h http.Header) (uint64, bool) {
-	if h.Get("If-None-Match") == "*" {
-		return 0, true
-	}
-	v, err := strconv.ParseUint(strings.Trim(h.Get("If-Match"), `"`), 10, 64)
-	return v, err == nil
-}
-
 func (o objects) failed(c echo.Context, err error) error {
 	var raced *submit.RacedError
 	var problems policy.Problems
 	switch {
 	case errors.As(err, &raced):
-		c.Response().Header().Set("ETag", strconv.Quote(strconv.FormatUint(raced.Version(), 10)))
+		c.Response().Header().Set("ETag", store.Tag(raced.Version()))
 		return c.JSON(http.StatusPreconditionFailed, adminProblem{Detail: err.Error()})
 	case errors.As(err, &problems):
 		return c.JSON(http.StatusBadRequest, adminProblem{Detail: "the document is not valid; nothing was changed", Problems: problems})
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -29,7 +29,7 @@
 	}
 	attempt, failure := attemptOf(x.in)
 	if failure != nil {
-		return h.fail(w, x, failure)
+		return h.fail(w, x, beforeRecord(x, failure))
 	}
 	ctx, span := h.options.Telemetry.Start(ctx, "record")
 	defer span.End()
--- a/internal/standin/platformsim/server.go
+++ b/internal/standin/platformsim/server.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -179,7 +178,7 @@
 }
 
 func (s *Server) put(c echo.Context) error {
-	expect, ok := expected(c.Request().Header)
+	expect, ok := store.ExpectedVersion(c.Request().Header)
 	if !ok {
 		return c.String(http.StatusPreconditionRequired, "send If-Match with a version or If-None-Match: *")
 	}
@@ -196,7 +195,7 @@
 }
 
 func (s *Server) remove(c echo.Context) error {
-	expect, ok := expected(c.Request().Header)
+	expect, ok := store.ExpectedVersion(c.Request().Header)
 	if !ok || !s.objects.remove(time.Now(), c.Param("*"), expect) {
 		return c.NoContent(http.StatusPreconditionFailed)
 	}
@@ -279,14 +278,6 @@
 	return c.NoContent(http.StatusNoContent)
 }
 
-func expected(h http.Header) (uint64, bool) {
-	if h.Get("If-None-Match") == "*" {
-		return 0, true
-	}
-	v, err := strconv.ParseUint(strings.Trim(h.Get("If-Match"), `"`), 10, 64)
-	return v, err == nil
-}
-
 func setTag(c echo.Context, version uint64) {
-	c.Response().Header().Set("ETag", strconv.Quote(strconv.FormatUint(version, 10)))
+	c.Response().Header().Set("ETag", store.Tag(version))
 }
--- a/store/platform.go
+++ b/store/store.go
@@ -281,15 +281,15 @@
 
 func matchTag(expect uint64) string {
 	if expect == 0 {
-		return "*"
+		return anyTag
 	}
-	return strconv.Quote(strconv.FormatUint(expect, 10))
+	return Tag(expect)
 }
 
 func setMatch(req *http.Request, match string) {
 	switch match {
 	case "":
-	case "*":
+	case anyTag:
 		req.Header.Set("If-None-Match", "*")
 	default:
 		req.Header.Set("If-Match", match)
