--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,62 @@
+package logging_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/internal/logging"
+)
+
+// blocked takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *blocked) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func TestABlockedOutputHoldsUpNobodyAndWhatIsDroppedIsSaid(t *testing.T) {
+	g := NewWithT(t)
+	out := &blocked{release: make(chan struct{})}
+	w := logging.NewWriter(out, logging.Options{Lines: 10, PerSecond: 1e9, Burst: 1 << 30, FlushEvery: time.Millisecond})
+	const lines = 1000
+	for range lines { // this returns though nothing is taken
+		n, err := w.Write([]byte("{}\n"))
+		g.Expect(n).To(Equal(3))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(w.Dropped()).To(BeNumerically(">=", lines-2*10))
+	close(out.release)
+	g.Eventually(out.String, 10*time.Second).Should(ContainSubstring("log lines dropped"))
+	w.Close()
+	g.Expect(strings.Count(out.String(), "{}\n")).To(BeNumerically("==", lines-int(w.Dropped())))
+}
+
+func TestARateBoundsTheLines(t *testing.T) {
+	g := NewWithT(t)
+	out := &blocked{release: make(chan struct{})}
+	close(out.release)
+	w := logging.NewWriter(out, logging.Options{PerSecond: 0.001, Burst: 5})
+	for range 100 {
+		_, _ = w.Write([]byte("{}\n"))
+	}
+	w.Close()
+	g.Expect(strings.Count(out.String(), "{}\n")).To(Equal(5))
+	g.Expect(w.Dropped()).To(Equal(uint64(95)))
+}
