--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -17,6 +17,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -198,7 +199,7 @@
 		f.decode(from)
 	}
 	if config || servers {
-		f.publish()
+		f.publish(from)
 	}
 	if f.catalog.Position() != before {
 		f.wake()
@@ -217,7 +218,8 @@
 }
 
 // publish makes the view that the data path uses.
-func (f *Feed) publish() {
+func (f *Feed) publish(from string) {
+	before := f.view.Load().Servers
 	v := &forward.View{Table: f.table, Servers: map[string][]catalog.Server{}}
 	for _, s := range f.catalog.Servers() {
 		if !s.Leaving {
@@ -225,7 +227,32 @@
 		}
 	}
 	f.view.Store(v)
+	f.logServers(from, before, v.Servers)
 	if f.table != nil && f.catalog.Position().Servers > 0 {
 		f.once.Do(func() { close(f.ready) })
 	}
 }
+
+// logServers writes which servers take requests now that did not before, and
+// which no longer do.
+func (f *Feed) logServers(from string, before, now map[string][]catalog.Server) {
+	in, out := lacking(before, now), lacking(now, before)
+	if len(in)+len(out) == 0 {
+		return
+	}
+	f.options.Log.Info("servers changed", "in", in, "out", out, "revision", f.catalog.Position().Servers, "from", from)
+}
+
+// lacking lists the ids of the servers in all that some lacks.
+func lacking(some, all map[string][]catalog.Server) []string {
+	var ids []string
+	for service, servers := range all {
+		for _, s := range servers {
+			if !slices.ContainsFunc(some[service], func(other catalog.Server) bool { return other.ID == s.ID }) {
+				ids = append(ids, s.ID)
+			}
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
