--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -107,8 +107,8 @@
 	members *member.View
 	table   *routing.Table
 	changed chan struct{} // closed and renewed at each change
-	// confirmed is the latest moment at which, by word of other gateways, what
-	// is believed here was all that the store held.
+	// confirmed is the latest moment at which, by own calls or word of other
+	// gateways, what is believed here was all that the store held.
 	confirmed time.Time
 	config    reading
 	servers   reading
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -173,9 +173,7 @@
 	defer f.mu.Unlock()
 	now := f.options.Clock()
 	f.meet(now, reply.Members)
-	if confirmed := now.Add(-reply.Age); confirmed.After(f.confirmed) {
-		f.confirmed = confirmed
-	}
+	f.confirm(now.Add(-reply.Age))
 }
 
 // meet takes in whom another gateway, the first of the sightings, has heard of;
--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -39,6 +39,8 @@
 	// answered is when the latest call that succeeded ended.
 	answered time.Time
 	broken   bool
+	// confirmed is answered, kept when the watch rests.
+	confirmed time.Time
 }
 
 // live says whether the watch would tell of a change at once.
@@ -112,7 +114,7 @@
 func (f *Feed) rest(r *reading) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	*r = reading{}
+	*r = reading{confirmed: r.confirmed}
 }
 
 func (f *Feed) end(name string, r *reading, err error) {
@@ -131,12 +133,29 @@
 	r.broken = failed
 	if !failed {
 		r.answered = f.options.Clock()
+		r.confirmed = r.answered
+		f.confirm(earlier(f.config.confirmed, f.servers.confirmed))
 	}
 	if failed {
 		f.wake() // those that ask this gateway should look elsewhere
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// confirm notes that what is believed was all that the store held at a moment;
+// the lock is held.
+func (f *Feed) confirm(at time.Time) {
+	if at.After(f.confirmed) {
+		f.confirmed = at
+	}
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
