Wait a little for a server of the own zone where answers are long

Change: a request waits for an easy server of its zone, 12 ms for each learnt kilobyte of its route's answers, at most 0.12 of the objective, while nobody finds no server at all; the price of a last slot is learnt from 1.15 and by steps of 0.05, not 1.3 and 0.02.

--- a/internal/forward/balancer.go
+++ b/internal/forward/balancer.go
@@ -149,7 +149,7 @@
 	case failure == nil && answer.Status >= http.StatusInternalServerError:
 		state.failed(now, placed.server.ID)
 	case failure == nil:
-		state.succeeded(placed.server.ID, x.route, now.Sub(began), placed.reading)
+		state.succeeded(placed.server.ID, x.route, now.Sub(began), len(answer.Body), placed.reading)
 	case failure.Reason() == verdict.ReasonTargetFailed:
 		state.failed(now, placed.server.ID)
 	}
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -116,7 +116,7 @@
 		return nil
 	}
 	avoid := append([]string{r.first.server.ID}, r.x.avoid...)
-	placed := b.best(ctx, r.x, r.state, avoid)
+	placed := b.best(ctx, r.x, r.state, avoid, false)
 	if placed == nil {
 		return nil
 	}
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -37,8 +37,13 @@
 	inTimePart = 0.9
 	// easySlowness is the slowest server that counts as working as usual.
 	easySlowness = 1.2
-	// farPenalty is what a server in another zone must be faster by.
-	farPenalty = 20 * time.Millisecond
+	// farPenalty is what a server in another zone must be faster by, and
+	// farDelayPerKB how long a request waits for one of its own zone for each
+	// kilobyte of its usual answer, since bytes between zones cost; at most
+	// farDelayPart of the objective.
+	farPenalty    = 20 * time.Millisecond
+	farDelayPerKB = 12 * time.Millisecond
+	farDelayPart  = 0.12
 	// checkTimeout bounds one check; a round does not wait for it.
 	checkTimeout = 250 * time.Millisecond
 	leastRound   = 4 * time.Millisecond
@@ -72,7 +77,8 @@
 	latest := x.began.Add(time.Duration(placePart * float64(x.route.Objective)))
 	hopeless := x.began.Add(x.route.Objective - time.Duration(hopePart*float64(state.usual(x.route))))
 	for {
-		best := b.best(ctx, x, state, x.avoid)
+		nearOnly := b.nearOnly(x, state)
+		best := b.best(ctx, x, state, x.avoid, nearOnly)
 		if ctx.Err() != nil {
 			b.release(best)
 			return nil, ended(ctx)
@@ -82,14 +88,17 @@
 			return nil, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "no server of the service is known")
 		}
 		last := now.After(latest)
-		if best != nil && b.acceptable(now, x, state, best, last) {
+		nearOnly = nearOnly && best != nil
+		if best != nil && (!nearOnly || best.easy()) && b.acceptable(now, x, state, best, last) {
 			return best, nil
 		}
 		free := best != nil && best.reading.Free() > 0
 		if free && now.After(hopeless) {
 			return best, nil
 		}
-		state.waits(now, x.route.Priority)
+		if !nearOnly {
+			state.waits(now, x.route.Priority)
+		}
 		b.options.Metrics.Wait(x.service)
 		if last && best == nil {
 			return b.blind(ctx, x, state)
@@ -106,6 +115,13 @@
 	}
 }
 
+// nearOnly says whether a request should still wait for a server of its own
+// zone. While others find no server at all, any will do.
+func (b *balancer) nearOnly(x *exchange, state *service) bool {
+	now := b.options.Clock()
+	return now.Before(x.began.Add(state.farDelay(x.route))) && !state.pressed(now)
+}
+
 // blind takes any server that can be reached, since none of those asked for its
 // load has answered: a health check may fail though the server is well.
 func (b *balancer) blind(ctx context.Context, x *exchange, state *service) (*sounding, *verdict.Error) {
@@ -157,8 +173,9 @@
 }
 
 // best asks some servers for their load, those of the own zone first, and
-// returns the one that should answer soonest.
-func (b *balancer) best(ctx context.Context, x *exchange, state *service, avoid []string) *sounding {
+// returns the one that should answer soonest. With nearOnly it asks those of
+// the own zone alone, if there are any.
+func (b *balancer) best(ctx context.Context, x *exchange, state *service, avoid []string, nearOnly bool) *sounding {
 	near, far := b.candidates(x, state, avoid)
 	if !state.tellsLoad() {
 		return b.unasked(ctx, state, append(near, far...))
@@ -169,6 +186,9 @@
 	}
 	near = near[:min(mostNear, len(near))]
 	far = far[:min(mostFar, len(far))]
+	if nearOnly && len(near) > 0 {
+		far = nil
+	}
 	var best *sounding
 	for _, servers := range [][]catalog.Server{near, far} {
 		for wave := range slices.Chunk(servers, waveSize) {
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -20,6 +20,8 @@
 	misdirectedAside = 10 * time.Second
 	// medianStep is how far one duration moves the median.
 	medianStep = 0.06
+	// sizeStep is how far one answer moves the usual size.
+	sizeStep = 0.1
 	// firstUsual is the usual time before any was measured, as a part of the
 	// route's objective.
 	firstUsual = 0.35
@@ -28,8 +30,8 @@
 	silentChecks = 8
 	// firstCrowding is believed before any request took a last slot; one more
 	// moves it by crowdingStep.
-	firstCrowding = 1.3
-	crowdingStep  = 0.02
+	firstCrowding = 1.15
+	crowdingStep  = 0.05
 	mostCrowding  = 4
 	// easyCrowding is the most that counts as no crowding.
 	easyCrowding = 1.2
@@ -57,7 +59,7 @@
 		retry := s.options.Retry
 		s.byName[name] = &service{
 			budget:  budget.NewWindow(retry.Window, retry.Ratio, allowance),
-			medians: map[string]time.Duration{}, servers: map[string]*serverState{},
+			medians: map[string]time.Duration{}, sizes: map[string]float64{}, servers: map[string]*serverState{},
 			crowding: firstCrowding, waited: map[int]time.Time{},
 		}
 	}
@@ -69,6 +71,7 @@
 	mu      sync.Mutex
 	budget  *budget.Window
 	medians map[string]time.Duration // usual time by route
+	sizes   map[string]float64       // usual length of an answer by route, in bytes
 	servers map[string]*serverState
 	// crowding is how much longer requests take on the last slot of a server.
 	crowding float64
@@ -161,10 +164,11 @@
 	s.server(id).asideUntil = now.Add(pause)
 }
 
-// succeeded learns the usual time of a route from a request's own.
-func (s *service) succeeded(id string, route *routing.Route, took time.Duration, reading choice.Reading) {
+// succeeded learns the usual time and the size of answers of a route.
+func (s *service) succeeded(id string, route *routing.Route, took time.Duration, size int, reading choice.Reading) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.sizes[route.Name] += sizeStep * (float64(size) - s.sizes[route.Name])
 	state := s.server(id)
 	state.failures, state.asideFor = 0, 0
 	switch {
@@ -176,6 +180,15 @@
 	}
 }
 
+// farDelay is how long a request waits for a server of its own zone before it
+// goes to another zone.
+func (s *service) farDelay(route *routing.Route) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delay := time.Duration(s.sizes[route.Name] / 1024 * float64(farDelayPerKB))
+	return min(delay, time.Duration(farDelayPart*float64(route.Objective)))
+}
+
 func (s *service) learnCrowding(ratio float64) {
 	step := crowdingStep
 	if ratio < s.crowding {
