--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// waveSize is how many servers are asked for their load at once, while none
+	// waveSize is how many servers are asked for their load at once, one where
+	// most are easy, while none
 	// of those asked before is easy: first servers of the own zone, then others,
 	// whose bytes cost more.
 	waveSize = 2
@@ -189,9 +190,13 @@
 	if nearOnly && len(near) > 0 {
 		far = nil
 	}
+	size := waveSize
+	if state.mostlyEasy() {
+		size = 1
+	}
 	var best *sounding
 	for _, servers := range [][]catalog.Server{near, far} {
-		for wave := range slices.Chunk(servers, waveSize) {
+		for wave := range slices.Chunk(servers, size) {
 			best = b.ask(ctx, x, state, wave, best)
 			if best != nil && best.easy() {
 				return best
@@ -243,6 +248,7 @@
 		select {
 		case found := <-results:
 			open--
+			state.learnEase(found.easy())
 			best = b.better(best, found)
 			if best != nil && best.easy() {
 				b.collect(results, open)
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -20,6 +20,10 @@
 	misdirectedAside = 10 * time.Second
 	// medianStep is how far one duration moves the median.
 	medianStep = 0.06
+	// easeStep is how far one check moves the share of easy servers, and above
+	// mostEase they are asked one by one.
+	easeStep = 0.05
+	mostEase = 0.5
 	// sizeStep is how far one answer moves the usual size.
 	sizeStep = 0.1
 	// firstUsual is the usual time before any was measured, as a part of the
@@ -73,6 +77,8 @@
 	medians map[string]time.Duration // usual time by route
 	sizes   map[string]float64       // usual length of an answer by route, in bytes
 	servers map[string]*serverState
+	// ease is the share of the servers asked that were easy.
+	ease float64
 	// crowding is how much longer requests take on the last slot of a server.
 	crowding float64
 	// waited is when a request last found no free server, by its priority.
@@ -180,6 +186,23 @@
 	}
 }
 
+func (s *service) learnEase(easy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := 0.0
+	if easy {
+		found = 1
+	}
+	s.ease += easeStep * (found - s.ease)
+}
+
+// mostlyEasy says whether the first server that is asked will mostly do.
+func (s *service) mostlyEasy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ease > mostEase
+}
+
 // farDelay is how long a request waits for a server of its own zone before it
 // goes to another zone.
 func (s *service) farDelay(route *routing.Route) time.Duration {
