--- a/core/member/member.go
+++ b/core/member/member.go
@@ -253,6 +253,57 @@
 	return out
 }
 
+// SightingsFor is like Sightings, but lists no more boxes than needed to know who
+// takes up the given duties: the first few of each, so that what two boxes tell
+// each other does not grow with the fleet. A duty of one hall names it.
+func (v *View) SightingsFor(now time.Time, duties []Duty, each int) []Sighting {
+	all := v.Sightings(now)
+	if len(all) <= each*(len(duties)+1) {
+		return all
+	}
+	wanted := map[string]bool{v.self.ID: true}
+	for _, duty := range duties {
+		slices.SortFunc(all, func(a, b Sighting) int {
+			return cmp.Compare(score(duty.Name, b.Box.ID), score(duty.Name, a.Box.ID))
+		})
+		taken := 0
+		for _, s := range all {
+			if taken == each {
+				break
+			}
+			if duty.Hall == "" || duty.Hall == s.Box.Hall {
+				wanted[s.Box.ID] = true
+				taken++
+			}
+		}
+	}
+	out := []Sighting{{Box: v.self}}
+	for _, s := range all {
+		if wanted[s.Box.ID] && s.Box.ID != v.self.ID {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Duty is a duty that boxes rank for, in one hall or, without one, in all.
+type Duty struct {
+	Name string
+	Hall string
+}
+
+// Halls lists the halls of all boxes that are known.
+func (v *View) Halls() []string {
+	halls := []string{v.self.Hall}
+	for _, e := range v.boxes {
+		if !slices.Contains(halls, e.Hall) {
+			halls = append(halls, e.Hall)
+		}
+	}
+	slices.Sort(halls)
+	return halls
+}
+
 // Sighted takes in what another box passed on.
 func (v *View) Sighted(now time.Time, sightings []Sighting) {
 	for _, s := range sightings {
--- a/core/member/ranked_test.go
+++ b/core/member/ranked_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -60,3 +61,23 @@
 	g.Expect(ids(a.Ranked(now, "reader", 10))).To(ConsistOf("a", "b"))
 	g.Expect(ids(b.Ranked(now, "reader", 10))).To(ConsistOf("a", "b"))
 }
+
+func TestWhatTwoBoxesTellEachOtherDoesNotGrowWithTheFleet(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	v := member.New(member.Box{ID: "self", Hall: "hall-0"})
+	for i := range 500 {
+		v.Heard(now, member.Box{ID: fmt.Sprint("box-", i), Hall: fmt.Sprint("hall-", i%4)})
+	}
+	duties := []member.Duty{{Name: "reader"}}
+	for _, hall := range v.Halls() {
+		duties = append(duties, member.Duty{Name: "relay/" + hall, Hall: hall})
+	}
+	told := v.SightingsFor(now, duties, 5)
+	g.Expect(told[0].Box.ID).To(Equal("self"))
+	g.Expect(len(told)).To(BeNumerically("<=", 1+5*5))
+	other := member.New(member.Box{ID: "other", Hall: "hall-1"})
+	other.Sighted(now, told)
+	first := ids(v.Ranked(now, "reader", 1))
+	g.Expect(ids(other.Ranked(now, "reader", 600))).To(ContainElement(first[0]))
+}
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -162,7 +162,7 @@
 	args := NewsArgs{At: f.catalog.Position(), Wait: f.options.Timing.Poll}
 	if now.Sub(at.told) > tellMembersEvery {
 		at.told = now
-		args.Members = f.members.Sightings(now)
+		args.Members = f.sightings(now)
 	}
 	return args
 }
@@ -176,6 +176,18 @@
 	f.confirm(now.Add(-reply.Age))
 }
 
+// toldOfDuty is how many gateways are told of for each duty.
+const toldOfDuty = 5
+
+// sightings is whom this gateway tells another of; the lock is held.
+func (f *Feed) sightings(now time.Time) []member.Sighting {
+	duties := []member.Duty{{Name: dutyReader}}
+	for _, hall := range f.members.Halls() {
+		duties = append(duties, member.Duty{Name: dutyRelay + hall, Hall: hall})
+	}
+	return f.members.SightingsFor(now, duties, toldOfDuty)
+}
+
 // meet takes in whom another gateway, the first of the sightings, has heard of;
 // the lock is held.
 func (f *Feed) meet(now time.Time, sightings []member.Sighting) {
--- a/internal/feed/serve.go
+++ b/internal/feed/serve.go
@@ -39,7 +39,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if args.Members != nil || f.members.Self().Leaving {
-		reply.Members = f.members.Sightings(f.options.Clock())
+		reply.Members = f.sightings(f.options.Clock())
 	}
 	reply.Age = f.age(f.options.Clock())
 	reply.Delta = f.catalog.Since(args.At)
