--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,7 +194,7 @@
 	// not yet heard of it are still served.
 	acceptPart = 0.5
 	// lastPart is the part after which the process ends, whatever goes on.
-	lastPart       = 0.97
+	lastPart       = 0.9
 	maxHeaderBytes = 1 << 20
 	// clientIdle is how long a client's connection may rest.
 	clientIdle = 5 * time.Minute
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -47,7 +47,7 @@
 	entry *httptest.Server
 }
 
-func newStandin(t *testing.T, id, service, zone string, do http.HandlerFunc) *standin {
+func newStandin(t testing.TB, id, service, zone string, do http.HandlerFunc) *standin {
 	t.Helper()
 	s := &standin{do: do}
 	s.setLoad("0,0,3,100")
@@ -112,7 +112,7 @@
 
 // fixture is a gateway's data path before some servers.
 type fixture struct {
-	t       *testing.T
+	t       testing.TB
 	options forward.Options
 	view    *forward.View
 	current bool
@@ -122,7 +122,7 @@
 	next    atomic.Int32
 }
 
-func newFixture(t *testing.T, servers ...*standin) *fixture {
+func newFixture(t testing.TB, servers ...*standin) *fixture {
 	t.Helper()
 	f := &fixture{t: t, current: true, ready: make(chan struct{})}
 	close(f.ready)
