--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -20,6 +20,9 @@
 	misdirectedAside = 10 * time.Second
 	// medianStep is how far one duration moves the median.
 	medianStep = 0.06
+	// firstMedianStep is how far the first duration moves it; the steps fall
+	// from there, as the number of durations grows.
+	firstMedianStep = 0.5
 	// easeStep is how far one check moves the share of easy servers, and above
 	// mostEase they are asked one by one.
 	easeStep = 0.05
@@ -36,7 +39,9 @@
 	// moves it by crowdingStep.
 	firstCrowding = 1.15
 	crowdingStep  = 0.05
-	mostCrowding  = 4
+	// firstCrowdingStep is how far the first such request moves it.
+	firstCrowdingStep = 0.3
+	mostCrowding      = 4
 	// easyCrowding is the most that counts as no crowding.
 	easyCrowding = 1.2
 	// yieldFor is how long a request that found no free server is remembered.
@@ -63,7 +68,7 @@
 		retry := s.options.Retry
 		s.byName[name] = &service{
 			budget:  budget.NewWindow(retry.Window, retry.Ratio, allowance),
-			medians: map[string]time.Duration{}, sizes: map[string]float64{}, servers: map[string]*serverState{},
+			medians: map[string]median{}, sizes: map[string]float64{}, servers: map[string]*serverState{},
 			crowding: firstCrowding, waited: map[int]time.Time{},
 		}
 	}
@@ -74,13 +79,14 @@
 type service struct {
 	mu      sync.Mutex
 	budget  *budget.Window
-	medians map[string]time.Duration // usual time by route
-	sizes   map[string]float64       // usual length of an answer by route, in bytes
+	medians map[string]median  // usual time by route
+	sizes   map[string]float64 // usual length of an answer by route, in bytes
 	servers map[string]*serverState
 	// ease is the share of the servers asked that were easy.
 	ease float64
 	// crowding is how much longer requests take on the last slot of a server.
 	crowding float64
+	crowded  int // requests that taught crowding
 	// waited is when a request last found no free server, by its priority.
 	waited map[int]time.Time
 	silent int  // checks in a row without a load
@@ -182,7 +188,9 @@
 	case reading.LastSlot():
 		s.learnCrowding(float64(took) / float64(max(s.medianOf(route), time.Millisecond)))
 	default:
-		s.medians[route.Name] = towards(s.medianOf(route), took)
+		m := s.medians[route.Name]
+		m.learn(s.medianOf(route), took)
+		s.medians[route.Name] = m
 	}
 }
 
@@ -213,7 +221,8 @@
 }
 
 func (s *service) learnCrowding(ratio float64) {
-	step := crowdingStep
+	step := max(crowdingStep, firstCrowdingStep/float64(s.crowded+1))
+	s.crowded++
 	if ratio < s.crowding {
 		step = -step
 	}
@@ -261,18 +270,27 @@
 	return false
 }
 
-// towards moves a median by one step.
-func towards(median, took time.Duration) time.Duration {
-	step := time.Duration(medianStep * float64(median))
-	if took > median {
-		return median + min(step, took-median)
+// median follows the median of durations, by large steps at first.
+type median struct {
+	value time.Duration
+	seen  int
+}
+
+// learn moves the median, which was before, towards a duration by one step.
+func (m *median) learn(before, took time.Duration) {
+	part := max(medianStep, firstMedianStep/float64(m.seen+1))
+	m.seen++
+	step := time.Duration(part * float64(before))
+	if took > before {
+		m.value = before + min(step, took-before)
+		return
 	}
-	return median - min(step, median-took)
+	m.value = before - min(step, before-took)
 }
 
 func (s *service) medianOf(route *routing.Route) time.Duration {
-	if usual, ok := s.medians[route.Name]; ok {
-		return usual
+	if m, ok := s.medians[route.Name]; ok {
+		return m.value
 	}
 	return time.Duration(firstUsual * float64(route.Objective))
 }
