--- a/internal/forward/balancer.go
+++ b/internal/forward/balancer.go
@@ -132,7 +132,7 @@
 }
 
 // send makes one send and learns from how it ended.
-func (b *balancer) send(ctx context.Context, x *exchange, state *service, placed *sounding) (*upstream.Answer, *verdict.Error) {
+func (b *balancer) send(ctx context.Context, x *exchange, state *service, placed *candidate) (*upstream.Answer, *verdict.Error) {
 	first := x.sends.Add(1) == 1
 	began := b.options.Clock()
 	state.begin(placed.server.ID)
@@ -141,7 +141,7 @@
 	state.end(placed.server.ID)
 	now := b.options.Clock()
 	result := resultOf(answer, failure)
-	x.trail.add(describe(placed, began, now, result))
+	x.sendLog.add(describe(placed, began, now, result))
 	b.options.Metrics.Send(x.service, result, first)
 	switch {
 	case failure == nil && answer.Refused:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -114,7 +114,7 @@
 	avoid          []string
 	waits          int
 	config         uint64 // the version by which the request was handled
-	trail          trail
+	sendLog        sendLog
 	// mayHaveRun is set once a send ended without a promise.
 	mayHaveRun bool
 }
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -26,7 +26,7 @@
 	balancer *balancer
 	x        *exchange
 	state    *service
-	first    *sounding
+	first    *candidate
 	began    time.Time
 	// firstEnded is closed once the first send has ended.
 	firstEnded chan struct{}
@@ -39,7 +39,7 @@
 // attempt makes one send, and a second one beside it if the first is slow and
 // the request may run twice. The first whole answer counts; the other send is
 // cancelled at once.
-func (b *balancer) attempt(ctx context.Context, x *exchange, state *service, placed *sounding) (*upstream.Answer, *verdict.Error) {
+func (b *balancer) attempt(ctx context.Context, x *exchange, state *service, placed *candidate) (*upstream.Answer, *verdict.Error) {
 	delay, ok := b.hedgeDelay(x, state)
 	if !ok {
 		return b.send(ctx, x, state, placed)
@@ -108,7 +108,7 @@
 
 // find takes a server for the hedge, if the budget allows one and there is a
 // server that the hedge would not crowd.
-func (r *race) find(ctx context.Context) *sounding {
+func (r *race) find(ctx context.Context) *candidate {
 	b := r.balancer
 	now := b.options.Clock()
 	lost := now.Sub(r.began) > time.Duration(overdue*float64(r.first.predicted))
--- a/internal/forward/trail.go
+++ b/internal/forward/sendlog.go
@@ -32,7 +32,7 @@
 }
 
 // describe makes the record of a send.
-func describe(placed *sounding, began, now time.Time, result string) Send {
+func describe(placed *candidate, began, now time.Time, result string) Send {
 	s := Send{
 		Server: placed.server.ID, Zone: placed.server.Zone, Hedge: placed.hedge,
 		PredictedMS: milliseconds(placed.predicted), TookMS: milliseconds(now.Sub(began)), Result: result,
@@ -59,22 +59,22 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-// trail collects the sends of one request; a hedge adds to it beside the first.
-type trail struct {
+// sendLog collects the sends of one request; a hedge adds to it beside the first.
+type sendLog struct {
 	mu    sync.Mutex
 	sends []Send
 }
 
-func (t *trail) add(s Send) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.sends = append(t.sends, s)
+func (l *sendLog) add(s Send) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sends = append(l.sends, s)
 }
 
-func (t *trail) list() []Send {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.sends
+func (l *sendLog) list() []Send {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sends
 }
 
 // Messages of the line that each request gets.
@@ -106,7 +106,7 @@
 	if x.waits > 0 {
 		attributes = append(attributes, slog.Int("waits", x.waits))
 	}
-	if sends := x.trail.list(); len(sends) > 0 {
+	if sends := x.sendLog.list(); len(sends) > 0 {
 		attributes = append(attributes, slog.Any("sends", sends))
 	}
 	message := MessageServed
