--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -111,6 +111,7 @@
 	// gateways, what is believed here was all that the store held.
 	confirmed time.Time
 	config    reading
+	packed    packed
 	servers   reading
 
 	view  atomic.Pointer[forward.View]
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -37,7 +37,8 @@
 // NewsReply is what the caller lacks.
 type NewsReply struct {
 	// Age is how long ago what the answering gateway believes was confirmed.
-	Age   time.Duration
+	Age time.Duration
+	// Delta holds the configuration packed.
 	Delta catalog.Delta
 	// Members are given when they are asked for, the answering gateway first,
 	// and when it leaves.
@@ -151,6 +152,13 @@
 		return nil, call.Error
 	}
 	reply := call.Reply.(*NewsReply)
+	if packedBody := reply.Delta.Config; packedBody != nil {
+		body, err := unpack(packedBody)
+		if err != nil {
+			return nil, err
+		}
+		reply.Delta.Config = body
+	}
 	f.learn(address, reply)
 	return reply, nil
 }
--- a/internal/feed/serve.go
+++ b/internal/feed/serve.go
@@ -11,8 +11,7 @@
 
 // News answers once the caller lacks something or its wait is over.
 func (m *methods) News(args NewsArgs, reply *NewsReply) error {
-	m.feed.answer(args, reply)
-	return nil
+	return m.feed.answer(args, reply)
 }
 
 // Serve takes questions of other gateways until the listener is closed.
@@ -30,7 +29,7 @@
 	}
 }
 
-func (f *Feed) answer(args NewsArgs, reply *NewsReply) {
+func (f *Feed) answer(args NewsArgs, reply *NewsReply) error {
 	f.mu.Lock()
 	now := f.options.Clock()
 	f.meet(now, args.Members)
@@ -43,6 +42,12 @@
 	}
 	reply.Age = f.age(f.options.Clock())
 	reply.Delta = f.catalog.Since(args.At)
+	if reply.Delta.Config == nil {
+		return nil
+	}
+	var err error
+	reply.Delta.Config, err = f.packed.of(reply.Delta.To.Config, reply.Delta.Config)
+	return err
 }
 
 // await waits while the caller lacks nothing and this gateway's news are fresh.
