One piece for running duties and stopping as planned; a check fails in one place

Read of the whole change. box and gateway had the same three pieces for a planned stop: internal/lifecycle serves both now. A health check's two failures were worked off in two copies; the counter of failures in a row was dead, since one sets a server aside; a test parameter was always nil; a usage comment named a field that does not exist. Ruled out as not worth it: the pairs alike in shape only (settings, test set-ups).

--- a/box/run.go
+++ b/box/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 
+	"github.com/sprucecrank/sprucecrank/internal/lifecycle"
 	"github.com/sprucecrank/sprucecrank/internal/oncerun"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
 )
@@ -41,7 +41,7 @@
 	var group run.Group
 	for _, duty := range b.duties() {
 		dutyCtx, end := context.WithCancel(duties)
-		group.Add(func() error { return untilEnded(dutyCtx, duty) }, func(error) { end() })
+		group.Add(func() error { return lifecycle.UntilEnded(dutyCtx, duty) }, func(error) { end() })
 	}
 	group.Add(func() error { return server.Serve(b.listeners.peers) }, func(error) {
 		_ = b.listeners.peers.Close()
@@ -49,7 +49,7 @@
 	})
 	group.Add(func() error { return b.serveAdmin(admin) }, func(error) { _ = admin.Close() })
 	drained := make(chan struct{})
-	group.Add(func() error { return serveUntil(clients, b.listeners.clients, drained) }, func(error) { _ = clients.Close() })
+	group.Add(func() error { return lifecycle.ServeUntil(clients, b.listeners.clients, drained) }, func(error) { _ = clients.Close() })
 	group.Add(func() error {
 		defer close(drained)
 		return b.drainAfter(ctx, clients)
@@ -59,28 +59,13 @@
 	b.members.Close()
 	b.entry.Close()
 	_ = b.telemetry.Shutdown(context.WithoutCancel(ctx))
-	if errors.Is(err, errStopped) {
+	if errors.Is(err, lifecycle.ErrStopped) {
 		b.log.Info("box stopped")
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
-// serveUntil serves clients. A shutdown makes Serve return at once, while
-// requests are still in flight: those are waited for, since the first actor
-// that returns ends the whole group.
-func serveUntil(s *http.Server, l net.Listener, drained <-chan struct{}) error {
-	err := s.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-drained
-		return errStopped
-	}
-	return err
-}
-
-// errStopped ends the group after a planned stop.
-var errStopped = errors.New("the box was stopped")
-
 // Stop begins a planned stop, as a signal does.
 func (b *Box) Stop() {
 	if b.stop != nil {
@@ -88,19 +73,8 @@
 	}
 }
 
-type duty func(context.Context) error
-
-// untilEnded keeps an actor of the group alive when its duty is done early.
-func untilEnded(ctx context.Context, d duty) error {
-	if err := d(ctx); err != nil {
-		return err
-	}
-	<-ctx.Done()
-	return nil
-}
-
-func (b *Box) duties() []duty {
-	return []duty{
+func (b *Box) duties() []lifecycle.Duty {
+	return []lifecycle.Duty{
 		b.follower.Starter, b.follower.Watcher, b.follower.Exchanger, b.follower.Lister,
 		b.broker.Returner, b.runner.Recorder, b.cleaner().Run, b.prober.Run,
 		b.tick,
@@ -165,7 +139,7 @@
 		b.log.Error("requests were still in flight when the time for stopping ran out", "error", err)
 	}
 	b.finish(ctx)
-	return errStopped
+	return lifecycle.ErrStopped
 }
 
 // finish waits for what goes on without a client: operations whose client hung
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/sprucecrank/sprucecrank/core/routing"
 	"github.com/sprucecrank/sprucecrank/internal/feed"
 	"github.com/sprucecrank/sprucecrank/internal/forward"
+	"github.com/sprucecrank/sprucecrank/internal/lifecycle"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
 	"github.com/sprucecrank/sprucecrank/internal/telemetry"
 	"github.com/sprucecrank/sprucecrank/internal/upstream"
@@ -210,10 +211,10 @@
 	var group run.Group
 	duties, endDuties := context.WithCancel(context.WithoutCancel(ctx))
 	defer endDuties()
-	for _, duty := range []func(context.Context) error{
+	for _, duty := range []lifecycle.Duty{
 		g.feed.Follow, g.feed.ReadConfig, g.feed.ReadServers, pause.Every(retainEvery, g.retain),
 	} {
-		group.Add(func() error { return untilEnded(duties, duty) }, func(error) { endDuties() })
+		group.Add(func() error { return lifecycle.UntilEnded(duties, duty) }, func(error) { endDuties() })
 	}
 	group.Add(func() error { return g.feed.Serve(g.listeners.peers) }, func(error) { _ = g.listeners.peers.Close() })
 	group.Add(func() error { return ready.Serve(g.listeners.ready) }, func(error) { _ = ready.Close() })
@@ -222,7 +223,7 @@
 		group.Add(func() error { return metrics.Serve(g.listeners.metrics) }, func(error) { _ = metrics.Close() })
 	}
 	drained := make(chan struct{})
-	group.Add(func() error { return serveUntil(clients, g.listeners.clients, drained) }, func(error) { _ = clients.Close() })
+	group.Add(func() error { return lifecycle.ServeUntil(clients, g.listeners.clients, drained) }, func(error) { _ = clients.Close() })
 	group.Add(func() error {
 		defer close(drained)
 		return g.drainAfter(ctx, clients)
@@ -230,33 +231,13 @@
 	g.log.Info("started", "listen", g.listeners.clients.Addr().String(), "zone", g.settings.Load().Zone)
 	err := group.Run()
 	g.pool.Close()
-	if errors.Is(err, errStopped) {
+	if errors.Is(err, lifecycle.ErrStopped) {
 		g.log.Info("stopped")
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
-func untilEnded(ctx context.Context, duty func(context.Context) error) error {
-	if err := duty(ctx); err != nil {
-		return err
-	}
-	<-ctx.Done()
-	return nil
-}
-
-// errStopped ends the group after a planned stop.
-var errStopped = errors.New("the gateway was stopped")
-
-func serveUntil(s *http.Server, l net.Listener, drained <-chan struct{}) error {
-	err := s.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		<-drained
-		return errStopped
-	}
-	return err
-}
-
 func (g *Gateway) clientServer() *http.Server {
 	return &http.Server{
 		Handler:        g.forward,
@@ -313,5 +294,5 @@
 		g.metrics.Cut(g.forward.Active())
 		g.log.Error("requests were still in flight when the time for stopping ran out", "active", g.forward.Active(), "error", err.Error())
 	}
-	return errStopped
+	return lifecycle.ErrStopped
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -234,7 +234,7 @@
 }
 
 // fleet starts gateways in two zones that know the first two as seeds.
-func fleet(t *testing.T, s *fakeStore, n int, prepare func(i int, a *access)) []*gateway {
+func fleet(t *testing.T, s *fakeStore, n int) []*gateway {
 	t.Helper()
 	listeners := make([]net.Listener, n)
 	for i := range listeners {
@@ -250,11 +250,7 @@
 	}
 	var out []*gateway
 	for i, listener := range listeners {
-		a := &access{store: s}
-		if prepare != nil {
-			prepare(i, a)
-		}
-		out = append(out, start(t, "gateway-"+strconv.Itoa(i), i, listener, a, seeds))
+		out = append(out, start(t, "gateway-"+strconv.Itoa(i), i, listener, &access{store: s}, seeds))
 	}
 	return out
 }
@@ -290,7 +286,7 @@
 	s := newFakeStore()
 	s.setConfig(3)
 	s.setServer("s1", false)
-	gateways := fleet(t, s, 6, nil)
+	gateways := fleet(t, s, 6)
 	expectAll(g, gateways, 3)
 	s.setConfig(7)
 	s.setServer("s2", false)
@@ -321,7 +317,7 @@
 			s := newFakeStore()
 			s.setConfig(1)
 			s.setServer("s1", false)
-			gateways := fleet(t, s, 4, nil)
+			gateways := fleet(t, s, 4)
 			expectAll(g, gateways, 1)
 			for _, gw := range gateways[:3] {
 				cut(gw.access)
@@ -337,7 +333,7 @@
 	s := newFakeStore()
 	s.setConfig(1)
 	s.setServer("s1", false)
-	gateways := fleet(t, s, 5, nil)
+	gateways := fleet(t, s, 5)
 	expectAll(g, gateways, 1)
 	for version := uint64(2); len(gateways) > 1; version++ {
 		gateways[0].kill() // sooner or later this is the reader
@@ -352,7 +348,7 @@
 	s := newFakeStore()
 	s.setConfig(4)
 	s.setServer("s1", false)
-	gateways := fleet(t, s, 2, nil)
+	gateways := fleet(t, s, 2)
 	expectAll(g, gateways, 4)
 	for _, gw := range gateways {
 		gw.access.down.Store(true)
@@ -374,7 +370,7 @@
 	s := newFakeStore()
 	s.setConfig(1)
 	s.setServer("s1", false)
-	gateways := fleet(t, s, 3, nil)
+	gateways := fleet(t, s, 3)
 	expectAll(g, gateways, 1)
 	for _, gw := range gateways {
 		gw.access.silent.Store(true)
@@ -396,7 +392,7 @@
 	s := newFakeStore()
 	s.setConfig(1)
 	s.setServer("s1", false)
-	gateways := fleet(t, s, 4, nil)
+	gateways := fleet(t, s, 4)
 	expectAll(g, gateways, 1)
 	stop := make(chan struct{})
 	var watchers sync.WaitGroup
@@ -434,7 +430,7 @@
 	s := newFakeStore()
 	s.setConfig(1)
 	s.setServer("s1", false)
-	gateways := fleet(t, s, 1, nil)
+	gateways := fleet(t, s, 1)
 	expectAll(g, gateways, 1)
 	s.change(func() { s.version, s.configAt, s.body = 2, s.revision, "not a number" })
 	g.Consistently(gateways[0].version, 300*time.Millisecond).Should(Equal(uint64(1)))
--- a/internal/forward/ask.go
+++ b/internal/forward/ask.go
@@ -159,19 +159,8 @@
 // check asks one server for its load.
 func (b *balancer) check(ctx context.Context, x *exchange, state *service, server catalog.Server) *candidate {
 	s := &candidate{server: server}
-	conn, failure := b.options.Pool.Get(ctx, server)
-	if failure != nil {
-		s.failed = true
-		if ctx.Err() == nil {
-			state.failed(b.options.Clock(), server.ID)
-		}
-		return s
-	}
-	s.conn = conn
-	health, err := conn.Check(x.health, checkTimeout)
-	b.options.Metrics.Check(x.service, checkResult(health, err))
-	if err != nil {
-		b.release(s)
+	health, ok := b.askHealth(ctx, x, s)
+	if !ok {
 		s.failed = true
 		if ctx.Err() == nil {
 			state.failed(b.options.Clock(), server.ID)
@@ -187,6 +176,23 @@
 	return s
 }
 
+// askHealth makes the check of a candidate; its connection is kept if the
+// server answered.
+func (b *balancer) askHealth(ctx context.Context, x *exchange, s *candidate) (upstream.Health, bool) {
+	conn, failure := b.options.Pool.Get(ctx, s.server)
+	if failure != nil {
+		return upstream.Health{}, false
+	}
+	s.conn = conn
+	health, err := conn.Check(x.health, checkTimeout)
+	b.options.Metrics.Check(x.service, checkResult(health, err))
+	if err != nil {
+		b.release(s)
+		return upstream.Health{}, false
+	}
+	return health, true
+}
+
 // Results of a health check, as metrics name them.
 const (
 	checkWell   = "well"
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	h := forward.New(forward.Options{Names: names, Believe: feed.View, ...})
+//	h := forward.New(forward.Options{Names: names, View: feed.View, ...})
 //	http.Serve(listener, h)
 package forward
 
--- a/internal/forward/learning.go
+++ b/internal/forward/learning.go
@@ -42,8 +42,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sizes[route.Name] += sizeStep * (float64(size) - s.sizes[route.Name])
-	state := s.server(id)
-	state.failures, state.asideFor = 0, 0
+	s.server(id).asideFor = 0
 	switch {
 	case reading.Slowness > easySlowness || reading.Waiting > 0:
 	case reading.LastSlot():
--- a/internal/forward/services.go
+++ b/internal/forward/services.go
@@ -10,8 +10,6 @@
 const (
 	firstAside   = 200 * time.Millisecond
 	longestAside = 3 * time.Second
-	// failuresAside is how many failures in a row set a server aside.
-	failuresAside = 1
 	// misdirectedAside is how long a server is left alone whose address now
 	// belongs to another one.
 	misdirectedAside = 10 * time.Second
@@ -67,7 +65,6 @@
 // serverState is what is known of one server.
 type serverState struct {
 	active     int
-	failures   int
 	asideUntil time.Time
 	asideFor   time.Duration
 }
@@ -129,10 +126,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.server(id)
-	state.failures++
-	if state.failures < failuresAside {
-		return
-	}
 	state.asideFor = min(max(2*state.asideFor, firstAside), longestAside)
 	state.asideUntil = now.Add(state.asideFor)
 }
