--- a/box/box.go
+++ b/box/box.go
@@ -32,8 +32,8 @@
 	"github.com/sprucecrank/sprucecrank/internal/probe"
 	"github.com/sprucecrank/sprucecrank/internal/telemetry"
 	"github.com/sprucecrank/sprucecrank/peer"
-	"github.com/sprucecrank/sprucecrank/platform"
 	"github.com/sprucecrank/sprucecrank/policy"
+	"github.com/sprucecrank/sprucecrank/store"
 )
 
 // Options are what a box takes from its process; zero values are the real ones.
@@ -53,7 +53,7 @@
 	options   Options
 	log       *slog.Logger
 	book      *accepted.Book
-	platform  *platform.Client
+	platform  *store.Client
 	members   *grant.Members
 	home      *home.Home
 	broker    *grant.Broker
@@ -136,7 +136,7 @@
 		return trace.Wrap(err)
 	}
 	self := member.Box{ID: s.ID, Peer: b.PeerAddress(), Hall: s.Hall, Start: uint64(o.Clock().UnixNano())}
-	b.platform = platform.New(platform.Options{Address: s.Platform, CallsPerSecond: s.PlatformCalls})
+	b.platform = store.New(store.Options{Address: s.Platform, CallsPerSecond: s.PlatformCalls})
 	b.members = grant.NewMembers(self, o.Clock, o.DialPeer)
 	b.home = home.New(home.Options{Clock: o.Clock, Random: rand.Float64})
 	b.broker = grant.New(grant.Options{Members: b.members, Home: b.home, Clock: o.Clock, Log: b.log})
--- a/box/objects.go
+++ b/box/objects.go
@@ -13,8 +13,8 @@
 
 	"github.com/sprucecrank/sprucecrank/internal/envelope"
 	"github.com/sprucecrank/sprucecrank/internal/submit"
-	"github.com/sprucecrank/sprucecrank/platform"
 	"github.com/sprucecrank/sprucecrank/policy"
+	"github.com/sprucecrank/sprucecrank/store"
 )
 
 // HeaderOperator names who makes a change through the administration API.
@@ -54,7 +54,7 @@
 }
 
 func (o objects) put(c echo.Context) error {
-	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, platform.MaxValue))
+	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, store.MaxValue))
 	if err != nil {
 		return err
 	}
--- a/internal/cli/boxcmd/boxcmd.go
+++ b/internal/cli/boxcmd/boxcmd.go
@@ -12,7 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/sprucecrank/sprucecrank/internal/cli/cmdutil"
-	"github.com/sprucecrank/sprucecrank/platform"
+	"github.com/sprucecrank/sprucecrank/store"
 )
 
 // NewCommand makes the box command with its verbs.
@@ -25,7 +25,7 @@
 }
 
 // Find reads the platform's list of boxes; id may be empty for all.
-func Find(ctx context.Context, f *cmdutil.Factory, id string) ([]platform.Member, error) {
+func Find(ctx context.Context, f *cmdutil.Factory, id string) ([]store.Member, error) {
 	all, err := f.Platform().Members(ctx, "boxes")
 	if err != nil {
 		return nil, cmdutil.Explain(err)
@@ -35,7 +35,7 @@
 	}
 	for _, m := range all {
 		if m.ID == id {
-			return []platform.Member{m}, nil
+			return []store.Member{m}, nil
 		}
 	}
 	return nil, fmt.Errorf("the platform's list has no box %q; see: sprucecrank box list", id)
--- a/internal/cli/cmdutil/cmdutil.go
+++ b/internal/cli/cmdutil/cmdutil.go
@@ -22,7 +22,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/sprucecrank/sprucecrank/platform"
+	"github.com/sprucecrank/sprucecrank/store"
 )
 
 // Streams are where a command reads and writes.
@@ -42,7 +42,7 @@
 	PlatformAddress string
 	// AdminToken is set by the --admin-token flag.
 	AdminToken string
-	Platform   func() *platform.Client
+	Platform   func() *store.Client
 	HTTP       *http.Client
 	Clock      func() time.Time
 	NewID      func() string
@@ -57,8 +57,8 @@
 		IO: s, HTTP: &http.Client{Timeout: httpTimeout}, Clock: time.Now,
 		NewID: uuid.NewString, User: currentUser,
 	}
-	f.Platform = func() *platform.Client {
-		return platform.New(platform.Options{Address: f.PlatformAddress})
+	f.Platform = func() *store.Client {
+		return store.New(store.Options{Address: f.PlatformAddress})
 	}
 	return f
 }
@@ -156,7 +156,7 @@
 		return ExitOK
 	case errors.As(err, &coded):
 		return coded.code
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrAmbiguous):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrAmbiguous):
 		return ExitPlatform
 	default:
 		return ExitFailed
@@ -187,11 +187,11 @@
 // Explain adds what to do next to an error of the platform.
 func Explain(err error) error {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		return fmt.Errorf("%w; see the names with the list command", err)
-	case errors.Is(err, platform.ErrAmbiguous):
+	case errors.Is(err, store.ErrAmbiguous):
 		return fmt.Errorf("%w; run the history command to see whether the change is there before you repeat it", err)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		return fmt.Errorf("%w; check --platform, or try again when the platform is back", err)
 	default:
 		return err
--- a/internal/cli/oncecmd/show.go
+++ b/internal/cli/oncecmd/show.go
@@ -16,7 +16,7 @@
 
 	"github.com/sprucecrank/sprucecrank/core/once"
 	"github.com/sprucecrank/sprucecrank/internal/cli/cmdutil"
-	"github.com/sprucecrank/sprucecrank/platform"
+	"github.com/sprucecrank/sprucecrank/store"
 )
 
 // NewCommand makes the once command with its verbs.
@@ -66,7 +66,7 @@
 
 func runShow(ctx context.Context, o *showOptions) error {
 	object, err := o.factory.Platform().Get(ctx, once.ObjectKey(o.service, o.client, o.key))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return fmt.Errorf("no record of this key: it was never sent through sprucecrank, or more than %s ago", once.Retention)
 	}
 	if err != nil {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -27,7 +27,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/home"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
 	"github.com/sprucecrank/sprucecrank/peer"
-	"github.com/sprucecrank/sprucecrank/platform"
+	"github.com/sprucecrank/sprucecrank/store"
 )
 
 const (
@@ -45,7 +45,7 @@
 // Options configure a Follower.
 type Options struct {
 	Book     *accepted.Book
-	Platform *platform.Client
+	Platform *store.Client
 	Members  *grant.Members
 	Home     *home.Home
 	Clock    func() time.Time
@@ -62,15 +62,15 @@
 // Follower carries out the duties. Its methods may run at the same time.
 type Follower struct {
 	options Options
-	mu      sync.Mutex                // guards options.Random and listed
-	listed  map[string]platform.State // what the list said of each target
+	mu      sync.Mutex             // guards options.Random and listed
+	listed  map[string]store.State // what the list said of each target
 	ready   chan struct{}
 	readied sync.Once
 }
 
 // New makes a follower.
 func New(o Options) *Follower {
-	return &Follower{options: o, listed: map[string]platform.State{}, ready: make(chan struct{})}
+	return &Follower{options: o, listed: map[string]store.State{}, ready: make(chan struct{})}
 }
 
 // Ready is closed once the box holds the greatest versions that the platform
@@ -103,7 +103,7 @@
 	}
 }
 
-func (f *Follower) offerSnapshot(s platform.Snapshot) {
+func (f *Follower) offerSnapshot(s store.Snapshot) {
 	entries := make([]accepted.Entry, len(s.Objects))
 	for i, o := range s.Objects {
 		entries[i] = accepted.Entry{Key: o.Key, Version: o.Version, Value: o.Value}
@@ -219,7 +219,7 @@
 	relistAt := f.options.Clock().Add(f.jittered(relistEvery))
 	for f.options.Clock().Before(relistAt) {
 		events, err := f.options.Platform.Watch(ctx, envelope.Prefix, revision, watchWait)
-		if errors.Is(err, platform.ErrGone) {
+		if errors.Is(err, store.ErrGone) {
 			return nil
 		}
 		if err != nil {
--- a/internal/follow/news.go
+++ b/internal/follow/news.go
@@ -6,7 +6,7 @@
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
 	"github.com/sprucecrank/sprucecrank/peer"
-	"github.com/sprucecrank/sprucecrank/platform"
+	"github.com/sprucecrank/sprucecrank/store"
 )
 
 // Exchanger is the duty that swaps news with a few peers at a time. The news
@@ -97,21 +97,21 @@
 
 // takeTarget takes in a target's entry. An entry without a start number counts
 // only when it changes: a lagging list must not make a target's new life leave.
-func (f *Follower) takeTarget(t platform.Member) {
+func (f *Follower) takeTarget(t store.Member) {
 	f.mu.Lock()
 	changed := f.listed[t.Address] != t.State
 	f.listed[t.Address] = t.State
 	f.mu.Unlock()
 	f.options.Home.SawStart(t.Address, t.Start)
-	if t.State == platform.Leaving && (changed || t.Start > 0) {
+	if t.State == store.Leaving && (changed || t.Start > 0) {
 		f.options.Home.Leave(t.Address, t.Start)
 	}
 }
 
-func toBoxes(members []platform.Member) []member.Box {
+func toBoxes(members []store.Member) []member.Box {
 	out := make([]member.Box, len(members))
 	for i, m := range members {
-		out[i] = member.Box{ID: m.ID, Peer: m.Address, Hall: m.Hall, Start: m.Start, Leaving: m.State == platform.Leaving}
+		out[i] = member.Box{ID: m.ID, Peer: m.Address, Hall: m.Hall, Start: m.Start, Leaving: m.State == store.Leaving}
 	}
 	return out
 }
--- a/internal/oncerun/clean.go
+++ b/internal/oncerun/clean.go
@@ -7,7 +7,7 @@
 
 	"github.com/sprucecrank/sprucecrank/core/once"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
-	"github.com/sprucecrank/sprucecrank/platform"
+	"github.com/sprucecrank/sprucecrank/store"
 )
 
 const (
@@ -21,7 +21,7 @@
 
 // CleanerOptions configure a Cleaner.
 type CleanerOptions struct {
-	List   func(ctx context.Context, prefix string) (platform.Snapshot, error)
+	List   func(ctx context.Context, prefix string) (store.Snapshot, error)
 	Delete func(ctx context.Context, key string, expect uint64) error
 	// Services names the services whose records this box cleans now.
 	Services func() []string
--- a/internal/oncerun/oncerun.go
+++ b/internal/oncerun/oncerun.go
@@ -21,8 +21,8 @@
 	"github.com/sprucecrank/sprucecrank/core/ledger"
 	"github.com/sprucecrank/sprucecrank/core/once"
 	"github.com/sprucecrank/sprucecrank/internal/grant"
-	"github.com/sprucecrank/sprucecrank/platform"
 	"github.com/sprucecrank/sprucecrank/ring"
+	"github.com/sprucecrank/sprucecrank/store"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -69,7 +69,7 @@
 
 // Options configure a Runner.
 type Options struct {
-	Objects platform.Objects
+	Objects store.Objects
 	Box     string
 	Clock   func() time.Time
 	Log     *slog.Logger
@@ -144,7 +144,7 @@
 	ctx, cancel := context.WithTimeout(ctx, platformWait)
 	defer cancel()
 	object, err := a.runner.options.Objects.Get(ctx, a.Key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return once.Found{}, nil
 	}
 	if err != nil {
@@ -157,7 +157,7 @@
 	return once.Found{Record: &record, Version: object.Version}, nil
 }
 
-func decode(o platform.Object) (once.Record, error) {
+func decode(o store.Object) (once.Record, error) {
 	var record once.Record
 	err := json.Unmarshal(o.Value, &record)
 	return record, err
@@ -172,7 +172,7 @@
 		a.version = version
 		return Result{}, nil
 	}
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	if !errors.As(err, &conflict) {
 		return Result{}, notReachable(err)
 	}
@@ -190,7 +190,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	mine := func(o platform.Object) bool {
+	mine := func(o store.Object) bool {
 		found, err := decode(o)
 		return err == nil && found.Nonce == m.record.Nonce && found.State == m.record.State
 	}
--- a/internal/standin/standincmd/standincmd.go
+++ b/internal/standin/standincmd/standincmd.go
@@ -24,7 +24,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/standin/load"
 	"github.com/sprucecrank/sprucecrank/internal/standin/platformsim"
 	"github.com/sprucecrank/sprucecrank/internal/standin/targetsim"
-	"github.com/sprucecrank/sprucecrank/platform"
+	"github.com/sprucecrank/sprucecrank/store"
 )
 
 const shutdownWithin = 30 * time.Second
@@ -110,19 +110,19 @@
 			&cli.StringFlag{Name: "address", Required: true, Usage: "peer address of a box, or address of a target"},
 			&cli.StringFlag{Name: "admin", Usage: "administration address of a box"},
 			&cli.StringFlag{Name: "hall", Required: true},
-			&cli.StringFlag{Name: "state", Value: string(platform.Live), Usage: "live or leaving"},
+			&cli.StringFlag{Name: "state", Value: string(store.Live), Usage: "live or leaving"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			m := platform.Member{
+			m := store.Member{
 				ID: c.String("id"), Address: c.String("address"), Admin: c.String("admin"),
-				Hall: c.String("hall"), State: platform.State(c.String("state")),
+				Hall: c.String("hall"), State: store.State(c.String("state")),
 			}
 			return putMember(ctx, c.String("platform"), c.String("list"), m)
 		},
 	}
 }
 
-func putMember(ctx context.Context, address, list string, m platform.Member) error {
+func putMember(ctx context.Context, address, list string, m store.Member) error {
 	raw, err := json.Marshal(m)
 	if err != nil {
 		return err
--- a/internal/submit/submit.go
+++ b/internal/submit/submit.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/internal/envelope"
-	"github.com/sprucecrank/sprucecrank/platform"
 	"github.com/sprucecrank/sprucecrank/policy"
+	"github.com/sprucecrank/sprucecrank/store"
 )
 
 // patience is how long a submission is settled for.
@@ -69,9 +69,9 @@
 }
 
 // Current reads the object that stands now; version 0 means none.
-func Current(ctx context.Context, objects platform.Objects, noun envelope.Noun, name string) (envelope.Envelope, uint64, error) {
+func Current(ctx context.Context, objects store.Objects, noun envelope.Noun, name string) (envelope.Envelope, uint64, error) {
 	object, err := objects.Get(ctx, noun.Key(name))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return envelope.Envelope{}, 0, nil
 	}
 	if err != nil {
@@ -83,7 +83,7 @@
 
 // Write submits a change and returns its version. The error is a RacedError
 // when another change came first, or the platform's.
-func Write(ctx context.Context, objects platform.Objects, c Change) (uint64, error) {
+func Write(ctx context.Context, objects store.Objects, c Change) (uint64, error) {
 	env, version, err := Current(ctx, objects, c.Noun, c.Name)
 	if err != nil {
 		return 0, err
@@ -97,14 +97,14 @@
 	if err != nil {
 		return 0, err
 	}
-	mine := func(o platform.Object) bool {
+	mine := func(o store.Object) bool {
 		found, err := envelope.Parse(o.Value)
 		return err == nil && found.ID == c.ID
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	written, err := objects.PutSettled(ctx, c.Noun.Key(c.Name), raw, version, mine)
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		return 0, &RacedError{version: conflict.Current().Version}
 	}
--- a/platform/platform.go
+++ b/store/platform.go
@@ -1,4 +1,4 @@
-// Package platform is the client of the platform's object API: versioned
+// Package store is the client of the platform's object API: versioned
 // objects, conditional updates, lists, watches and the lists of members.
 //
 // Every call may fail in three ways that matter: the platform refused it
@@ -9,10 +9,10 @@
 //
 // # Usage
 //
-//	c := platform.New(platform.Options{Address: "10.0.0.2:7000"})
+//	c := store.New(store.Options{Address: "10.0.0.2:7000"})
 //	object, err := c.Get(ctx, "services/preview")
 //	version, err := c.PutSettled(ctx, object.Key, value, object.Version, mine)
-package platform
+package store
 
 import (
 	"bytes"
