--- a/internal/cli/configcmd/check.go
+++ b/internal/cli/configcmd/check.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/sprucecrank/sprucecrank/box"
+	"github.com/sprucecrank/sprucecrank/gateway"
 	"github.com/sprucecrank/sprucecrank/internal/cli/cmdutil"
 )
 
@@ -27,15 +28,19 @@
 type checkOptions struct {
 	factory *cmdutil.Factory
 	file    string
+	gateway bool
 }
 
 func newCheck(f *cmdutil.Factory, run func(*checkOptions) error) *cli.Command {
 	return &cli.Command{
 		Name:      "check",
 		Usage:     "Check a settings file whole, without starting a box",
-		UsageText: "sprucecrank config check FILE",
+		UsageText: "sprucecrank config check FILE\nsprucecrank config check --gateway FILE",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "gateway", Usage: "the file holds the settings of a gateway"},
+		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			return run(&checkOptions{factory: f, file: c.Args().First()})
+			return run(&checkOptions{factory: f, file: c.Args().First(), gateway: c.Bool("gateway")})
 		},
 	}
 }
@@ -45,6 +50,9 @@
 	if err != nil {
 		return err
 	}
+	if o.gateway {
+		return checkGateway(o, raw)
+	}
 	s, err := box.ParseSettings(raw)
 	if err != nil {
 		return cmdutil.Usage("the settings are not valid:\n%w", err)
@@ -52,3 +60,12 @@
 	_, err = fmt.Fprintf(o.factory.IO.Out, "settings of box %s in hall %s: valid\n", s.ID, s.Hall)
 	return err
 }
+
+func checkGateway(o *checkOptions, raw []byte) error {
+	s, err := gateway.ParseSettings(raw)
+	if err != nil {
+		return cmdutil.Usage("the settings are not valid:\n%w", err)
+	}
+	_, err = fmt.Fprintf(o.factory.IO.Out, "settings of gateway %s in zone %s: valid\n", s.ID, s.Zone)
+	return err
+}
--- /dev/null
+++ b/internal/cli/explaincmd/explaincmd_test.go
@@ -0,0 +1,57 @@
+package explaincmd_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/internal/cli/cmdutil"
+	"github.com/sprucecrank/sprucecrank/internal/cli/explaincmd"
+)
+
+var update = flag.Bool("update-golden", false, "write the golden files anew")
+
+func run(args ...string) (out, errOut string, err error) {
+	var o, e bytes.Buffer
+	f := cmdutil.NewFactory(cmdutil.Streams{In: bytes.NewReader(nil), Out: &o, Err: &e})
+	command := explaincmd.NewCommand(f)
+	command.Writer, command.ErrWriter = &o, &e
+	err = command.Run(context.Background(), append([]string{"explain"}, args...))
+	return o.String(), e.String(), err
+}
+
+func TestGolden(t *testing.T) {
+	for name, args := range map[string][]string{
+		"refused": {"27ce79bc5bddfd5c", "testdata/logs.txt"},
+		"hedged":  {"f9ffdc490f76c571", "testdata/logs.txt"},
+		"json":    {"--json", "f9ffdc490f76c571", "testdata/logs.txt"},
+		"failed":  {"--failed", "testdata/logs.txt"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			out, errOut, err := run(args...)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(errOut).To(Equal("1 torn lines were left out\n"))
+			path := filepath.Join("testdata", name+".golden")
+			if *update {
+				g.Expect(os.WriteFile(path, []byte(out), 0o600)).To(Succeed())
+			}
+			want, err := os.ReadFile(path)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(out).To(Equal(string(want)))
+		})
+	}
+}
+
+func TestAnUnknownRequestGetsAClearWord(t *testing.T) {
+	g := NewWithT(t)
+	_, _, err := run("nobody", "testdata/logs.txt")
+	g.Expect(err).To(MatchError("no line of these logs names request nobody; they tell of 2 others"))
+	_, _, err = run("27ce79bc5bddfd5c")
+	g.Expect(err).To(MatchError(ContainSubstring("at least one log file")))
+}
--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -15,6 +15,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/cli/boxcmd"
 	"github.com/sprucecrank/sprucecrank/internal/cli/cmdutil"
 	"github.com/sprucecrank/sprucecrank/internal/cli/configcmd"
+	"github.com/sprucecrank/sprucecrank/internal/cli/explaincmd"
 	"github.com/sprucecrank/sprucecrank/internal/cli/object"
 	"github.com/sprucecrank/sprucecrank/internal/cli/oncecmd"
 	"github.com/sprucecrank/sprucecrank/internal/cli/status"
@@ -50,6 +51,7 @@
 		Commands: []*cli.Command{
 			object.NewCommand(f, envelope.Service), object.NewCommand(f, envelope.Policy),
 			status.NewCommand(f), boxcmd.NewCommand(f), oncecmd.NewCommand(f), configcmd.NewCommand(f),
+			explaincmd.NewCommand(f),
 		},
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -254,13 +254,13 @@
 	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
-	h.log(x, a.Status, nil)
+	h.report(x, a.Status, nil)
 }
 
 // refuse gives the client an answer of the gateway's own.
 func (h *Handler) refuse(w http.ResponseWriter, x *exchange, f *verdict.Error) {
 	if f.Reason() == verdict.ReasonClientGone {
-		h.log(x, 0, f)
+		h.report(x, 0, f)
 		panic(http.ErrAbortHandler)
 	}
 	out := w.Header()
@@ -271,5 +271,5 @@
 	}
 	out.Set("Content-Length", "0")
 	w.WriteHeader(f.Status())
-	h.log(x, f.Status(), f)
+	h.report(x, f.Status(), f)
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -490,6 +490,30 @@
 	g.Expect(s.runs.Load()).To(BeZero())
 }
 
+func TestHealthAnswersThatAreFalseForAllServersKeepNobodyOut(t *testing.T) {
+	for name, health := range map[string]http.HandlerFunc{
+		"ill":   func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"hangs": hang(nil),
+		"cut":   breakOff,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newStandin(t, "s1", "shop", "a", ok)
+			entry := s.entry.Config.Handler
+			s.entry.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/health" {
+					w.Header().Set(names.Load, "0,0,3,100")
+					health(w, r)
+					return
+				}
+				entry.ServeHTTP(w, r)
+			})
+			f := newFixture(t, s).start()
+			g.Expect(f.order().status).To(Equal(http.StatusOK))
+		})
+	}
+}
+
 func TestTrafficIsSplitByWeight(t *testing.T) {
 	g := NewWithT(t)
 	shop, farm := newStandin(t, "s1", "shop", "a", ok), newStandin(t, "f1", "farm", "a", ok)
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -91,6 +91,9 @@
 		}
 		state.waits(now, x.route.Priority)
 		b.options.Metrics.Wait(x.service)
+		if last && best == nil {
+			return b.blind(ctx, x, state)
+		}
 		if last && !free {
 			b.release(best)
 			return nil, verdict.New(verdict.NotRun, verdict.ReasonTooLate, "every server asked is too full to answer in time")
@@ -103,6 +106,19 @@
 	}
 }
 
+// blind takes any server that can be reached, since none of those asked for its
+// load has answered: a health check may fail though the server is well.
+func (b *balancer) blind(ctx context.Context, x *exchange, state *service) (*sounding, *verdict.Error) {
+	near, far := b.candidates(x, state, x.avoid)
+	if any := b.unasked(ctx, state, append(near, far...)); any != nil {
+		return any, nil
+	}
+	if ctx.Err() != nil {
+		return nil, ended(ctx)
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no server could be reached")
+}
+
 // acceptable says whether the request should go to a server now. In the last
 // round a server's queue will do, if the answer is still expected in time. A
 // server that is free but slow is taken only once no faster one could answer in
@@ -132,9 +148,6 @@
 
 // inTime says whether an answer within the route's objective is to be expected.
 func (b *balancer) inTime(now time.Time, x *exchange, s *sounding) bool {
-	if !s.well {
-		return false
-	}
 	left := time.Duration(inTimePart*float64(x.route.Objective)) - now.Sub(x.began)
 	return s.predicted <= left
 }
--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,228 @@
+package story_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/core/catalog"
+	"github.com/sprucecrank/sprucecrank/core/routing"
+	"github.com/sprucecrank/sprucecrank/internal/forward"
+	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/internal/story"
+	"github.com/sprucecrank/sprucecrank/internal/upstream"
+	"github.com/sprucecrank/sprucecrank/policy"
+)
+
+var names = headers.Defaults()
+
+// server is one stand-in server with the load that it tells.
+type server struct {
+	load string
+	do   http.HandlerFunc
+}
+
+func drop(_ http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(names.NotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func fail(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+
+func hang(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func fine(_ http.ResponseWriter, _ *http.Request) {}
+
+func (s server) start(t *testing.T, id string) catalog.Server {
+	t.Helper()
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(names.Load, s.load)
+		w.Header().Set(names.Instance, id)
+		if r.URL.Path == "/health" {
+			return
+		}
+		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.do(w, r)
+	}))
+	t.Cleanup(func() {
+		entry.CloseClientConnections()
+		entry.Close()
+	})
+	return catalog.Server{ID: id, Service: "shop", Zone: "a", Address: entry.Listener.Addr().String()}
+}
+
+// syncBuffer is a log that handlers of several connections write.
+type syncBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func (b *syncBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.String()
+}
+
+type failure struct {
+	name    string
+	servers []server
+	path    string
+	body    string
+	timeout time.Duration
+	unknown bool // no configuration yet
+	dead    bool // the only server can't be reached
+	leave   bool // the client leaves
+	cause   string
+}
+
+const usual = "0,0,3,100"
+
+var failures = []failure{
+	{name: "no route", path: "/nowhere/", cause: "configuration 7 has no route"},
+	{name: "not ready", unknown: true, cause: "did not know enough"},
+	{name: "no server", cause: "no server of the service was known"},
+	{name: "all full", servers: []server{{"3,9,3,500", fine}}, cause: "too full to answer in time"},
+	{name: "broken off", servers: []server{{usual, drop}}, cause: "broke off or sent no whole answer"},
+	{name: "refused", servers: []server{{usual, refuse}}, cause: "no second send was left"},
+	{name: "failed", servers: []server{{usual, fail}}, cause: "the server answered 500"},
+	{name: "late", servers: []server{{usual, hang}}, timeout: time.Second, cause: "its time ran out"},
+	{name: "unreachable", dead: true, cause: "no connection to any server could be made"},
+	{name: "client left", servers: []server{{usual, hang}}, leave: true, cause: "the client left"},
+	{name: "body too large", servers: []server{{usual, fine}}, body: strings.Repeat("a", 100), cause: "body-too-large"},
+	{name: "slow servers only", servers: []server{{"0,0,3,900", fine}}, cause: "answered after"},
+}
+
+// From its log lines alone the cause of each kind of failure can be told.
+func TestTheLogsTellTheCauseOfEachFailure(t *testing.T) {
+	for _, f := range failures {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			log := &syncBuffer{}
+			f.play(t, log)
+			g.Eventually(log.text, 20*time.Second).Should(ContainSubstring(`"request":"the-request"`))
+			logs, err := story.Read(strings.NewReader("12.5 machine-1 " + log.text()))
+			g.Expect(err).NotTo(HaveOccurred())
+			told, ok := logs.Of("the-request")
+			g.Expect(ok).To(BeTrue())
+			g.Expect(told.Causes).To(HaveLen(1))
+			g.Expect(told.Causes[0]).To(ContainSubstring(f.cause))
+			_, ok = logs.Of("another")
+			g.Expect(ok).To(BeFalse())
+		})
+	}
+}
+
+func (f failure) play(t *testing.T, log io.Writer) {
+	t.Helper()
+	view := &forward.View{Table: f.table(), Servers: map[string][]catalog.Server{}}
+	for i, s := range f.servers {
+		view.Servers["shop"] = append(view.Servers["shop"], s.start(t, string(rune('a'+i))))
+	}
+	if f.dead {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		view.Servers["shop"] = []catalog.Server{{ID: "dead", Service: "shop", Address: listener.Addr().String()}}
+		_ = listener.Close()
+	}
+	ready := make(chan struct{})
+	if f.unknown {
+		view = &forward.View{}
+	} else {
+		close(ready)
+	}
+	handler := forward.New(forward.Options{
+		Names: names, Zone: "a", View: func() *forward.View { return view }, Ready: ready,
+		Current: func() bool { return true }, Stopping: func() bool { return false },
+		Pool:  upstream.New(upstream.Options{Names: names}),
+		Retry: forward.Retry{Window: time.Second, Ratio: 0.1},
+		Log:   slog.New(slog.NewJSONHandler(log, nil)).With("gateway", "g1"),
+	})
+	entry := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		entry.CloseClientConnections()
+		entry.Close()
+	})
+	f.request(t, entry.URL)
+}
+
+func (f failure) table() *routing.Table {
+	timeout := f.timeout
+	if timeout == 0 {
+		timeout = time.Minute
+	}
+	return routing.New(routing.Config{
+		Version: 7, Limits: routing.Limits{BodyBytes: 50},
+		Routes: []routing.Route{{
+			Name: "r", Host: "shop.example", Prefix: "/read/", Mode: policy.Single, MaxAttempts: 1,
+			Objective: 2 * time.Second, Timeout: timeout, Shares: []routing.Share{{Service: "shop", Weight: 1}},
+		}},
+		Services: []routing.Service{{Name: "shop", HealthPath: "/health"}},
+	})
+}
+
+func (f failure) request(t *testing.T, url string) {
+	t.Helper()
+	path := f.path
+	if path == "" {
+		path = "/read/"
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	if f.leave {
+		time.AfterFunc(100*time.Millisecond, cancel)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+path, strings.NewReader(f.body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "shop.example"
+	r.Header.Set(names.RequestID, "the-request")
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+func TestTornAndForeignLinesAreLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	logs, err := story.Read(strings.NewReader("no json here\n{\"msg\":\"served\",\"request\":\"a\",\"status\":200}\n{\"msg\":\"ser\n{\"msg\":\"started\"}\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(logs.Torn()).To(Equal(1))
+	g.Expect(logs.Requests()).To(Equal(1))
+	g.Expect(logs.NotServed()).To(BeEmpty())
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("{\"request\":\"a\",\"sends\":[{\"server\":\"x\"}]}\n"))
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		logs, err := story.Read(bytes.NewReader(raw))
+		if err != nil {
+			return
+		}
+		for _, id := range logs.NotServed() {
+			logs.Of(id)
+		}
+	})
+}
