Serve safe requests of one connection side by side; keep the limits on heads and rest

Cause: net/http reads the next request of a connection only after it has answered the one before. Clients of the new deployment send lookups behind one another, so a quick one waits for a slow one at the gateway's door.

Change: internal/gateway/pipeline serves clients' connections, on the library's parser and nothing else of its server. Safe requests of a connection run side by side and are answered in order; others wait for those before them and are waited for. At most 16 requests, and about 1 MB, are held for a connection; beyond that nothing more is taken. That an answer closes its connection is known before anything behind it is read. Limits on the head (431), the time to send it (408) and to rest, on bodies (413, logged by the handler as before); ambiguous framing 400. forward no longer asks whether the process stops, and reads a body that is whole already.

--- a/box/run.go
+++ b/box/run.go
@@ -74,7 +74,7 @@
 	clients := b.clientServer()
 	drained := make(chan struct{})
 	group.Add(func() error {
-		return lifecycle.ServeUntil(clients, b.listeners.clients, drained)
+		return lifecycle.ServeUntil(clients.Serve, b.listeners.clients, drained)
 	}, func(error) { _ = clients.Close() })
 	group.Add(func() error {
 		defer close(drained)
--- a/core/gateway/routing/routing.go
+++ b/core/gateway/routing/routing.go
@@ -53,8 +53,8 @@
 	HealthPath string
 }
 
-// Limits bound what clients may send and how long they may stay. BodyBytes alone
-// is kept to; the others are a known gap (KNOWN-RED.txt).
+// Limits bound what clients may send and how long they may stay; a field that is
+// 0 sets no limit of its own.
 type Limits struct {
 	// HeaderBytes bounds the head of a request, in bytes.
 	HeaderBytes int
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
+	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/internal/lifecycle"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
 )
@@ -18,11 +18,6 @@
 const (
 	// retainEvery is how often idle connections are looked through. Chosen.
 	retainEvery = time.Second
-	// maxHeaderBytes bounds the head of a client's request. Chosen.
-	maxHeaderBytes = 1 << 20
-	// clientIdle is how long a client's connection may stay idle. Chosen: longer than
-	// the users' clients leave theirs.
-	clientIdle = 5 * time.Minute
 )
 
 // Shares of the time for a stop (stop_within_s).
@@ -83,15 +78,13 @@
 
 // addClients adds what serves clients, and what drains the gateway when ctx ends.
 func (g *Gateway) addClients(ctx context.Context, group *run.Group, stop func()) {
-	clients := &http.Server{
-		Handler:        g.forward,
-		IdleTimeout:    clientIdle,
-		MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog:       slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
-	}
+	clients := pipeline.New(pipeline.Options{
+		Handler: g.forward, Safe: g.forward.Repeatable, Limits: g.forward.Limits,
+		Stopping: g.stopping.Load, Log: g.log, Clock: g.options.Clock,
+	})
 	drained := make(chan struct{})
 	group.Add(func() error {
-		return lifecycle.ServeUntil(clients, g.listeners.clients, drained)
+		return lifecycle.ServeUntil(clients.Serve, g.listeners.clients, drained)
 	}, func(error) { _ = clients.Close() })
 	group.Add(func() error {
 		defer close(drained)
@@ -101,7 +94,7 @@
 }
 
 // drain stops the gateway as planned.
-func (g *Gateway) drain(ctx context.Context, clients *http.Server) error {
+func (g *Gateway) drain(ctx context.Context, clients *pipeline.Server) error {
 	within := seconds(g.settings.Load().StopWithin)
 	g.log.Info("stopping", "within_s", within.Seconds(), "active", g.forward.Active())
 	g.stopping.Store(true)
--- a/internal/cli/timeline/timeline_test.go
+++ b/internal/cli/timeline/timeline_test.go
@@ -20,6 +20,8 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
 	"github.com/sprucecrank/sprucecrank/internal/cli/timeline"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline/pipelinetest"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
 )
@@ -154,17 +156,13 @@
 	}
 	handler := forward.New(forward.Options{
 		Names: names, Hall: "a", Snapshot: func() *snapshot.Snapshot { return view }, Ready: ready,
-		Current: func() bool { return true }, Stopping: func() bool { return false },
-		Pool:  upstream.New(upstream.Options{Names: names}),
-		Retry: forward.Retry{Window: time.Second, Ratio: 0.1},
-		Log:   slog.New(slog.NewJSONHandler(log, nil)).With("gateway", "g1"),
+		Current: func() bool { return true },
+		Pool:    upstream.New(upstream.Options{Names: names}),
+		Retry:   forward.Retry{Window: time.Second, Ratio: 0.1},
+		Log:     slog.New(slog.NewJSONHandler(log, nil)).With("gateway", "g1"),
 	})
-	entry := httptest.NewServer(handler)
-	t.Cleanup(func() {
-		entry.CloseClientConnections()
-		entry.Close()
-	})
-	f.request(t, entry.URL)
+	address := pipelinetest.Serve(t, pipeline.Options{Handler: handler, Safe: handler.Repeatable, Limits: handler.Limits})
+	f.request(t, "http://"+address)
 }
 
 func (f failure) table() *routing.Table {
--- a/internal/gateway/forward/bench_test.go
+++ b/internal/gateway/forward/bench_test.go
@@ -10,7 +10,7 @@
 // in the same process; compare two versions by their ratio.
 func BenchmarkRequest(b *testing.B) {
 	f := newFixture(b, newStandin(b, "s1", "shop", "a", ok), newStandin(b, "s2", "shop", "a", ok)).start()
-	r, err := http.NewRequest(http.MethodGet, f.entry.URL+readPath, nil)
+	r, err := http.NewRequest(http.MethodGet, f.url+readPath, nil)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -16,7 +16,7 @@
 // # Usage
 //
 //	h := forward.New(forward.Options{Names: names, Snapshot: follower.Snapshot, ...})
-//	http.Serve(listener, h)
+//	server := pipeline.New(pipeline.Options{Handler: h, Safe: h.Repeatable, Limits: h.Limits})
 package forward
 
 import (
@@ -29,6 +29,7 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
 	"github.com/sprucecrank/sprucecrank/verdict"
@@ -55,10 +56,8 @@
 	ReadyTimeout time.Duration
 	// Current says whether what is believed was confirmed lately.
 	Current func() bool
-	// Stopping says whether the process is stopping.
-	Stopping func() bool
-	Pool     *upstream.Pool
-	Retry    Retry
+	Pool    *upstream.Pool
+	Retry   Retry
 	// Metrics may be nil.
 	Metrics *metrics.Metrics
 	Clock   func() time.Time
@@ -111,15 +110,36 @@
 // Active is how many requests are under way.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
+// Repeatable says whether a request may run more than once, so that it can be
+// served beside others of its client.
+func (h *Handler) Repeatable(r *http.Request) bool {
+	table := h.options.Snapshot().Table()
+	if table == nil {
+		return false
+	}
+	route, ok := table.Match(r.Host, r.URL.Path)
+	return ok && route.Repeatable
+}
+
+// Limits are those that the configuration sets to what clients send.
+func (h *Handler) Limits() pipeline.Limits {
+	table := h.options.Snapshot().Table()
+	if table == nil {
+		return pipeline.Limits{}
+	}
+	limits := table.Limits()
+	return pipeline.Limits{
+		HeadBytes: limits.HeaderBytes, BodyBytes: limits.BodyBytes,
+		HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	req := &request{id: r.Header.Get(h.options.Names.RequestID), in: r, began: h.options.Clock()}
-	if h.options.Stopping() {
-		w.Header().Set("Connection", "close")
-	}
-	answer, failure := h.serve(w, req)
+	answer, failure := h.serve(req)
 	if failure != nil {
 		h.refuse(w, req, failure)
 		return
@@ -127,13 +147,13 @@
 	h.pass(w, req, answer)
 }
 
-func (h *Handler) serve(w http.ResponseWriter, req *request) (*upstream.Answer, *verdict.Error) {
+func (h *Handler) serve(req *request) (*upstream.Answer, *verdict.Error) {
 	h.awaitReady(req)
 	believed := h.options.Snapshot()
 	if failure := h.route(believed, req); failure != nil {
 		return nil, failure
 	}
-	if failure := readBody(w, believed.Table().Limits(), req); failure != nil {
+	if failure := readBody(req); failure != nil {
 		return nil, failure
 	}
 	ctx, cancel := context.WithDeadline(req.in.Context(), req.deadline.Request())
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -20,6 +20,8 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline/pipelinetest"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
 	"github.com/sprucecrank/sprucecrank/verdict"
@@ -118,7 +120,7 @@
 	current bool
 	ready   chan struct{}
 	stop    atomic.Bool
-	entry   *httptest.Server
+	url     string
 	next    atomic.Int32
 }
 
@@ -132,9 +134,9 @@
 	}
 	f.options = forward.Options{
 		Names: names, Hall: "a", Snapshot: func() *snapshot.Snapshot { return f.view }, Ready: f.ready,
-		Current: func() bool { return f.current }, Stopping: f.stop.Load,
-		Pool:  upstream.New(upstream.Options{Names: names}),
-		Retry: forward.Retry{Window: 10 * time.Second, Ratio: 0.2},
+		Current: func() bool { return f.current },
+		Pool:    upstream.New(upstream.Options{Names: names}),
+		Retry:   forward.Retry{Window: 10 * time.Second, Ratio: 0.2},
 	}
 	return f
 }
@@ -153,12 +155,13 @@
 	}, Services: []routing.Service{{Name: "shop", HealthPath: "/health"}, {Name: "farm", HealthPath: "/health"}}})
 }
 
+// start serves clients as the gateway does.
 func (f *fixture) start() *fixture {
-	f.entry = httptest.NewServer(forward.New(f.options))
-	f.t.Cleanup(func() {
-		f.entry.CloseClientConnections()
-		f.entry.Close()
-		f.options.Pool.Close()
+	f.t.Helper()
+	handler := forward.New(f.options)
+	f.t.Cleanup(f.options.Pool.Close)
+	f.url = "http://" + pipelinetest.Serve(f.t, pipeline.Options{
+		Handler: handler, Safe: handler.Repeatable, Limits: handler.Limits, Stopping: f.stop.Load,
 	})
 	return f
 }
@@ -179,7 +182,7 @@
 	if method == http.MethodPost {
 		body = strings.NewReader("an order")
 	}
-	r, err := http.NewRequestWithContext(ctx, method, f.entry.URL+path+"x?q=1", body)
+	r, err := http.NewRequestWithContext(ctx, method, f.url+path+"x?q=1", body)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -469,7 +472,7 @@
 	s := newStandin(t, "s1", "shop", "a", ok)
 	f := newFixture(t, s).start()
 	f.stop.Store(true)
-	r, err := http.NewRequest(http.MethodGet, f.entry.URL+readPath, nil)
+	r, err := http.NewRequest(http.MethodGet, f.url+readPath, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	r.Host = "shop.example"
 	r.Header.Set(names.RequestID, "last")
@@ -484,7 +487,7 @@
 	g := NewWithT(t)
 	s := newStandin(t, "s1", "shop", "a", ok)
 	f := newFixture(t, s).start()
-	r, err := http.NewRequest(http.MethodPost, f.entry.URL+orderPath, strings.NewReader(strings.Repeat("a", 1<<20+1)))
+	r, err := http.NewRequest(http.MethodPost, f.url+orderPath, strings.NewReader(strings.Repeat("a", 1<<20+1)))
 	g.Expect(err).NotTo(HaveOccurred())
 	r.Host = "shop.example"
 	response, err := http.DefaultTransport.RoundTrip(r)
@@ -494,7 +497,6 @@
 	g.Expect(s.runs.Load()).To(BeZero())
 }
 
-// Known red: of the limits on clients only that on bodies is kept to.
 func TestAHeadBeyondTheLimitsIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	s := newStandin(t, "s1", "shop", "a", ok)
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -77,23 +76,20 @@
 	return allowed
 }
 
-// readBody takes the body in whole, so that a slow client holds no target.
-func readBody(w http.ResponseWriter, limits routing.Limits, req *request) *verdict.Error {
+// readBody takes the body in whole, so that a slow client holds no target. The limit
+// on its length is kept by the client's connection (internal/gateway/pipeline).
+func readBody(req *request) *verdict.Error {
 	if req.in.Body == nil || req.in.Body == http.NoBody {
 		return nil
 	}
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = math.MaxInt64
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.in.Body, limit))
-	if err == nil {
-		req.body = body
-		return nil
-	}
+	body, err := io.ReadAll(req.in.Body)
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
 		return verdict.New(verdict.NotRun, verdict.ReasonBodyTooLarge, "the body is larger than the limits allow")
 	}
-	return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the body could not be read whole").WithCause(err)
+	if err != nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the body could not be read whole").WithCause(err)
+	}
+	req.body = body
+	return nil
 }
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	group.Add(func() error { return lifecycle.UntilEnded(ctx, duty) }, ...)
-//	group.Add(func() error { return lifecycle.ServeUntil(server, listener, drained) }, ...)
+//	group.Add(func() error { return lifecycle.ServeUntil(server.Serve, listener, drained) }, ...)
 //	if err := group.Run(); errors.Is(err, lifecycle.ErrStopped) { ... }
 package lifecycle
 
@@ -30,11 +30,11 @@
 	return nil
 }
 
-// ServeUntil serves clients. A shutdown makes Serve return at once, while
-// requests are still in flight: those are waited for, since the first actor
-// that returns ends the whole group.
-func ServeUntil(s *http.Server, l net.Listener, drained <-chan struct{}) error {
-	err := s.Serve(l)
+// ServeUntil serves clients. A shutdown makes serve return http.ErrServerClosed at
+// once, while requests are still in flight: those are waited for, since the first
+// actor that returns ends the whole group.
+func ServeUntil(serve func(net.Listener) error, l net.Listener, drained <-chan struct{}) error {
+	err := serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-drained
 		return ErrStopped
