Learn what each level of fullness costs, and leave slots free that slow a target down

Hypothesis: predicting by level and holding targets at the level of most work serves more in time.

Change: estimate keeps a cost for each of 12 levels of fullness, a mean over up to 24 answers, one answer counting at most 3 times what is believed; no level costs more than a fuller one that is known, and less than 1.2 is none. The limit is the level with most work a second; placement leaves the slots beyond it free (Reserved), and queues in the last round only at targets without one. 3 in 100 requests may take any free slot, so that the limit rises again. Levels are shares of the slots, of any number.

--- a/core/gateway/estimate/estimate.go
+++ b/core/gateway/estimate/estimate.go
@@ -44,7 +44,7 @@
 	// silentProbes is how many probes in a row without a load report show that a
 	// service reports none. Chosen, not measured.
 	silentProbes = 8
-	// minUsual keeps a saturation from being measured against next to nothing.
+	// minUsual keeps a cost from being measured against next to nothing.
 	minUsual = time.Millisecond
 )
 
@@ -62,6 +62,7 @@
 type Prediction struct {
 	took      time.Duration
 	saturated bool
+	reserved  int
 }
 
 // Took is the time until the request would end.
@@ -70,19 +71,23 @@
 // Saturated says whether that is longer for want of room at the target.
 func (p Prediction) Saturated() bool { return p.saturated }
 
+// Reserved is how many of the target's slots are better left free, since it does
+// more work a second then.
+func (p Prediction) Reserved() int { return p.reserved }
+
 // Service holds the estimates for one service. It is not safe for concurrent use.
 type Service struct {
-	medians    map[string]median  // of the time of an answer, by route
-	bytes      map[string]float64 // of an answer, by route
-	idleShare  float64            // of the targets that were probed
-	saturation saturation
-	silent     int  // probes in a row without a load report
-	reports    bool // some probe held a load report
+	medians   map[string]median  // of the time of an answer, by route
+	bytes     map[string]float64 // of an answer, by route
+	idleShare float64            // of the targets that were probed
+	levels    levels
+	silent    int  // probes in a row without a load report
+	reports   bool // some probe held a load report
 }
 
 // New makes the estimates of a service of which nothing is known.
 func New() *Service {
-	return &Service{medians: map[string]median{}, bytes: map[string]float64{}, saturation: firstSaturation}
+	return &Service{medians: map[string]median{}, bytes: map[string]float64{}, levels: newLevels()}
 }
 
 // Usual is how long a request of a route usually takes on an idle target.
@@ -98,23 +103,27 @@
 
 // Predict is what a target with a load would take for a request of a route.
 func (s *Service) Predict(route *routing.Route, report load.Report) Prediction {
+	factor := s.levels.factor(report)
 	return Prediction{
-		took:      report.Predict(s.Usual(route), s.saturation.factor),
-		saturated: report.Free() == 0 || report.LastSlot() && s.saturation.matters(),
+		took:      report.Predict(s.Usual(route), factor),
+		saturated: report.Free() == 0 || factor > mattersFrom,
+		reserved:  report.Slots() - s.levels.limit(report.Slots()),
 	}
 }
 
-// Answered learns from a request that was answered. A target that was slow or
-// had a queue says nothing about the usual time, and one on its last slot only
-// how much that slot costs.
+// Answered learns from a request that was answered. A target that was slow or had a
+// queue says nothing about the usual time. One that had other requests tells what its
+// level of fullness costs, and the usual time only where that is nothing.
 func (s *Service) Answered(route *routing.Route, a Answer) {
 	s.bytes[route.Name] += bytesStep * (float64(a.Bytes) - s.bytes[route.Name])
+	if a.Report.Slowness() > UsualSlowness || a.Report.Waiting() > 0 {
+		return
+	}
 	usual := s.Usual(route)
-	switch {
-	case a.Report.Slowness() > UsualSlowness || a.Report.Waiting() > 0:
-	case a.Report.LastSlot():
-		s.saturation.learn(float64(a.Took) / float64(max(usual, minUsual)))
-	default:
+	if _, measured := s.medians[route.Name]; measured && a.Report.Running() > 0 {
+		s.levels.learn(a.Report, float64(a.Took)/float64(max(usual, minUsual)))
+	}
+	if !a.Report.LastSlot() && s.levels.factor(a.Report) <= mattersFrom {
 		s.medians[route.Name] = s.medians[route.Name].moved(usual, a.Took)
 	}
 }
--- a/core/gateway/load/load.go
+++ b/core/gateway/load/load.go
@@ -112,17 +112,13 @@
 const fullnessWeight = 0.1
 
 // Predict is the time until a request would end, were it sent now. usual is how
-// long it takes on an idle target, and saturation how much longer on the last
-// slot of one: some targets slow down when they are nearly full.
-func (r Report) Predict(usual time.Duration, saturation float64) time.Duration {
-	work := float64(usual) * r.slowness
+// long it takes on an idle target, and cost how much longer on one that is as full
+// as this one would be: some targets slow down when they are nearly full.
+func (r Report) Predict(usual time.Duration, cost float64) time.Duration {
+	work := float64(usual) * r.slowness * cost
 	if r.slots > 1 {
 		work *= 1 + fullnessWeight*float64(r.running)/float64(r.slots)
 	}
-	if !r.LastSlot() && r.Free() > 0 {
-		return time.Duration(work)
-	}
-	work *= saturation
 	if r.Free() > 0 {
 		return time.Duration(work)
 	}
--- a/core/gateway/placement/decide.go
+++ b/core/gateway/placement/decide.go
@@ -114,8 +114,8 @@
 // Decide says what becomes of a request after a round of probes. While only the
 // own hall was probed, only an idle target will do; then a free one from which an
 // answer is predicted in time; in the last round a full one, too, if its queue is
-// short enough. A free target that is slow is taken once a usual one could not
-// answer in time either: no better comes.
+// short enough and it does not slow down when it is full. A free target that is slow
+// is taken once a usual one could not answer in time either: no better comes.
 func Decide(s State) Decision {
 	if s.Best == nil {
 		return s.withoutCandidate()
@@ -123,7 +123,7 @@
 	if (!s.LocalOnly || s.Best.Idle()) && s.acceptable() {
 		return Decision{action: Take}
 	}
-	free := s.Best.Report.Free() > 0
+	free := s.Best.Room() > 0
 	if free && s.Deadlines.hopeEnded(s.Now) {
 		return Decision{action: Take}
 	}
@@ -153,9 +153,9 @@
 	if !best.HasReport {
 		return true // nothing better can be known of a service that reports no load
 	}
-	if best.Free() && best.Report.LastSlot() && s.Yield {
+	if best.Free() && best.lastRoom() && s.Yield {
 		return false
 	}
 	lastRound := s.Deadlines.searchEnded(s.Now)
-	return (lastRound || best.Free()) && s.Deadlines.inTime(s.Now, best.Predicted)
+	return (lastRound && best.Reserved == 0 || best.Free()) && s.Deadlines.inTime(s.Now, best.Predicted)
 }
--- a/core/gateway/placement/placement.go
+++ b/core/gateway/placement/placement.go
@@ -51,10 +51,18 @@
 	// says whether that is longer for want of room.
 	Predicted time.Duration
 	Saturated bool
+	// Reserved is how many of its slots are better left free.
+	Reserved int
 }
 
-// Free says whether the target reports a free slot.
-func (c *Candidate) Free() bool { return c.HasReport && c.Healthy && c.Report.Free() > 0 }
+// Room is how many more requests the target should begin at once.
+func (c *Candidate) Room() int { return max(c.Report.Free()-c.Reserved, 0) }
+
+// Free says whether the target reports a free slot that is worth taking.
+func (c *Candidate) Free() bool { return c.HasReport && c.Healthy && c.Room() > 0 }
+
+// lastRoom says whether a request would take the last slot that is worth taking.
+func (c *Candidate) lastRoom() bool { return c.Report.Slots() > 1 && c.Room() <= 1 }
 
 // Idle says whether no other target could be better by much: it has a free slot,
 // works at its usual speed and is not saturated.
--- a/core/gateway/placement/probe.go
+++ b/core/gateway/placement/probe.go
@@ -26,8 +26,10 @@
 	roundShare = 0.08
 	minRound   = 4 * time.Millisecond
 	// maxPause bounds the pause between two rounds, the same share of the
-	// objective. Chosen: a slot turns over in some tens of milliseconds.
-	maxPause = 25 * time.Millisecond
+	// objective. Chosen: a slot turns over in some tens of milliseconds. 25 ms in its
+	// place probed a full service's targets beyond the users' bound on probes once
+	// slots were left free (docs/EXPERIMENTS.md).
+	maxPause = 50 * time.Millisecond
 	// localWaitPerKB is how long a request waits for a target of its own hall for
 	// each kilobyte of its usual answer, since bytes between halls are paid for,
 	// and localWaitShare bounds that as a share of the objective. Measured:
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -67,6 +67,9 @@
 	// Explore says whether a search for a target takes no account of idle
 	// connections, so that new targets are found; nil for one of four, at random.
 	Explore func() bool
+	// ExploreLimit says whether a request may take a slot that is better left free, so
+	// that it is found out when targets no longer slow down; nil for few, at random.
+	ExploreLimit func() bool
 }
 
 const (
@@ -74,6 +77,9 @@
 	// docs/DESIGN.md, "targets with an idle connection first, three times of
 	// four".
 	exploreShare = 0.25
+	// exploreLimitShare is the share of the requests that may take any free slot.
+	// Chosen: a level's cost is told by some dozens of answers, and each may be late.
+	exploreLimitShare = 0.03
 	// readyTimeout is how long a request waits for a process that has just begun
 	// to learn the configuration and the targets. Chosen: one reads the store in
 	// some tens of milliseconds.
@@ -98,6 +104,9 @@
 	if o.Explore == nil {
 		o.Explore = func() bool { return rand.Float64() < exploreShare }
 	}
+	if o.ExploreLimit == nil {
+		o.ExploreLimit = func() bool { return rand.Float64() < exploreLimitShare }
+	}
 	if o.ReadyTimeout == 0 {
 		o.ReadyTimeout = readyTimeout
 	}
@@ -138,7 +147,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	req := &request{id: r.Header.Get(h.options.Names.RequestID), in: r, began: h.options.Clock()}
+	req := &request{
+		id: r.Header.Get(h.options.Names.RequestID), in: r, began: h.options.Clock(), exploresLimit: h.options.ExploreLimit(),
+	}
 	answer, failure := h.serve(req)
 	if failure != nil {
 		h.refuse(w, req, failure)
--- a/internal/gateway/forward/probe.go
+++ b/internal/gateway/forward/probe.go
@@ -131,6 +131,9 @@
 	if c.HasReport {
 		prediction := svc.predict(req.route, c.Report)
 		c.Predicted, c.Saturated = prediction.Took(), prediction.Saturated()
+		if !req.exploresLimit {
+			c.Reserved = prediction.Reserved()
+		}
 	}
 	return c
 }
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -32,8 +32,10 @@
 	// avoid are the ids of the targets to which the request was sent already.
 	avoid []string
 	// waits counts the rounds of probes in which no target would do.
-	waits   int
-	sendLog sendLog
+	waits int
+	// exploresLimit says that it may take a slot that is better left free.
+	exploresLimit bool
+	sendLog       sendLog
 }
 
 // route finds the route, the service and the deadline of a request.
