Let a refusal arrive at a client that is still sending

Change: beyond those 256 KB nothing more is read, but the connection stays for the rest of the half second.

--- a/internal/gateway/pipeline/conn.go
+++ b/internal/gateway/pipeline/conn.go
@@ -281,6 +281,7 @@
 	if !ok || c.ctx.Err() != nil || !c.startLinger() || half.CloseWrite() != nil {
 		return
 	}
+	ended := time.After(lingerTime)
 	var scrap [1 << 10]byte
 	for left := lingerBytes; left > 0; {
 		n, err := c.net.Read(scrap[:])
@@ -289,4 +290,8 @@
 		}
 		left -= n
 	}
+	select { // more is not read, but the answer is to arrive
+	case <-ended:
+	case <-c.ctx.Done():
+	}
 }
--- a/internal/gateway/pipeline/pipeline_test.go
+++ b/internal/gateway/pipeline/pipeline_test.go
@@ -514,9 +514,15 @@
 
 func (p *pipes) Addr() net.Addr { return &net.UnixAddr{Name: "pipes"} }
 
+// halfCloser is a connection whose sending side can be closed alone, which a pipe's
+// other end does not see.
+type halfCloser struct{ net.Conn }
+
+func (halfCloser) CloseWrite() error { return nil }
+
 func (p *pipes) dial() net.Conn {
 	ours, theirs := net.Pipe()
-	p.accepted <- theirs
+	p.accepted <- halfCloser{theirs}
 	return ours
 }
 
@@ -601,3 +607,21 @@
 		g.Expect(time.Since(began)).To(Equal(40 * time.Second))
 	})
 }
+
+// A client may still be sending when it is refused. Were the connection closed at
+// once, its next bytes would be answered with a reset, which may destroy the refusal.
+func TestAClientThatSendsFarTooMuchLearnsOfTheRefusal(t *testing.T) {
+	virtual(t, pipeline.Limits{BodyBytes: 10}, func(g *WithT, c *client, _ *backend) {
+		const length = 1 << 20
+		c.write(fmt.Sprintf("POST /x HTTP/1.1\r\nHost: shop\r\nContent-Length: %d\r\n\r\n", length))
+		broken := make(chan time.Duration, 1)
+		began := time.Now()
+		go func() {
+			_, _ = c.conn.Write(make([]byte, length))
+			broken <- time.Since(began)
+		}()
+		response, _ := c.read(http.MethodGet)
+		g.Expect(response.StatusCode).To(Equal(http.StatusRequestEntityTooLarge))
+		g.Expect(<-broken).To(Equal(500 * time.Millisecond))
+	})
+}
