--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -30,6 +30,10 @@
 	// (watch_trust_s) that it waits. With one of 4.5 s two days broke the
 	// rule on configurations (docs/INCIDENTS.md).
 	watchShare = 0.8
+	// restoreShare is the share of that time after an outage of the store by whose end
+	// targets are read again, however late entries may come back: from its end on, what
+	// the store says must be kept to. Chosen: the rest is for the reading itself.
+	restoreShare = 0.8
 	// watchSlack is how much later than it waits the answer of a watch may come.
 	// Chosen: the store answers in milliseconds.
 	watchSlack = 200 * time.Millisecond
@@ -48,6 +52,6 @@
 		Watch:       seconds(watchShare*s.WatchTrust) - watchSlack,
 		WatchSlack:  watchSlack,
 		OutageAfter: seconds(s.WatchTrust),
-		Restore:     seconds(s.RestoreWithin),
+		Restore:     min(seconds(s.RestoreWithin), seconds(restoreShare*s.WatchTrust)),
 	}
 }
