A test waits until connections are given back, not until a scheduler has run

Cause: TestTargetsWithARestingConnectionArePreferredAndNewOnesFound failed once beside load: what the losing probe of a round found is given back beside the answer, so that the next request may see one idle connection less.

Change: before the next request the test waits until every connection that was opened rests again.

--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -613,9 +613,20 @@
 			}
 			f := newFixture(t, targets...)
 			f.options.Explore = func() bool { return c.explore }
+			var opened atomic.Int32
+			f.options.Pool = upstream.New(upstream.Options{Names: names, Opened: func() { opened.Add(1) }})
 			f.start()
+			// What another probe of a round found is given back beside the answer.
+			resting := func() int32 {
+				total := 0
+				for _, n := range f.options.Pool.Idle() {
+					total += n
+				}
+				return int32(total)
+			}
 			for range 100 {
 				g.Expect(f.read().status).To(Equal(http.StatusOK))
+				g.Eventually(func() bool { return resting() == opened.Load() }, eventual).Should(BeTrue())
 			}
 			reached := 0
 			for _, s := range targets {
