Soak: three clients send several requests behind one another

They check what other clients do, that answers come in order, that nothing behind an answer that closes was sent to a target, and that planned work cuts none.

--- a/e2e/gateway/soak_test.go
+++ b/e2e/gateway/soak_test.go
@@ -58,6 +58,9 @@
 	for n := range *soakClients {
 		clients.Go(func() { w.client(ctx, seed, n) })
 	}
+	for n := range pipeliningClients {
+		clients.Go(func() { w.pipelining(ctx, seed, n) })
+	}
 	defer clients.Wait()
 	defer stop()
 	played := w.play(*soakFor)
