--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -79,6 +79,15 @@
 
 // Check reports the first field that can't be used, with what it should hold.
 func (s Settings) Check() error {
+	for _, check := range []func() error{s.checkAddresses, s.checkTimes, s.checkRest} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s Settings) checkAddresses() error {
 	for _, field := range []struct{ name, value string }{
 		{"listen", s.Listen}, {"ready_listen", s.ReadyListen}, {"peer_listen", s.PeerListen}, {"store", s.Store},
 	} {
@@ -86,16 +95,25 @@
 			return fmt.Errorf("settings field %s is %q; give an IP number with a port, such as 10.0.0.7:8080", field.name, field.value)
 		}
 	}
+	return nil
+}
+
+func (s Settings) checkTimes() error {
 	for _, field := range []struct {
 		name  string
 		value float64
 	}{
-		{"apply_within_s", s.ApplyWithin}, {"stop_within_s", s.StopWithin}, {"watch_trust_s", s.WatchTrust}, {"restore_within_s", s.RestoreWithin}, {"retry_window_s", s.RetryWindow},
+		{"apply_within_s", s.ApplyWithin}, {"stop_within_s", s.StopWithin}, {"watch_trust_s", s.WatchTrust},
+		{"restore_within_s", s.RestoreWithin}, {"retry_window_s", s.RetryWindow},
 	} {
 		if field.value <= 0 {
 			return fmt.Errorf("settings field %s is %v; give seconds above 0", field.name, field.value)
 		}
 	}
+	return nil
+}
+
+func (s Settings) checkRest() error {
 	if s.ID == "" || s.Hall == "" {
 		return fmt.Errorf("settings fields id (%q) and hall (%q) must both be given", s.ID, s.Hall)
 	}
--- a/internal/cli/status/status.go
+++ b/internal/cli/status/status.go
@@ -159,12 +159,7 @@
 
 // probeRows adds up what all boxes' probes took of each target.
 func probeRows(f *cmdutil.Factory, answers []answer) [][]string {
-	type sum struct {
-		probes           int
-		ms, rate, budget float64
-	}
-	sums := map[string]*sum{}
-	var order []string
+	var sums probeSums
 	for _, a := range answers {
 		if a.Status == nil {
 			continue
@@ -172,22 +167,44 @@
 		up := f.Clock().Sub(time.Unix(0, int64(a.Status.Start))).Seconds()
 		for _, s := range a.Status.Services {
 			for _, p := range s.Probes {
-				if sums[p.Target] == nil {
-					sums[p.Target] = &sum{budget: s.ProbeBudgetMS}
-					order = append(order, p.Target)
-				}
-				sums[p.Target].probes += p.Probes
-				sums[p.Target].ms += p.MS
-				sums[p.Target].rate += p.MS / max(up, 1)
+				sum := sums.of(p.Target, s.ProbeBudgetMS)
+				sum.probes += p.Probes
+				sum.ms += p.MS
+				sum.rate += p.MS / max(up, 1)
 			}
 		}
 	}
-	rows := make([][]string, 0, len(order))
-	for _, target := range order {
-		s := sums[target]
+	return sums.rows()
+}
+
+// probeSums add up what boxes tell of their probes, by target, in the order in which
+// targets were first told of.
+type probeSums []*probeSum
+
+// probeSum is one target's: time in milliseconds, and each second.
+type probeSum struct {
+	target           string
+	probes           int
+	ms, rate, budget float64
+}
+
+func (s *probeSums) of(target string, budget float64) *probeSum {
+	for _, sum := range *s {
+		if sum.target == target {
+			return sum
+		}
+	}
+	sum := &probeSum{target: target, budget: budget}
+	*s = append(*s, sum)
+	return sum
+}
+
+func (s probeSums) rows() [][]string {
+	rows := make([][]string, 0, len(s))
+	for _, sum := range s {
 		rows = append(rows, []string{
-			target, strconv.Itoa(s.probes), fmt.Sprintf("%.1f", s.ms),
-			fmt.Sprintf("%.3f", s.rate), fmt.Sprintf("%.1f", s.budget),
+			sum.target, strconv.Itoa(sum.probes), fmt.Sprintf("%.1f", sum.ms),
+			fmt.Sprintf("%.3f", sum.rate), fmt.Sprintf("%.1f", sum.budget),
 		})
 	}
 	return rows
--- a/internal/gateway/forward/log.go
+++ b/internal/gateway/forward/log.go
@@ -81,24 +81,7 @@
 	if !h.options.Log.Enabled(context.Background(), slog.LevelInfo) {
 		return
 	}
-	attributes := make([]slog.Attr, 0, 15)
-	attributes = append(attributes,
-		slog.String("request", req.id), slog.Int("status", status), slog.Float64("held_ms", milliseconds(held)),
-		slog.Uint64("config", req.config), slog.String("service", req.service),
-	)
-	if req.route != nil {
-		attributes = append(attributes, slog.String("route", req.route.Name), slog.Float64("objective_ms", milliseconds(req.route.Objective)))
-	}
-	if req.waits > 0 {
-		attributes = append(attributes, slog.Int("waits", req.waits))
-	}
-	if probed := req.probed.Load(); probed > 0 {
-		attributes = append(attributes, slog.Int64("probed", probed), slog.Int64("idle", req.idle.Load()))
-	}
-	if sends := req.sendLog.list(); len(sends) > 0 {
-		attributes = append(attributes, slog.Any("sends", sends))
-	}
-	message := MessageServed
+	message, attributes := MessageServed, req.attributes(status, held)
 	if f != nil {
 		message = MessageNotServed
 		attributes = append(attributes, slog.String("verdict", f.Verdict().String()), slog.String("reason", reason),
@@ -106,3 +89,28 @@
 	}
 	h.options.Log.LogAttrs(context.Background(), slog.LevelInfo, message, attributes...)
 }
+
+// maxAttributes is how many a line has at most.
+const maxAttributes = 15
+
+// attributes are those of a line that tell what was done for a request.
+func (r *request) attributes(status int, held time.Duration) []slog.Attr {
+	list := make([]slog.Attr, 0, maxAttributes)
+	list = append(list,
+		slog.String("request", r.id), slog.Int("status", status), slog.Float64("held_ms", milliseconds(held)),
+		slog.Uint64("config", r.config), slog.String("service", r.service),
+	)
+	if r.route != nil {
+		list = append(list, slog.String("route", r.route.Name), slog.Float64("objective_ms", milliseconds(r.route.Objective)))
+	}
+	if r.waits > 0 {
+		list = append(list, slog.Int("waits", r.waits))
+	}
+	if probed := r.probed.Load(); probed > 0 {
+		list = append(list, slog.Int64("probed", probed), slog.Int64("idle", r.idle.Load()))
+	}
+	if sends := r.sendLog.list(); len(sends) > 0 {
+		list = append(list, slog.Any("sends", sends))
+	}
+	return list
+}
