--- a/core/box/health/health.go
+++ b/core/box/health/health.go
@@ -2,7 +2,7 @@
 // requests. It reads no clock and does no I/O: time comes in as an argument.
 //
 // A cold target ramps up from one slot. A quick failure never counts as a quick
-// answer. Failures in a row set the target aside for a growing time, after
+// answer. Failures in a row eject the target for a growing time, after
 // which one trial request decides. A target that is much slower than usual is
 // suspect and is trusted with one slot.
 //
@@ -39,8 +39,8 @@
 
 const (
 	failuresInRow   = 3
-	firstAside      = 100 * time.Millisecond
-	longestAside    = 5 * time.Second
+	firstEjection   = 100 * time.Millisecond
+	longestEjection = 5 * time.Second
 	shedPause       = 20 * time.Millisecond
 	smoothing       = 0.3
 	suspectRatio    = 4.0
@@ -49,15 +49,15 @@
 
 // Tracker holds what is known of one target.
 type Tracker struct {
-	slots      int
-	ramp       int // slots trusted so far; grows with each whole answer
-	failures   int // in a row
-	asideUntil time.Time
-	asideFor   time.Duration
-	unreached  bool // no connection could be made the last time
-	shedUntil  time.Time
-	ratio      float64 // smoothed duration over the usual duration
-	slowAt     time.Time
+	slots        int
+	ramp         int // slots trusted so far; grows with each whole answer
+	failures     int // in a row
+	ejectedUntil time.Time
+	ejectedFor   time.Duration
+	unreached    bool // no connection could be made the last time
+	shedUntil    time.Time
+	ratio        float64 // smoothed duration over the usual duration
+	slowAt       time.Time
 }
 
 // New makes the tracker of a cold target.
@@ -89,8 +89,8 @@
 func (t *Tracker) succeed(now time.Time, took, usual time.Duration) {
 	t.failures = 0
 	t.unreached = false
-	t.asideFor = 0
-	t.asideUntil = time.Time{}
+	t.ejectedFor = 0
+	t.ejectedUntil = time.Time{}
 	t.ramp = min(t.ramp+1, t.slots)
 	t.smooth(now, took, usual)
 }
@@ -111,20 +111,20 @@
 	if r != Unreachable && t.failures < failuresInRow {
 		return
 	}
-	t.asideFor = min(max(2*t.asideFor, firstAside), longestAside)
-	t.asideUntil = now.Add(t.asideFor)
+	t.ejectedFor = min(max(2*t.ejectedFor, firstEjection), longestEjection)
+	t.ejectedUntil = now.Add(t.ejectedFor)
 	t.ramp = 1
 }
 
-// Aside says whether the target is set aside now.
-func (t *Tracker) Aside(now time.Time) bool { return now.Before(t.asideUntil) }
+// Ejected says whether the target is ejected now.
+func (t *Tracker) Ejected(now time.Time) bool { return now.Before(t.ejectedUntil) }
 
-// Unreachable says whether the target is set aside because no connection could
+// Unreachable says whether the target is ejected because no connection could
 // be made. Unlike a failed answer, that cannot be the request's own fault.
-func (t *Tracker) Unreachable(now time.Time) bool { return t.unreached && t.Aside(now) }
+func (t *Tracker) Unreachable(now time.Time) bool { return t.unreached && t.Ejected(now) }
 
-// AsideUntil is when the target may be tried again; zero when not set aside.
-func (t *Tracker) AsideUntil() time.Time { return t.asideUntil }
+// EjectedUntil is when the target may be tried again; zero when not ejected.
+func (t *Tracker) EjectedUntil() time.Time { return t.ejectedUntil }
 
 // Suspect says whether the target has lately been much slower than usual.
 func (t *Tracker) Suspect(now time.Time) bool {
@@ -137,7 +137,7 @@
 // Limit is how many requests the target may be trusted with now.
 func (t *Tracker) Limit(now time.Time) int {
 	switch {
-	case t.Aside(now), now.Before(t.shedUntil):
+	case t.Ejected(now), now.Before(t.shedUntil):
 		return 0
 	case t.failures >= failuresInRow, t.Suspect(now):
 		return 1
--- a/core/box/ledger/choose.go
+++ b/core/box/ledger/choose.go
@@ -14,8 +14,8 @@
 	overdueRatio = 4
 	// overdueLeast keeps jitter of short kinds from counting as overdue.
 	overdueLeast = 20 * time.Millisecond
-	// asideShare is the greatest part of a service that is set aside.
-	asideShare = 3
+	// ejectedShare is the greatest part of a service that is ejected.
+	ejectedShare = 3
 )
 
 // choose finds the best target with a free slot, or nil.
@@ -59,9 +59,9 @@
 	none bool
 	// unreachable tries even targets that cannot be reached: there are no others.
 	unreachable bool
-	// asideAfter is the first end of a set-aside time that is honoured, so that
-	// at most a third of the service is set aside; the others get one slot.
-	asideAfter time.Time
+	// ejectedAfter is the first end of an ejection that is honoured, so that
+	// at most a third of the service is ejected; the others get one slot.
+	ejectedAfter time.Time
 }
 
 // trust weighs the signals of all targets against each other. Targets that
@@ -69,29 +69,29 @@
 // be reached, however many they are.
 func (l *Ledger) trust(now time.Time) trust {
 	bad, present := 0, 0
-	var aside []time.Time
+	var ejected []time.Time
 	for _, t := range l.targets {
 		if t.leaving || t.tracker.Unreachable(now) {
 			continue
 		}
 		present++
 		switch {
-		case t.tracker.Aside(now):
+		case t.tracker.Ejected(now):
 			bad++
-			aside = append(aside, t.tracker.AsideUntil())
+			ejected = append(ejected, t.tracker.EjectedUntil())
 		case t.tracker.Suspect(now):
 			bad++
 		}
 	}
-	allowed := max(present/asideShare, 1)
+	allowed := max(present/ejectedShare, 1)
 	if present == 0 || bad > 1 && bad*2 > present {
 		return trust{none: true, unreachable: present == 0}
 	}
-	if len(aside) <= allowed {
+	if len(ejected) <= allowed {
 		return trust{}
 	}
-	slices.SortFunc(aside, func(a, b time.Time) int { return b.Compare(a) })
-	return trust{asideAfter: aside[allowed-1]}
+	slices.SortFunc(ejected, func(a, b time.Time) int { return b.Compare(a) })
+	return trust{ejectedAfter: ejected[allowed-1]}
 }
 
 // limit is how many requests the target may hold.
@@ -102,7 +102,7 @@
 	if trust.none {
 		return t.Slots
 	}
-	if t.tracker.Aside(now) && t.tracker.AsideUntil().Before(trust.asideAfter) {
+	if t.tracker.Ejected(now) && t.tracker.EjectedUntil().Before(trust.ejectedAfter) {
 		return 1
 	}
 	limit := t.tracker.Limit(now)
--- a/core/box/ledger/ledger_test.go
+++ b/core/box/ledger/ledger_test.go
@@ -242,7 +242,7 @@
 		Expect(grantsTo(b, "t0", 4) + grantsTo(b, "t1", 4) + grantsTo(b, "t2", 4)).To(Equal(0))
 	})
 
-	It("that fails in a row is set aside and tried again later", func() {
+	It("that fails in a row is ejected and tried again later", func() {
 		b := newBook(3, 1, 10)
 		for range 3 {
 			b.ask(1, "a")
--- a/core/box/ledger/view.go
+++ b/core/box/ledger/view.go
@@ -35,8 +35,8 @@
 	switch {
 	case t.leaving:
 		return "leaving"
-	case t.tracker.Aside(now):
-		return "aside"
+	case t.tracker.Ejected(now):
+		return "ejected"
 	case t.tracker.Suspect(now), t.overdue(now):
 		return "suspect"
 	default:
--- a/internal/gateway/pipeline/input.go
+++ b/internal/gateway/pipeline/input.go
@@ -206,20 +206,26 @@
 	if limit > 0 {
 		from = io.LimitReader(r.Body, limit+1)
 	}
-	_, err = body.ReadFrom(from)
+	if _, err := body.ReadFrom(from); err != nil {
+		return nil, bodyError(err)
+	}
+	if limit > 0 && int64(body.Len()) > limit {
+		return nil, errBodyTooLong
+	}
+	return body.Bytes(), nil
+}
+
+// bodyError is what it means that a body could not be read whole.
+func bodyError(err error) error {
 	var broken *net.OpError
 	switch {
 	case errors.Is(err, errFinished):
-		return nil, errFinished
+		return errFinished
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, errBodyTooSlow
+		return errBodyTooSlow
 	case errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken):
-		return nil, errClientLeft
-	case err != nil:
-		return nil, errBadBody
-	case limit > 0 && int64(body.Len()) > limit:
-		return nil, errBodyTooLong
+		return errClientLeft
 	default:
-		return body.Bytes(), nil
+		return errBadBody
 	}
 }
