--- a/core/gateway/estimate/levels.go
+++ b/core/gateway/estimate/levels.go
@@ -19,9 +19,10 @@
 	// 2.1, full targets up to 3.5 (docs/DESIGN.md, "Which target"); more is chosen.
 	maxCost = 8
 	// noCost is a level that costs nothing, and mattersFrom the greatest cost that is
-	// taken for none. Chosen, not measured.
+	// taken for none. Measured: docs/EXPERIMENTS.md; with 1.2 a cost of a few answers
+	// that chance made seemed to be one.
 	noCost      = 1
-	mattersFrom = 1.2
+	mattersFrom = 1.35
 	// firstLastCost is believed of the last slot before any request took one. 1.25 in
 	// its place was measured and lost (loblolly scale-1, .867: docs/DESIGN.md).
 	firstLastCost = 1.15
