--- a/internal/cli/root/root.go
+++ b/internal/cli/root/root.go
@@ -19,6 +19,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/cli/explaincmd"
 	"github.com/sprucecrank/sprucecrank/internal/cli/object"
 	"github.com/sprucecrank/sprucecrank/internal/cli/oncecmd"
+	"github.com/sprucecrank/sprucecrank/internal/cli/reportcmd"
 	"github.com/sprucecrank/sprucecrank/internal/cli/status"
 	"github.com/sprucecrank/sprucecrank/internal/cli/versioncmd"
 )
@@ -52,7 +53,7 @@
 		Commands: []*cli.Command{
 			object.NewCommand(f, envelope.Service), object.NewCommand(f, envelope.Policy),
 			status.NewCommand(f), boxcmd.NewCommand(f), oncecmd.NewCommand(f), configcmd.NewCommand(f),
-			explaincmd.NewCommand(f), versioncmd.NewCommand(f, Version),
+			explaincmd.NewCommand(f), reportcmd.NewCommand(f), versioncmd.NewCommand(f, Version),
 		},
 	}
 }
--- a/internal/cli/timeline/timeline.go
+++ b/internal/cli/timeline/timeline.go
@@ -37,10 +37,13 @@
 	Request      string         `json:"request"`
 	Status       int            `json:"status"`
 	HeldMS       float64        `json:"held_ms"`
+	ObjectiveMS  float64        `json:"objective_ms,omitzero"`
 	Config       uint64         `json:"config"`
 	Service      string         `json:"service"`
 	Route        string         `json:"route"`
 	Waits        int            `json:"waits"`
+	Probed       int            `json:"probed,omitzero"`
+	Idle         int            `json:"idle,omitzero"`
 	Sends        []forward.Send `json:"sends"`
 	Verdict      string         `json:"verdict"`
 	Reason       verdict.Reason `json:"reason"`
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -135,8 +135,8 @@
 	f.options = forward.Options{
 		Names: names, Hall: "a", Snapshot: func() *snapshot.Snapshot { return f.view }, Ready: f.ready,
 		Current: func() bool { return f.current }, ExploreLimit: func() bool { return false },
-		Pool:    upstream.New(upstream.Options{Names: names}),
-		Retry:   forward.Retry{Window: 10 * time.Second, Ratio: 0.2},
+		Pool:  upstream.New(upstream.Options{Names: names}),
+		Retry: forward.Retry{Window: 10 * time.Second, Ratio: 0.2},
 	}
 	return f
 }
--- a/internal/gateway/forward/log.go
+++ b/internal/gateway/forward/log.go
@@ -81,17 +81,20 @@
 	if !h.options.Log.Enabled(context.Background(), slog.LevelInfo) {
 		return
 	}
-	attributes := make([]slog.Attr, 0, 12)
+	attributes := make([]slog.Attr, 0, 15)
 	attributes = append(attributes,
 		slog.String("request", req.id), slog.Int("status", status), slog.Float64("held_ms", milliseconds(held)),
 		slog.Uint64("config", req.config), slog.String("service", req.service),
 	)
 	if req.route != nil {
-		attributes = append(attributes, slog.String("route", req.route.Name))
+		attributes = append(attributes, slog.String("route", req.route.Name), slog.Float64("objective_ms", milliseconds(req.route.Objective)))
 	}
 	if req.waits > 0 {
 		attributes = append(attributes, slog.Int("waits", req.waits))
 	}
+	if probed := req.probed.Load(); probed > 0 {
+		attributes = append(attributes, slog.Int64("probed", probed), slog.Int64("idle", req.idle.Load()))
+	}
 	if sends := req.sendLog.list(); len(sends) > 0 {
 		attributes = append(attributes, slog.Any("sends", sends))
 	}
--- a/internal/gateway/forward/probe.go
+++ b/internal/gateway/forward/probe.go
@@ -71,6 +71,7 @@
 		select {
 		case found := <-results:
 			open--
+			req.countProbe(found)
 			svc.probed(found != nil && found.Idle())
 			best = b.better(best, found)
 			if best != nil && best.Idle() {
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -33,6 +33,9 @@
 	avoid []string
 	// waits counts the rounds of probes in which no target would do.
 	waits int
+	// probed counts the targets that answered its probes, idle those that were.
+	probed atomic.Int64
+	idle   atomic.Int64
 	// exploresLimit says that it may take a slot that is better left free.
 	exploresLimit bool
 	sendLog       sendLog
@@ -78,6 +81,17 @@
 	return allowed
 }
 
+// countProbe notes what a probe found; nil is no answer.
+func (r *request) countProbe(found *candidate) {
+	if found == nil {
+		return
+	}
+	r.probed.Add(1)
+	if found.Idle() {
+		r.idle.Add(1)
+	}
+}
+
 // readBody takes the body in whole, so that a slow client holds no target. The limit
 // on its length is kept by the client's connection (internal/gateway/pipeline).
 func readBody(req *request) *verdict.Error {
