--- a/core/gateway/catalog/catalog.go
+++ b/core/gateway/catalog/catalog.go
@@ -1,30 +1,30 @@
-// Package catalog holds what a gateway believes of the configuration and of the
-// targets: the greatest version seen of each, however it was learnt. Nothing ever
-// goes back: an older configuration is not taken in, a target that has begun to
-// leave stays leaving by its id.
+// Package catalog holds what a gateway believes of the configuration, of the targets
+// and of the halls that are evacuated: the greatest version seen of each, however it
+// was learnt. Nothing ever goes back: an older configuration is not taken in, a target
+// that has begun to leave stays leaving by its id. An evacuation ends as the store has
+// it, since it is begun and ended by operators as often as they like.
 //
 // It owns that knowledge for the life of the process. It relies on nothing else,
 // does no I/O and takes no lock; internal/gateway/discovery guards it. The
-// configuration is an opaque body with a version. The targets are a table at a
-// revision of the store, with the latest changes kept so that another gateway
-// which is a little behind can be sent those alone.
+// configuration is an opaque body with a version. Targets and evacuations are tables
+// (table) at a revision of the store, with the latest changes kept so that another
+// gateway which is a little behind can be sent those alone; evacuations, of which there
+// are no more than halls, are sent whole.
 //
-// Gateways send each other Position, Delta, Change and Target by net/rpc: their
-// fields are exported for its codec and keep their names.
+// Gateways send each other Position, Delta, Change, Target and Evacuation by net/rpc:
+// their fields are exported for its codec and keep their names. A field that one of an
+// earlier version does not send is zero: it knows of no evacuations then, not that
+// there are none.
 //
 // # Usage
 //
 //	c := catalog.New()
 //	c.Replace(530, targets)               // a list, at the store's revision
 //	c.Advance(533, changes)               // what a watch reported since
+//	c.ReplaceEvacuations(533, nil)        // no hall is evacuated
 //	delta := c.Since(catalog.Position{Config: 7, Targets: 530})
 package catalog
 
-import (
-	"maps"
-	"slices"
-)
-
 // Target is one running target, known by the id of this start of it.
 type Target struct {
 	ID      string
@@ -37,6 +37,9 @@
 	Slots int
 	// Leaving targets get no new requests.
 	Leaving bool
+	// Cold says that the target was still cold when it last wrote its entry: it is slow
+	// and bears few requests a second for a while.
+	Cold bool
 }
 
 // Change is one target at one revision of the store.
@@ -46,6 +49,18 @@
 	Gone     bool
 }
 
+// Evacuation is an operator's request that nothing more be sent to the targets of a
+// hall.
+type Evacuation struct{ Hall string }
+
+// EvacuationChange is one evacuation at one revision of the store; it is gone once the
+// hall is taken back.
+type EvacuationChange struct {
+	Revision   uint64
+	Evacuation Evacuation
+	Gone       bool
+}
+
 // Position is how far the knowledge of a gateway has come.
 type Position struct {
 	// Config is the configuration's version.
@@ -56,11 +71,15 @@
 	// that at which one of them last changed.
 	Targets uint64
 	Changed uint64
+	// Evacuations and EvacuationsChanged are these of the evacuations; 0 where none is
+	// known, as of a gateway that does not follow them.
+	Evacuations        uint64
+	EvacuationsChanged uint64
 }
 
 // Lacks says whether there is anything at another position that is missing at this one.
 func (p Position) Lacks(other Position) bool {
-	return other.Config > p.Config || other.Changed > p.Targets
+	return other.Config > p.Config || other.Changed > p.Targets || other.EvacuationsChanged > p.Evacuations
 }
 
 // Delta brings a gateway from its position to To.
@@ -71,202 +90,233 @@
 	// Whole says that Changes are all targets and that others are gone.
 	Whole   bool
 	Changes []Change
+	// HasEvacuations says that Evacuations are all that there are.
+	HasEvacuations bool
+	Evacuations    []Evacuation
+}
+
+// IsEmpty says whether there is nothing in it but a position.
+func (d Delta) IsEmpty() bool {
+	return d.Config == nil && !d.Whole && len(d.Changes) == 0 && !d.HasEvacuations
+}
+
+// Changed says what of a catalog changed.
+type Changed struct {
+	Config      bool
+	Targets     bool
+	Evacuations bool
 }
 
-// keptChanges bounds the changes that are kept for gateways that are behind; one
-// that is further behind is sent all targets. Chosen: minutes of changes.
-const keptChanges = 1024
+// Any says whether anything changed.
+func (c Changed) Any() bool { return c.Config || c.Targets || c.Evacuations }
+
+// Guess is what the store held some time ago.
+type Guess struct {
+	// Version and Body are the configuration's.
+	Version     uint64
+	Body        []byte
+	Targets     []Target
+	Evacuations []Evacuation
+}
 
 // Catalog is what is believed. It is not safe for concurrent use.
 type Catalog struct {
-	position Position
-	config   []byte
-	targets  map[string]Target
-	leaving  map[string]bool // ids of all targets that were seen leaving
-	changes  []Change
-	// keptFrom is the oldest revision of which all later changes are kept.
-	keptFrom uint64
+	version        uint64
+	configRevision uint64
+	config         []byte
+	targets        table[Target]
+	leaving        map[string]bool // ids of all targets that were seen leaving
+	evacuations    table[Evacuation]
 }
 
 // New makes an empty catalog.
 func New() *Catalog {
-	return &Catalog{targets: map[string]Target{}, leaving: map[string]bool{}}
+	return &Catalog{targets: newTable[Target](), leaving: map[string]bool{}, evacuations: newTable[Evacuation]()}
 }
 
 // Position is how far the catalog has come.
-func (c *Catalog) Position() Position { return c.position }
+func (c *Catalog) Position() Position {
+	return Position{
+		Config: c.version, ConfigRevision: c.configRevision,
+		Targets: c.targets.known, Changed: c.targets.changed,
+		Evacuations: c.evacuations.known, EvacuationsChanged: c.evacuations.changed,
+	}
+}
 
 // Config is the body of the configuration.
 func (c *Catalog) Config() []byte { return c.config }
 
 // Targets lists the targets by id.
-func (c *Catalog) Targets() []Target {
-	out := make([]Target, 0, len(c.targets))
-	for _, id := range slices.Sorted(maps.Keys(c.targets)) {
-		out = append(out, c.targets[id])
-	}
-	return out
+func (c *Catalog) Targets() []Target { return c.targets.list() }
+
+// Evacuations lists the evacuations by hall.
+func (c *Catalog) Evacuations() []Evacuation { return c.evacuations.list() }
+
+// IsEvacuated says whether a hall is evacuated.
+func (c *Catalog) IsEvacuated(hall string) bool {
+	_, evacuated := c.evacuations.entries[hall]
+	return evacuated
 }
 
 // Guess takes in what the store held some time ago, in place of knowing nothing. The
-// position stays that of a catalog without targets, so that all that others know is
-// still missing.
-func (c *Catalog) Guess(version uint64, body []byte, targets []Target) (configChanged, targetsChanged bool) {
-	configChanged = c.SetConfig(version, body)
-	if c.position.Targets > 0 {
-		return configChanged, false
+// position stays that of a catalog without targets and evacuations, so that all that
+// others know is still missing.
+func (c *Catalog) Guess(g Guess) Changed {
+	return Changed{
+		Config:      c.SetConfig(g.Version, g.Body),
+		Targets:     c.targets.known == 0 && c.targets.guess(c.believedTargets(g.Targets)),
+		Evacuations: c.evacuations.guess(byHall(g.Evacuations)),
 	}
-	for _, t := range targets {
-		c.put(t)
-	}
-	return configChanged, len(targets) > 0
 }
 
 // HasTargets says whether any targets are believed, be it by a guess.
-func (c *Catalog) HasTargets() bool { return c.position.Targets > 0 || len(c.targets) > 0 }
+func (c *Catalog) HasTargets() bool { return c.targets.known > 0 || len(c.targets.entries) > 0 }
 
 // SetConfig takes in a configuration if it is newer than the one that is held.
 func (c *Catalog) SetConfig(version uint64, body []byte) bool {
-	if version <= c.position.Config {
+	if version <= c.version {
 		return false
 	}
-	c.position.Config = version
-	c.config = body
+	c.version, c.config = version, body
 	return true
 }
 
 // SeenConfig notes that the store held no newer configuration at a revision.
 func (c *Catalog) SeenConfig(revision uint64) {
-	c.position.ConfigRevision = max(c.position.ConfigRevision, revision)
+	c.configRevision = max(c.configRevision, revision)
 }
 
 // Replace takes in all targets as they stood at a revision, if that is not
 // older than what is held. A target that has begun to leave never comes back.
 func (c *Catalog) Replace(revision uint64, targets []Target) bool {
-	if revision < c.position.Targets {
+	if revision < c.targets.known {
 		return false
 	}
-	before := c.targets
-	c.targets = make(map[string]Target, len(targets))
-	for _, t := range targets {
-		c.put(t)
-	}
-	changed := len(before) != len(c.targets)
-	for id, t := range c.targets {
-		if before[id] != t {
-			changed = true
-			c.changes = append(c.changes, Change{Revision: revision, Target: t})
-		}
-	}
-	for id, t := range before {
-		if _, ok := c.targets[id]; !ok {
-			changed = true
-			c.changes = append(c.changes, Change{Revision: revision, Target: t, Gone: true})
-		}
-	}
-	if first := c.position.Targets == 0; first {
-		c.keptFrom = revision
-		changed = true // whatever was guessed: others lack all of it
-	}
-	c.position.Targets = revision
-	if changed {
-		c.position.Changed = revision
-	}
-	c.trim()
-	return changed
+	return c.targets.replace(revision, c.believedTargets(targets))
 }
 
-// Advance takes in the changes up to a revision.
+// Advance takes in the changes of targets up to a revision.
 func (c *Catalog) Advance(revision uint64, changes []Change) bool {
-	if revision <= c.position.Targets {
-		return false
+	made := make([]entryChange[Target], 0, len(changes))
+	for _, change := range changes {
+		made = append(made, entryChange[Target]{revision: change.Revision, id: change.Target.ID, entry: change.Target, gone: change.Gone})
 	}
-	changed := false
+	return c.targets.advance(revision, made, c.believed)
+}
+
+// ReplaceEvacuations takes in all evacuations as they stood at a revision, if that is
+// not older than what is held.
+func (c *Catalog) ReplaceEvacuations(revision uint64, evacuations []Evacuation) bool {
+	return c.evacuations.replace(revision, byHall(evacuations))
+}
+
+// AdvanceEvacuations takes in the changes of evacuations up to a revision.
+func (c *Catalog) AdvanceEvacuations(revision uint64, changes []EvacuationChange) bool {
+	made := make([]entryChange[Evacuation], 0, len(changes))
 	for _, change := range changes {
-		if change.Revision <= c.position.Targets {
-			continue
-		}
-		if change.Gone {
-			delete(c.targets, change.Target.ID)
-		} else {
-			change.Target = c.put(change.Target)
-		}
-		c.changes = append(c.changes, change)
-		c.position.Changed = max(c.position.Changed, change.Revision)
-		changed = true
+		made = append(made, entryChange[Evacuation]{
+			revision: change.Revision, id: change.Evacuation.Hall, entry: change.Evacuation, gone: change.Gone,
+		})
 	}
-	c.position.Targets = revision
-	c.trim()
-	return changed
+	return c.evacuations.advance(revision, made, func(e Evacuation) Evacuation { return e })
+}
+
+func byHall(evacuations []Evacuation) map[string]Evacuation {
+	out := make(map[string]Evacuation, len(evacuations))
+	for _, e := range evacuations {
+		out[e.Hall] = e
+	}
+	return out
 }
 
 // CatchUp notes that another gateway knows nothing that is missing here, so that what
 // is believed is as far as its position.
 func (c *Catalog) CatchUp(theirs Position) {
-	if theirs.Config == c.position.Config {
+	if theirs.Config == c.version {
 		c.SeenConfig(theirs.ConfigRevision)
 	}
-	c.position.Targets = max(c.position.Targets, theirs.Targets)
-	c.position.Changed = max(c.position.Changed, theirs.Changed)
+	c.targets.catchUp(theirs.Targets, theirs.Changed)
+	c.evacuations.catchUp(theirs.Evacuations, theirs.EvacuationsChanged)
+}
+
+// believedTargets are targets by id, each as it is believed.
+func (c *Catalog) believedTargets(targets []Target) map[string]Target {
+	out := make(map[string]Target, len(targets))
+	for _, t := range targets {
+		out[t.ID] = c.believed(t)
+	}
+	return out
 }
 
-// put takes in a target and returns it as it is believed.
-func (c *Catalog) put(t Target) Target {
+// believed is a target as it is believed: one that has begun to leave is leaving.
+func (c *Catalog) believed(t Target) Target {
 	if c.leaving[t.ID] {
 		t.Leaving = true
 	}
 	if t.Leaving {
 		c.leaving[t.ID] = true
 	}
-	c.targets[t.ID] = t
 	return t
 }
 
-func (c *Catalog) trim() {
-	if extra := len(c.changes) - keptChanges; extra > 0 {
-		c.keptFrom = c.changes[extra-1].Revision
-		c.changes = slices.Clone(c.changes[extra:])
-	}
-}
-
 // Since makes what a gateway at a position lacks.
 func (c *Catalog) Since(at Position) Delta {
-	d := Delta{To: c.position}
-	if at.Config < c.position.Config {
+	d := Delta{To: c.Position()}
+	if at.Config < c.version {
 		d.Config = c.config
 	}
-	switch {
-	case at.Targets >= c.position.Targets:
-		d.To.Targets = at.Targets
-	case at.Targets < c.keptFrom || at.Targets == 0:
+	c.addTargets(&d, at.Targets)
+	c.addEvacuations(&d, at.Evacuations)
+	return d
+}
+
+// addTargets adds what a gateway lacks that knows the targets up to a revision.
+func (c *Catalog) addTargets(d *Delta, from uint64) {
+	if from >= c.targets.known {
+		d.To.Targets = from
+		return
+	}
+	changes, kept := c.targets.since(from)
+	if !kept {
 		d.Whole = true
 		for _, t := range c.Targets() {
-			d.Changes = append(d.Changes, Change{Revision: c.position.Targets, Target: t})
-		}
-	default:
-		for _, change := range c.changes {
-			if change.Revision > at.Targets {
-				d.Changes = append(d.Changes, change)
-			}
+			d.Changes = append(d.Changes, Change{Revision: c.targets.known, Target: t})
 		}
+		return
+	}
+	for _, change := range changes {
+		d.Changes = append(d.Changes, Change{Revision: change.revision, Target: change.entry, Gone: change.gone})
+	}
+}
+
+// addEvacuations adds what a gateway lacks that knows the evacuations up to a revision.
+func (c *Catalog) addEvacuations(d *Delta, from uint64) {
+	if from >= c.evacuations.known {
+		d.To.Evacuations = from
+		return
+	}
+	if from < c.evacuations.changed {
+		d.HasEvacuations, d.Evacuations = true, c.Evacuations()
 	}
-	return d
 }
 
 // Merge takes in a delta and says what changed.
-func (c *Catalog) Merge(d Delta) (configChanged, targetsChanged bool) {
+func (c *Catalog) Merge(d Delta) (changed Changed) {
 	if d.Config != nil {
-		configChanged = c.SetConfig(d.To.Config, d.Config)
+		changed.Config = c.SetConfig(d.To.Config, d.Config)
 	}
 	if d.Whole {
 		targets := make([]Target, 0, len(d.Changes))
 		for _, change := range d.Changes {
 			targets = append(targets, change.Target)
 		}
-		targetsChanged = d.To.Targets > c.position.Targets && c.Replace(d.To.Targets, targets)
+		changed.Targets = d.To.Targets > c.targets.known && c.Replace(d.To.Targets, targets)
 	} else {
-		targetsChanged = c.Advance(d.To.Targets, d.Changes)
+		changed.Targets = c.Advance(d.To.Targets, d.Changes)
+	}
+	if d.HasEvacuations {
+		changed.Evacuations = d.To.Evacuations > c.evacuations.known && c.ReplaceEvacuations(d.To.Evacuations, d.Evacuations)
 	}
 	c.CatchUp(d.To)
-	return configChanged, targetsChanged
+	return changed
 }
--- a/core/gateway/catalog/catalog_test.go
+++ b/core/gateway/catalog/catalog_test.go
@@ -22,8 +22,8 @@
 	g := NewWithT(t)
 	c := catalog.New()
 	g.Expect(c.HasTargets()).To(BeFalse())
-	config, targets := c.Guess(3, []byte("three"), []catalog.Target{target("gone"), target("lives")})
-	g.Expect(config && targets).To(BeTrue())
+	changed := c.Guess(catalog.Guess{Version: 3, Body: []byte("three"), Targets: []catalog.Target{target("gone"), target("lives")}})
+	g.Expect(changed).To(Equal(catalog.Changed{Config: true, Targets: true}))
 	g.Expect(c.HasTargets()).To(BeTrue())
 	g.Expect(c.Position()).To(Equal(catalog.Position{Config: 3}))
 	other := catalog.New()
@@ -32,15 +32,15 @@
 	g.Expect(c.Position().Lacks(other.Position())).To(BeTrue(), "all that others know")
 	c.Merge(other.Since(c.Position()))
 	g.Expect(c.Targets()).To(ConsistOf(target("lives"), target("new")))
-	config, targets = c.Guess(2, []byte("two"), []catalog.Target{target("gone")})
-	g.Expect(config || targets).To(BeFalse(), "nothing goes back")
+	changed = c.Guess(catalog.Guess{Version: 2, Body: []byte("two"), Targets: []catalog.Target{target("gone")}})
+	g.Expect(changed.Any()).To(BeFalse(), "nothing goes back")
 	g.Expect(c.Targets()).To(HaveLen(2))
 }
 
 func TestAGuessThatWasRightIsStillNewsToOthers(t *testing.T) {
 	g := NewWithT(t)
 	c := catalog.New()
-	c.Guess(3, []byte("three"), []catalog.Target{target("lives")})
+	c.Guess(catalog.Guess{Version: 3, Body: []byte("three"), Targets: []catalog.Target{target("lives")}})
 	g.Expect(c.Replace(530, []catalog.Target{target("lives")})).To(BeTrue())
 	g.Expect(catalog.Position{Config: 3}.Lacks(c.Position())).To(BeTrue(), "or it would take itself for as far, without any targets")
 }
@@ -98,7 +98,8 @@
 			revision += uint64(rapid.IntRange(1, 3).Draw(t, "gap"))
 			s := target(fmt.Sprint("s", rapid.IntRange(0, 5).Draw(t, "target")))
 			s.Leaving = rapid.Bool().Draw(t, "leaving")
-			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			hall := catalog.Evacuation{Hall: fmt.Sprint("h", rapid.IntRange(0, 2).Draw(t, "hall"))}
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0:
 				reader.Replace(revision, []catalog.Target{s})
 			case 1:
@@ -111,6 +112,10 @@
 				if rapid.Bool().Draw(t, "again") {
 					follower.Merge(delta)
 				}
+			case 4:
+				reader.ReplaceEvacuations(revision, []catalog.Evacuation{hall})
+			case 5:
+				reader.AdvanceEvacuations(revision, []catalog.EvacuationChange{{Revision: revision, Evacuation: hall, Gone: rapid.Bool().Draw(t, "taken back")}})
 			}
 			if follower.Position().Config < before.Config || follower.Position().Targets < before.Targets {
 				t.Fatalf("fell from %+v to %+v", before, follower.Position())
@@ -120,9 +125,55 @@
 		g := NewWithT(t)
 		g.Expect(follower.Targets()).To(Equal(reader.Targets()))
 		g.Expect(follower.Config()).To(Equal(reader.Config()))
+		g.Expect(follower.Evacuations()).To(Equal(reader.Evacuations()))
+		g.Expect(follower.Position().Lacks(reader.Position())).To(BeFalse())
 	})
 }
 
+func evacuation(hall string) catalog.Evacuation { return catalog.Evacuation{Hall: hall} }
+
+// Begun, ended and begun again while nobody looked: what the store has counts.
+func TestAnEvacuationEndsAsTheStoreHasIt(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New()
+	g.Expect(c.ReplaceEvacuations(5, nil)).To(BeTrue(), "that there are none is knowledge, too")
+	change := func(revision uint64, hall string, gone bool) catalog.EvacuationChange {
+		return catalog.EvacuationChange{Revision: revision, Evacuation: evacuation(hall), Gone: gone}
+	}
+	g.Expect(c.AdvanceEvacuations(9, []catalog.EvacuationChange{change(6, "a", false), change(7, "a", true), change(9, "a", false)})).To(BeTrue())
+	g.Expect(c.IsEvacuated("a")).To(BeTrue())
+	g.Expect(c.IsEvacuated("b")).To(BeFalse())
+	g.Expect(c.ReplaceEvacuations(8, nil)).To(BeFalse(), "an older list")
+	g.Expect(c.ReplaceEvacuations(12, []catalog.Evacuation{evacuation("b")})).To(BeTrue())
+	g.Expect(c.Evacuations()).To(ConsistOf(evacuation("b")))
+	g.Expect(c.ReplaceEvacuations(13, []catalog.Evacuation{evacuation("b")})).To(BeFalse())
+	g.Expect(c.Position()).To(Equal(catalog.Position{Evacuations: 13, EvacuationsChanged: 12}))
+}
+
+func TestAGatewayThatKnowsNoEvacuationsLacksThatThereAreNone(t *testing.T) {
+	g := NewWithT(t)
+	knows, not := catalog.New(), catalog.New()
+	knows.ReplaceEvacuations(5, nil)
+	g.Expect(not.Position().Lacks(knows.Position())).To(BeTrue())
+	g.Expect(not.Merge(knows.Since(not.Position())).Evacuations).To(BeTrue())
+	g.Expect(not.Position()).To(Equal(knows.Position()))
+	g.Expect(knows.Since(not.Position()).IsEmpty()).To(BeTrue())
+	knows.AdvanceEvacuations(8, nil)
+	g.Expect(not.Position().Lacks(knows.Position())).To(BeFalse())
+	g.Expect(knows.Since(not.Position()).IsEmpty()).To(BeTrue(), "nothing has changed")
+}
+
+func TestAGuessOfEvacuationsServesUntilSomethingIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New()
+	g.Expect(c.Guess(catalog.Guess{Evacuations: []catalog.Evacuation{evacuation("a")}}).Evacuations).To(BeTrue())
+	g.Expect(c.IsEvacuated("a")).To(BeTrue())
+	g.Expect(c.Position()).To(Equal(catalog.Position{}), "others may know better")
+	c.ReplaceEvacuations(5, nil)
+	g.Expect(c.IsEvacuated("a")).To(BeFalse())
+	g.Expect(c.Guess(catalog.Guess{Evacuations: []catalog.Evacuation{evacuation("a")}}).Any()).To(BeFalse())
+}
+
 func ExampleCatalog_Since() {
 	c := catalog.New()
 	c.Replace(530, []catalog.Target{{ID: "i-1"}, {ID: "i-2"}})
--- a/core/gateway/freshness/freshness.go
+++ b/core/gateway/freshness/freshness.go
@@ -1,7 +1,7 @@
 // Package freshness keeps how old a gateway's knowledge of the store is: when, and
 // by whose reading, it was last known to be all that the store holds.
 //
-// It owns the state of the gateway's own two watches (Watch), the age and origin of
+// It owns the state of the gateway's own watches (Watch), the age and origin of
 // what it believes (Tracker), and what is known of an outage of the store
 // (outage.go). It relies on nothing else, does no I/O and reads no clock.
 //
@@ -23,6 +23,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -58,9 +59,13 @@
 
 // Tracker holds a gateway's freshness. It is not safe for concurrent use.
 type Tracker struct {
-	timing  Timing
-	config  Watch
-	targets Watch
+	timing      Timing
+	config      Watch
+	targets     Watch
+	evacuations Watch
+	// watches are those that must all be in order: the third only where evacuations are
+	// followed.
+	watches []*Watch
 	// confirmed is the latest moment at which, by own calls or those of other
 	// gateways, what is believed was all that the store held.
 	confirmed time.Time
@@ -80,15 +85,24 @@
 // New makes a tracker of a gateway that knows nothing; before says which of two
 // gateways, by their ids, ranks first for reading the store.
 func New(t Timing, before func(id, other string) bool) *Tracker {
-	return &Tracker{timing: t, before: before}
+	tracker := &Tracker{timing: t, before: before}
+	tracker.watches = []*Watch{&tracker.config, &tracker.targets}
+	return tracker
 }
 
+// FollowEvacuations says that evacuations are watched as well, so that nothing is
+// confirmed without them.
+func (t *Tracker) FollowEvacuations() { t.watches = append(t.watches, &t.evacuations) }
+
 // Config is the state of the watch of the configuration.
 func (t *Tracker) Config() *Watch { return &t.config }
 
 // Targets is the state of the watch of the targets.
 func (t *Tracker) Targets() *Watch { return &t.targets }
 
+// Evacuations is the state of the watch of the evacuations.
+func (t *Tracker) Evacuations() *Watch { return &t.evacuations }
+
 // Age is how long ago what is believed was confirmed; Never if it was not.
 func (t *Tracker) Age(now time.Time) time.Duration {
 	if t.confirmed.IsZero() {
@@ -145,11 +159,11 @@
 // Reads says whether the gateway's own watches are in order, so that a change
 // would be reported at once.
 func (t *Tracker) Reads(now time.Time) bool {
-	return t.config.live(now, t.timing) && t.targets.live(now, t.timing)
+	return !slices.ContainsFunc(t.watches, func(w *Watch) bool { return !w.live(now, t.timing) })
 }
 
 // Failing says whether the latest call of one of the watches failed.
-func (t *Tracker) Failing() bool { return t.config.failing || t.targets.failing }
+func (t *Tracker) Failing() bool { return slices.ContainsFunc(t.watches, (*Watch).Failing) }
 
 // Answered notes that a watch was answered, as self's own reading. Like Confirm it
 // reports whether that made what is believed much younger.
@@ -162,16 +176,19 @@
 // waited then had nothing to report. Like Confirm it reports whether what is believed
 // had grown old.
 func (t *Tracker) Pinged(at time.Time, self string) (wasOld bool) {
-	t.config.pinged(at, t.timing)
-	t.targets.pinged(at, t.timing)
+	for _, w := range t.watches {
+		w.pinged(at, t.timing)
+	}
 	return t.confirmSelf(self)
 }
 
-// confirmSelf confirms what both of the gateway's own watches confirm.
+// confirmSelf confirms what all of the gateway's own watches confirm.
 func (t *Tracker) confirmSelf(self string) (wasOld bool) {
-	at := t.config.confirmed
-	if t.targets.confirmed.Before(at) {
-		at = t.targets.confirmed
+	at := t.watches[0].confirmed
+	for _, w := range t.watches[1:] {
+		if w.confirmed.Before(at) {
+			at = w.confirmed
+		}
 	}
 	return t.Confirm(at, self)
 }
--- a/core/gateway/placement/decide.go
+++ b/core/gateway/placement/decide.go
@@ -55,8 +55,10 @@
 type State struct {
 	Now       time.Time
 	Deadlines Deadlines
-	// Targets is how many targets of the service are known.
-	Targets int
+	// Targets is how many targets of the service are known that take requests, and
+	// Evacuated how many do not since their halls are evacuated.
+	Targets   int
+	Evacuated int
 	// Best is the best target that answered; nil if none did.
 	Best *Candidate
 	// LocalOnly says that only targets of the own hall were probed.
@@ -82,6 +84,8 @@
 	RefuseFull
 	// RefuseNoTarget: no target of the service is known.
 	RefuseNoTarget
+	// RefuseEvacuated: all targets of the service stand in halls that are evacuated.
+	RefuseEvacuated
 )
 
 // Decision is what Decide chose.
@@ -104,6 +108,8 @@
 	switch d.action {
 	case RefuseNoTarget:
 		return verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "no target of the service is known")
+	case RefuseEvacuated:
+		return verdict.New(verdict.NotRun, verdict.ReasonEvacuated, "all targets of the service stand in halls that are evacuated")
 	case RefuseFull:
 		return verdict.New(verdict.NotRun, verdict.ReasonTooLate, "every target asked is too full to answer in time")
 	default:
@@ -138,6 +144,8 @@
 // was probed makes no difference then.
 func (s State) withoutCandidate() Decision {
 	switch {
+	case s.Targets == 0 && s.Evacuated > 0:
+		return Decision{action: RefuseEvacuated}
 	case s.Targets == 0:
 		return Decision{action: RefuseNoTarget}
 	case s.Deadlines.searchEnded(s.Now):
--- a/core/gateway/placement/placement_test.go
+++ b/core/gateway/placement/placement_test.go
@@ -51,6 +51,7 @@
 		localOnly bool
 		yield     bool
 		targets   int
+		evacuated int
 		action    placement.Action
 		contended bool
 	}{
@@ -78,16 +79,17 @@
 		"no answer, only the own hall probed": {at: early, localOnly: true, action: placement.Wait, contended: true},
 		"no answer in the last round":         {at: late, action: placement.Fallback, contended: true},
 		"no target is known":                  {at: early, targets: -1, action: placement.RefuseNoTarget},
+		"all halls are evacuated":             {at: early, targets: -1, evacuated: 2, action: placement.RefuseEvacuated},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			d := placement.Decide(placement.State{
-				Now: began.Add(c.at), Deadlines: placement.NewDeadlines(began, objective, usual), Targets: c.targets + 1,
+				Now: began.Add(c.at), Deadlines: placement.NewDeadlines(began, objective, usual), Targets: c.targets + 1, Evacuated: c.evacuated,
 				Best: c.best, LocalOnly: c.localOnly, Yield: c.yield,
 			})
 			g.Expect(d.Action()).To(Equal(c.action))
 			g.Expect(d.Contended()).To(Equal(c.contended))
-			refuses := c.action == placement.RefuseFull || c.action == placement.RefuseNoTarget
+			refuses := c.action == placement.RefuseFull || c.action == placement.RefuseNoTarget || c.action == placement.RefuseEvacuated
 			g.Expect(d.Refusal() != nil).To(Equal(refuses))
 			if refuses {
 				g.Expect(d.Refusal().Verdict()).To(Equal(verdict.NotRun))
--- a/core/gateway/reader/reader.go
+++ b/core/gateway/reader/reader.go
@@ -167,7 +167,11 @@
 	default:
 		wait = t.Alone + Delay(s.Draw, t.Last-t.Alone) - s.Running
 	}
-	return max(wait, offerTrust-s.OfferAge, held(s, t.Last-t.Alone))
+	if s.Running < t.Last {
+		// Later, offers have come to nothing for long.
+		wait = max(wait, offerTrust-s.OfferAge)
+	}
+	return max(wait, held(s, t.Last-t.Alone))
 }
 
 // UntilGlance is how long a gateway that knows nothing, and whose clients wait, need not
--- a/core/gateway/reader/reader_test.go
+++ b/core/gateway/reader/reader_test.go
@@ -42,6 +42,7 @@
 		"knows nothing, others turn to it":      {starting(func(s *reader.State) { s.Seed = true }), ms(15)},
 		"knows nothing, another offers":         {starting(func(s *reader.State) { s.Seed = true; s.Running = ms(50); s.OfferAge = ms(100) }), ms(200)},
 		"knows nothing, the offer came to none": {starting(func(s *reader.State) { s.Seed = true; s.Running = ms(15); s.OfferAge = ms(301) }), 0},
+		"knows nothing, is offered for ever":    {starting(func(s *reader.State) { s.Running, s.InCompany = ms(1800), ms(1800); s.OfferAge = 0 }), ms(-1400)},
 		"knows nothing, enough others try":      {starting(func(s *reader.State) { s.Running, s.InCompany = long, long; s.HeldFor = ms(100) }), ms(400) + half},
 		"knows something, has just begun":       {knowing(func(s *reader.State) { s.Running = ms(100) }), ms(300)},
 		"new fleet, has just begun":             {starting(func(s *reader.State) { s.FirstStart = true; s.Running = ms(200) }), time.Second},
--- a/core/gateway/snapshot/snapshot.go
+++ b/core/gateway/snapshot/snapshot.go
@@ -19,8 +19,9 @@
 
 // Snapshot is what is believed at one moment.
 type Snapshot struct {
-	table   *routing.Table
-	targets map[string][]catalog.Target
+	table     *routing.Table
+	targets   map[string][]catalog.Target
+	evacuated map[string]int
 }
 
 // New makes a snapshot of the routes in force and of the targets that take
@@ -30,11 +31,23 @@
 	return &Snapshot{table: table, targets: targets}
 }
 
+// WithEvacuated returns a copy that tells how many targets of each service take no
+// requests since their halls are evacuated.
+func (s *Snapshot) WithEvacuated(evacuated map[string]int) *Snapshot {
+	c := *s
+	c.evacuated = evacuated
+	return &c
+}
+
 // Table holds the routes in force; it is nil while no configuration is known.
 func (s *Snapshot) Table() *routing.Table { return s.table }
 
 // Targets are the targets of a service that take new requests.
 func (s *Snapshot) Targets(service string) []catalog.Target { return s.targets[service] }
 
+// Evacuated is how many targets of a service take no requests since their halls are
+// evacuated.
+func (s *Snapshot) Evacuated(service string) int { return s.evacuated[service] }
+
 // ByService are the targets of each service that take new requests.
 func (s *Snapshot) ByService() map[string][]catalog.Target { return s.targets }
--- a/e2e/gateway/process_test.go
+++ b/e2e/gateway/process_test.go
@@ -48,6 +48,8 @@
 	http *httptest.Server
 	runs *sync.Map // attempt id -> *atomic.Int32
 	work time.Duration
+	// arrivals counts the requests that came, whether they ran or not.
+	arrivals atomic.Int64
 }
 
 func newTargetServer(t *testing.T, id string, runs *sync.Map, work time.Duration) *targetServer {
@@ -69,6 +71,7 @@
 		w.Header().Set("Instance-Id", b.id)
 		return
 	}
+	b.arrivals.Add(1)
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
 	if r.Header.Get("Expected-Instance") != b.id {
@@ -179,6 +182,12 @@
 }
 
 func newDeployment(t *testing.T, gateways int, work time.Duration) *deployment {
+	t.Helper()
+	return newDeploymentWith(t, gateways, work, nil)
+}
+
+// newDeploymentWith is newDeployment with settings of the gateways beside the usual ones.
+func newDeploymentWith(t *testing.T, gateways int, work time.Duration, extra storetest.Object) *deployment {
 	t.Helper()
 	d := &deployment{}
 	var address string
@@ -194,6 +203,7 @@
 		d.gateways = append(d.gateways, newProcess(t, fmt.Sprint("gateway-", i), address, &seeds))
 	}
 	for _, p := range d.gateways {
+		p.extra = extra
 		p.write(address, seeds)
 		p.start()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,10 +95,14 @@
 		}
 	}
 	o := g.options
+	source := o.Source
+	if s.EvacuateWithin == 0 {
+		source = source.WithoutEvacuations()
+	}
 	self := member.Box{ID: s.ID, Peer: s.peerAddress(), Hall: s.Hall, Start: uint64(o.Clock().UnixNano())}
 	g.discovery = discovery.New(discovery.Options{
 		Self: self, FirstStart: s.FirstStart, Seeds: func() []string { return g.settings.Load().Seeds },
-		Source: o.Source, Decode: o.Decode, Timing: timing(s), Clock: o.Clock, Log: g.log, Metrics: g.metrics,
+		Source: source, Decode: o.Decode, Timing: timing(s), Clock: o.Clock, Log: g.log, Metrics: g.metrics,
 	})
 	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Opened: g.metrics.Opened})
 	g.forward = forward.New(forward.Options{
@@ -111,7 +115,9 @@
 
 // state is what the metrics show of this moment.
 func (g *Gateway) state() metrics.State {
-	state := metrics.State{Active: g.forward.Active(), ConfigAge: g.discovery.Age().Seconds()}
+	state := metrics.State{
+		Active: g.forward.Active(), ConfigAge: g.discovery.Age().Seconds(), EvacuatedHalls: g.discovery.EvacuatedHalls(),
+	}
 	if table := g.discovery.Snapshot().Table(); table != nil {
 		state.ConfigVersion = table.Version()
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -36,6 +36,10 @@
 	// ApplyWithin is the time within which a configuration or a leaving target
 	// must be known, in seconds.
 	ApplyWithin float64 `json:"apply_within_s"`
+	// EvacuateWithin is the time within which an evacuation of a hall must be in force,
+	// in seconds; 0 or left out where no hall is ever evacuated, which saves calls to
+	// the store.
+	EvacuateWithin float64 `json:"evacuate_within_s,omitempty"`
 	// WatchTrust is how long a waiting watch of the store may be trusted that
 	// says nothing, in seconds: a store that lost its history may not wake it.
 	WatchTrust float64 `json:"watch_trust_s"`
@@ -120,6 +124,9 @@
 	if _, err := s.level(); err != nil {
 		return fmt.Errorf("settings field log_level is %q; give debug, info, warn or error", s.LogLevel)
 	}
+	if s.EvacuateWithin < 0 {
+		return fmt.Errorf("settings field evacuate_within_s is %v; give seconds above 0, or leave it out where no hall is evacuated", s.EvacuateWithin)
+	}
 	if s.MemoryMB < 0 {
 		return fmt.Errorf("settings field memory_mb is %v; give megabytes, or 0 for no bound", s.MemoryMB)
 	}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -36,15 +36,16 @@
 		value any
 		want  string
 	}{
-		"listen":         {"here:80", "settings field listen is \"here:80\"; give an IP number with a port"},
-		"store":          {"", "settings field store is \"\"; give an IP number with a port"},
-		"apply_within_s": {0, "settings field apply_within_s is 0; give seconds above 0"},
-		"watch_trust_s":  {-1, "settings field watch_trust_s is -1; give seconds above 0"},
-		"retry_ratio":    {-0.1, "settings field retry_ratio is -0.1; give a share of 0 or more"},
-		"log_level":      {"loud", "settings field log_level is \"loud\"; give debug, info, warn or error"},
-		"memory_mb":      {-1, "settings field memory_mb is -1; give megabytes, or 0 for no bound"},
-		"hall":           {"", "settings fields id (\"gateway-1\") and hall (\"\") must both be given"},
-		"id":             {7, "cannot unmarshal number into Go struct field Settings.id"},
+		"listen":            {"here:80", "settings field listen is \"here:80\"; give an IP number with a port"},
+		"store":             {"", "settings field store is \"\"; give an IP number with a port"},
+		"apply_within_s":    {0, "settings field apply_within_s is 0; give seconds above 0"},
+		"watch_trust_s":     {-1, "settings field watch_trust_s is -1; give seconds above 0"},
+		"retry_ratio":       {-0.1, "settings field retry_ratio is -0.1; give a share of 0 or more"},
+		"evacuate_within_s": {-1, "settings field evacuate_within_s is -1; give seconds above 0, or leave it out where no hall is evacuated"},
+		"log_level":         {"loud", "settings field log_level is \"loud\"; give debug, info, warn or error"},
+		"memory_mb":         {-1, "settings field memory_mb is -1; give megabytes, or 0 for no bound"},
+		"hall":              {"", "settings fields id (\"gateway-1\") and hall (\"\") must both be given"},
+		"id":                {7, "cannot unmarshal number into Go struct field Settings.id"},
 	} {
 		t.Run(field, func(t *testing.T) {
 			g := NewWithT(t)
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -6,7 +6,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/gateway/discovery"
 )
 
-// Shares of the time within which an update must be in force (apply_within_s)
+// Shares of the time within which an update must be in force (inForceWithin)
 // that the ways of hearing it may take, so that two that fail one after the other
 // still fit: a question to another gateway (0.27 with its slack), then the own
 // reading of a standby (0.5) or of any other, one after the other from 0.55 on and all
@@ -40,17 +40,27 @@
 	watchSlack = 200 * time.Millisecond
 )
 
+// inForceWithin is the time within which whatever is read must be in force, in seconds:
+// all is confirmed together, so that the shortest bound holds for all.
+func inForceWithin(s Settings) float64 {
+	if s.EvacuateWithin > 0 {
+		return min(s.ApplyWithin, s.EvacuateWithin)
+	}
+	return s.ApplyWithin
+}
+
 // timing derives the times of the discovery from the settings.
 func timing(s Settings) discovery.Timing {
+	within := inForceWithin(s)
 	return discovery.Timing{
-		Poll:        seconds(pollShare * s.ApplyWithin),
-		PollSlack:   seconds(pollSlackShare * s.ApplyWithin),
-		SilentAfter: seconds(silentShare * s.ApplyWithin),
-		AloneAfter:  seconds(aloneShare * s.ApplyWithin),
-		LastAfter:   seconds(lastShare * s.ApplyWithin),
-		Ping:        seconds(pingShare * s.ApplyWithin),
-		Batch:       seconds(batchShare * s.ApplyWithin),
-		AloneBatch:  seconds(aloneBatchShare * s.ApplyWithin),
+		Poll:        seconds(pollShare * within),
+		PollSlack:   seconds(pollSlackShare * within),
+		SilentAfter: seconds(silentShare * within),
+		AloneAfter:  seconds(aloneShare * within),
+		LastAfter:   seconds(lastShare * within),
+		Ping:        seconds(pingShare * within),
+		Batch:       seconds(batchShare * within),
+		AloneBatch:  seconds(aloneBatchShare * within),
 		Watch:       seconds(watchShare*s.WatchTrust) - watchSlack,
 		WatchSlack:  watchSlack,
 		OutageAfter: seconds(s.WatchTrust),
--- a/internal/cli/timeline/timeline.go
+++ b/internal/cli/timeline/timeline.go
@@ -151,6 +151,8 @@
 		return "the gateway did not know enough: it had just begun, or its configuration was not confirmed lately"
 	case verdict.ReasonNoTarget:
 		return "no target of the service was known"
+	case verdict.ReasonEvacuated:
+		return "all targets of the service stand in halls that are evacuated"
 	case verdict.ReasonTooLate:
 		return fmt.Sprintf("every target asked in %s was too full to answer in time", rounds(l.Waits+1))
 	case verdict.ReasonClientGone:
--- a/internal/gateway/discovery/calls.go
+++ b/internal/gateway/discovery/calls.go
@@ -19,11 +19,11 @@
 	if err != nil {
 		return err
 	}
-	f.apply(fromStore, func(c *catalog.Catalog) (bool, bool) {
+	f.apply(fromStore, func(c *catalog.Catalog) catalog.Changed {
 		latest := changes.Latest
 		changed := latest != nil && c.SetConfig(latest.Version, latest.Body)
 		c.SeenConfig(changes.Revision)
-		return changed, false
+		return catalog.Changed{Config: changed}
 	})
 	return nil
 }
@@ -55,10 +55,41 @@
 	from := f.position().Targets
 	if whole || from == 0 {
 		list, err := f.options.Source.Targets(ctx)
-		return func(c *catalog.Catalog) (bool, bool) { return false, c.Replace(list.Revision, list.Targets) }, err
+		return func(c *catalog.Catalog) catalog.Changed {
+			return catalog.Changed{Targets: c.Replace(list.Revision, list.Targets)}
+		}, err
 	}
 	changes, err := f.options.Source.WatchTargets(ctx, from, f.waitFor(f.fresh.Targets()))
-	return func(c *catalog.Catalog) (bool, bool) { return false, c.Advance(changes.Revision, changes.Changes) }, err
+	return func(c *catalog.Catalog) catalog.Changed {
+		return catalog.Changed{Targets: c.Advance(changes.Revision, changes.Changes)}
+	}, err
+}
+
+// callEvacuations makes one call for the evacuations. They don't lapse in an outage, so
+// that they are read at once after it.
+func (f *Follower) callEvacuations(ctx context.Context, whole bool) error {
+	update, err := f.evacuationsUpdate(ctx, whole)
+	if err != nil {
+		return err
+	}
+	f.apply(fromStore, update)
+	return nil
+}
+
+// evacuationsUpdate reads the evacuations, or what has changed of them, and returns how
+// the catalog takes it in.
+func (f *Follower) evacuationsUpdate(ctx context.Context, whole bool) (change, error) {
+	from := f.position().Evacuations
+	if whole || from == 0 {
+		list, err := f.options.Source.Evacuations(ctx)
+		return func(c *catalog.Catalog) catalog.Changed {
+			return catalog.Changed{Evacuations: c.ReplaceEvacuations(list.Revision, list.Evacuations)}
+		}, err
+	}
+	changes, err := f.options.Source.WatchEvacuations(ctx, from, f.waitFor(f.fresh.Evacuations()))
+	return func(c *catalog.Catalog) catalog.Changed {
+		return catalog.Changed{Evacuations: c.AdvanceEvacuations(changes.Revision, changes.Changes)}
+	}, err
 }
 
 // noteAnswer notes the store's return, if this answer is it, and says whether
@@ -81,11 +112,16 @@
 }
 
 // untilTargets is how long the targets should not be read; the lock is held.
-// While the configuration can't be read either, they are not asked for.
 func (f *Follower) untilTargets(now time.Time) time.Duration {
 	if left := f.fresh.UntilRestored(now, f.restoreDelay(now)); left > 0 {
 		return left
 	}
+	return f.untilConfigAnswers(now)
+}
+
+// untilConfigAnswers is how long the other watches make no call since that of the
+// configuration fails; the lock is held.
+func (f *Follower) untilConfigAnswers(time.Time) time.Duration {
 	if f.fresh.Config().Failing() {
 		return maxLook
 	}
--- a/internal/gateway/discovery/discovery.go
+++ b/internal/gateway/discovery/discovery.go
@@ -1,5 +1,5 @@
-// Package discovery keeps what a gateway believes of the configuration and of the
-// targets up to date (service discovery). One gateway reads the store; the others
+// Package discovery keeps what a gateway believes of the configuration, of the targets
+// and of the halls that are evacuated up to date (service discovery). One gateway reads the store; the others
 // hear of updates from each other. Each keeps exchanging with a few others, drawn at
 // random, and both sides of such a link say how far they are; whoever is behind asks
 // for what it lacks, of one of those that have it. A gateway that hears nothing in
@@ -180,6 +180,9 @@
 		links: newLinks(o.Dial, o.Timing.PollSlack/dialPart), wholes: rate.NewLimiter(rate.Every(wholeEvery), wholesAtOnce),
 	}
 	f.nextSeed = int(o.Draw() * float64(len(o.Seeds())))
+	if o.Source.followsEvacuations() {
+		f.fresh.FollowEvacuations()
+	}
 	f.believed.Store(snapshot.New(nil, nil))
 	return f
 }
@@ -187,6 +190,9 @@
 // Duties are what a gateway does to stay up to date, each until its context ends.
 func (f *Follower) Duties() []func(context.Context) error {
 	duties := []func(context.Context) error{f.start, f.readConfig, f.readTargets, f.ping, f.fetch, f.heal}
+	if f.options.Source.followsEvacuations() {
+		duties = append(duties, f.readEvacuations)
+	}
 	for place := range neighbours {
 		duties = append(duties, func(ctx context.Context) error { return f.follow(ctx, place) })
 	}
@@ -252,10 +258,11 @@
 	return f.catalog.Position()
 }
 
-// knows says whether a configuration and the targets are known; the lock is held.
+// knows says whether a configuration, the targets and the evacuations are known; the
+// lock is held.
 func (f *Follower) knows() bool {
 	position := f.catalog.Position()
-	return position.ConfigRevision > 0 && position.Targets > 0
+	return position.ConfigRevision > 0 && position.Targets > 0 && f.canConfirm(position)
 }
 
 // knowsTargets says whether any targets were ever known; the lock is held.
--- a/internal/gateway/discovery/discovery_test.go
+++ b/internal/gateway/discovery/discovery_test.go
@@ -28,22 +28,24 @@
 
 // fakeStore holds a configuration and targets and wakes watches.
 type fakeStore struct {
-	mu       sync.Mutex
-	revision uint64
-	version  uint64
-	targets  map[string]catalog.Target
-	changes  []catalog.Change
-	configAt uint64
-	body     string // of the configuration; empty for its version
-	floor    uint64
-	woken    chan struct{}
-	calls    atomic.Int32
-	glances  atomic.Int32  // among the calls
-	delay    time.Duration // before each call is looked at
+	mu          sync.Mutex
+	revision    uint64
+	version     uint64
+	targets     map[string]catalog.Target
+	changes     []catalog.Change
+	evacuated   map[string]bool
+	evacuations []catalog.EvacuationChange
+	configAt    uint64
+	body        string // of the configuration; empty for its version
+	floor       uint64
+	woken       chan struct{}
+	calls       atomic.Int32
+	glances     atomic.Int32  // among the calls
+	delay       time.Duration // before each call is looked at
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{targets: map[string]catalog.Target{}, woken: make(chan struct{}), revision: 1}
+	return &fakeStore{targets: map[string]catalog.Target{}, evacuated: map[string]bool{}, woken: make(chan struct{}), revision: 1}
 }
 
 // newFilledStore holds version 1 of a configuration and one target.
@@ -83,7 +85,9 @@
 }
 
 // forget drops the history, as after a compaction.
-func (s *fakeStore) forget() { s.change(func() { s.floor, s.changes = s.revision, nil }) }
+func (s *fakeStore) forget() {
+	s.change(func() { s.floor, s.changes, s.evacuations = s.revision, nil, nil })
+}
 
 // access is one gateway's way to the store, which a test can cut.
 type access struct {
@@ -345,12 +349,18 @@
 }
 
 func startBox(t *testing.T, self member.Box, listener net.Listener, a *access, seeds []string, timing discovery.Timing, first bool) *gateway {
+	t.Helper()
+	return startSource(t, self, listener, a, a.source(), seeds, timing, first)
+}
+
+// startSource starts a gateway that reads the store by a source.
+func startSource(t *testing.T, self member.Box, listener net.Listener, a *access, source discovery.Source, seeds []string, timing discovery.Timing, first bool) *gateway {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	g := &gateway{access: a, listener: listener, stop: stop, log: &lines{}}
 	g.Follower = discovery.New(discovery.Options{
 		Self:  self,
-		Seeds: func() []string { return seeds }, Source: a.source(), Timing: timing, FirstStart: first,
+		Seeds: func() []string { return seeds }, Source: source, Timing: timing, FirstStart: first,
 		Log: slog.New(slog.NewTextHandler(g.log, nil)),
 		Decode: func(body []byte) (*routing.Table, error) {
 			version, err := strconv.ParseUint(string(body), 10, 64)
--- a/internal/gateway/discovery/exchange.go
+++ b/internal/gateway/discovery/exchange.go
@@ -59,8 +59,8 @@
 	if err := reply.unpack(); err != nil {
 		return err
 	}
-	if d := reply.Delta; d.Config != nil || d.Whole || len(d.Changes) > 0 {
-		f.apply(peer.Peer, func(c *catalog.Catalog) (bool, bool) { return c.Merge(d) })
+	if d := reply.Delta; !d.IsEmpty() {
+		f.apply(peer.Peer, func(c *catalog.Catalog) catalog.Changed { return c.Merge(d) })
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -98,13 +98,19 @@
 		f.noteOffer(now, offer{peer: peer, at: theirs})
 		return
 	}
-	if reply.Age == freshness.Never {
+	if reply.Age == freshness.Never || !f.canConfirm(theirs) {
 		return
 	}
 	f.catalog.CatchUp(theirs)
 	f.confirm(now.Add(-reply.Age), reply.Origin)
 }
 
+// canConfirm says whether word of a gateway at a position can confirm all that is
+// believed here: one of an earlier version follows no evacuations.
+func (f *Follower) canConfirm(theirs catalog.Position) bool {
+	return theirs.Evacuations > 0 || !f.options.Source.followsEvacuations()
+}
+
 // confirm notes that what is believed was all that the store held at a moment, by
 // the reading of the gateway origin; the lock is held.
 func (f *Follower) confirm(at time.Time, origin string) {
--- a/internal/gateway/discovery/fleet_test.go
+++ b/internal/gateway/discovery/fleet_test.go
@@ -43,6 +43,8 @@
 	store    *fakeStore
 	seed     uint64
 	gateways []*gateway
+	// source is how gateways read the store.
+	source func(*access) discovery.Source
 }
 
 func fleetSize(usual int) int {
@@ -54,7 +56,12 @@
 
 // newBigFleet starts a fleet for the first time and waits until it has settled.
 func newBigFleet(t *testing.T, size int, seed uint64) *bigFleet {
-	f := &bigFleet{t: t, fabric: newFabric(), store: newFilledStore(), seed: seed}
+	return newBigFleetReading(t, size, seed, (*access).source)
+}
+
+// newBigFleetReading starts one whose gateways read the store in a way of their own.
+func newBigFleetReading(t *testing.T, size int, seed uint64, source func(*access) discovery.Source) *bigFleet {
+	f := &bigFleet{t: t, fabric: newFabric(), store: newFilledStore(), seed: seed, source: source}
 	f.store.delay = 4 * time.Millisecond
 	for i := range 300 {
 		f.store.setTarget("t"+strconv.Itoa(i), false)
@@ -78,7 +85,7 @@
 	g.Follower = discovery.New(discovery.Options{
 		Self:       member.Box{ID: "gateway-" + strconv.Itoa(i), Peer: address, Hall: hall, Start: uint64(time.Now().UnixNano())},
 		FirstStart: first, Seeds: func() []string { return []string{f.address(0), f.address(1), f.address(2)} },
-		Source: g.access.source(), Timing: fleetTiming, Log: slog.New(slog.NewTextHandler(g.log, nil)),
+		Source: f.source(g.access), Timing: fleetTiming, Log: slog.New(slog.NewTextHandler(g.log, nil)),
 		Dial: f.fabric.dialFrom(address),
 		Draw: func() float64 {
 			mu.Lock()
@@ -152,10 +159,15 @@
 
 // measure runs f on a settled fleet for some seeds, each in a bubble of its own.
 func measure(t *testing.T, size int, seeds uint64, f func(g *WithT, fleet *bigFleet)) {
+	measureReading(t, size, seeds, (*access).source, f)
+}
+
+// measureReading is measure where gateways read the store in a way of their own.
+func measureReading(t *testing.T, size int, seeds uint64, source func(*access) discovery.Source, f func(g *WithT, fleet *bigFleet)) {
 	for seed := range seeds {
 		t.Run(fmt.Sprintf("%d gateways, seed %d", size, seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fleet := newBigFleet(t, size, seed)
+				fleet := newBigFleetReading(t, size, seed, source)
 				defer time.Sleep(10 * time.Second) // until all goroutines of the bubble have ended
 				defer fleet.stopAll()
 				f(NewWithT(t), fleet)
--- a/internal/gateway/discovery/neighbour.go
+++ b/internal/gateway/discovery/neighbour.go
@@ -241,7 +241,10 @@
 
 // standing is what this gateway says of its own knowledge; the lock is held.
 func (f *Follower) standing(now time.Time) UpdateArgs {
-	return UpdateArgs{At: f.catalog.Position(), Age: f.fresh.Age(now), Tries: f.tries.Told(now)}
+	return UpdateArgs{
+		At: f.catalog.Position(), Age: f.fresh.Age(now), Tries: f.tries.Told(now),
+		FollowsEvacuations: f.options.Source.followsEvacuations(),
+	}
 }
 
 // tell tells a neighbour, without waiting for its answer, what it lacks, if it may be
--- a/internal/gateway/discovery/protocol.go
+++ b/internal/gateway/discovery/protocol.go
@@ -38,6 +38,9 @@
 	From member.Box
 	// Tries are the latest attempts to read the store that the caller knows of.
 	Tries []reader.Try
+	// FollowsEvacuations is false of a caller of an earlier version: it lacks none, so
+	// that a question of its that waits is not answered at once for their sake.
+	FollowsEvacuations bool
 }
 
 // UpdateReply is what the caller lacks, or how far the answering gateway is.
--- a/internal/gateway/discovery/publish.go
+++ b/internal/gateway/discovery/publish.go
@@ -15,18 +15,21 @@
 )
 
 // change changes the catalog and says what of it changed.
-type change func(c *catalog.Catalog) (config, targets bool)
+type change func(c *catalog.Catalog) catalog.Changed
 
 // apply makes a change to the catalog and publishes what came of it.
 func (f *Follower) apply(from string, make change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.catalog.Position()
-	config, targets := make(f.catalog)
-	if config {
+	changed := make(f.catalog)
+	if changed.Config {
 		f.decode(from)
 	}
-	if config || targets {
+	if changed.Evacuations {
+		f.logEvacuations(from)
+	}
+	if changed.Any() {
 		f.publish(from)
 	}
 	if f.catalog.Position() != before {
@@ -45,22 +48,43 @@
 	f.options.Log.Info("configuration in force", "version", table.Version(), "from", from)
 }
 
-// publish makes the snapshot that the data path uses; the lock is held.
+// publish makes the snapshot that the data path uses: without targets that leave, and
+// without those of halls that are evacuated; the lock is held.
 func (f *Follower) publish(from string) {
 	before := f.believed.Load().ByService()
-	targets := map[string][]catalog.Target{}
+	targets, evacuated := map[string][]catalog.Target{}, map[string]int{}
 	for _, t := range f.catalog.Targets() {
-		if !t.Leaving {
+		switch {
+		case t.Leaving:
+		case f.catalog.IsEvacuated(t.Hall):
+			evacuated[t.Service]++
+		default:
 			targets[t.Service] = append(targets[t.Service], t)
 		}
 	}
-	f.believed.Store(snapshot.New(f.table, targets))
+	f.believed.Store(snapshot.New(f.table, targets).WithEvacuated(evacuated))
 	f.logTargets(from, before, targets)
 	if f.table != nil && f.catalog.HasTargets() {
 		f.once.Do(func() { close(f.ready) })
 	}
 }
 
+// logEvacuations writes which halls are evacuated now; the lock is held.
+func (f *Follower) logEvacuations(from string) {
+	halls := []string{}
+	for _, e := range f.catalog.Evacuations() {
+		halls = append(halls, e.Hall)
+	}
+	f.options.Log.Info("evacuations changed", "halls", halls, "revision", f.catalog.Position().Evacuations, "from", from)
+}
+
+// EvacuatedHalls is how many halls are believed to be evacuated.
+func (f *Follower) EvacuatedHalls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.catalog.Evacuations())
+}
+
 // logTargets writes which targets take requests now that did not before, and
 // which no longer do.
 func (f *Follower) logTargets(from string, before, now map[string][]catalog.Target) {
--- a/internal/gateway/discovery/read.go
+++ b/internal/gateway/discovery/read.go
@@ -32,7 +32,7 @@
 	minWaitShare = 0.8
 )
 
-// watch is one of the two watches of the store.
+// watch is one of the watches of the store.
 type watch struct {
 	name  string
 	state *freshness.Watch
@@ -56,6 +56,11 @@
 	return f.read(ctx, &watch{name: "targets", state: f.fresh.Targets(), call: f.callTargets, until: f.untilTargets})
 }
 
+// readEvacuations is the duty of watching the evacuations in the store.
+func (f *Follower) readEvacuations(ctx context.Context) error {
+	return f.read(ctx, &watch{name: "evacuations", state: f.fresh.Evacuations(), call: f.callEvacuations, until: f.untilConfigAnswers})
+}
+
 // read makes the calls of a watch while the reading falls to this gateway.
 func (f *Follower) read(ctx context.Context, w *watch) error {
 	retry := backoff.NewExponentialBackOff()
@@ -71,25 +76,33 @@
 		before := f.position()
 		err := f.reach(ctx, w, whole)
 		whole = errors.Is(err, ErrGone)
-		pauseFor := time.Duration(0)
-		switch {
-		case err == nil:
-			retry.Reset()
-			if f.position() != before {
-				pauseFor = f.batch()
-			}
-		case whole || errors.Is(err, errRestoring):
-		default:
-			retry.MaxInterval = f.longestRetry()
-			pauseFor = retry.NextBackOff()
-		}
-		if pauseFor > 0 && !pause.For(ctx, pauseFor) {
+		changed := f.position() != before
+		if wait := f.untilNextCall(err, changed, retry); wait > 0 && !pause.For(ctx, wait) {
 			return nil
 		}
 	}
 	return nil
 }
 
+// untilNextCall is the pause after a call of a watch that ended so: none where a list
+// follows at once, one in which more changes may gather, or one that grows with each
+// failure.
+func (f *Follower) untilNextCall(err error, changed bool, retry *backoff.ExponentialBackOff) time.Duration {
+	switch {
+	case err == nil && changed:
+		retry.Reset()
+		return f.batch()
+	case err == nil:
+		retry.Reset()
+		return 0
+	case errors.Is(err, ErrGone), errors.Is(err, errRestoring):
+		return 0
+	default:
+		retry.MaxInterval = f.longestRetry()
+		return retry.NextBackOff()
+	}
+}
+
 // reach makes one call of a watch. After one that failed it pings first: that
 // costs less while the store stays away.
 func (f *Follower) reach(ctx context.Context, w *watch, whole bool) error {
--- a/internal/gateway/discovery/serve.go
+++ b/internal/gateway/discovery/serve.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/rpc"
 	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 )
 
 const (
@@ -138,12 +140,20 @@
 	return left
 }
 
+// lacks says whether there is anything at a position that the caller lacks and follows.
+func (a UpdateArgs) lacks(position catalog.Position) bool {
+	if !a.FollowsEvacuations {
+		position.EvacuationsChanged = 0
+	}
+	return a.At.Lacks(position)
+}
+
 // hasAnswer says whether there is something to answer now: an update, a word that
 // confirms the caller's old knowledge, a try to read the store that it has not heard
 // of, or that this gateway leaves; the lock is held.
 func (f *Follower) hasAnswer(args UpdateArgs, asked time.Time) bool {
 	now := f.options.Clock()
-	ahead := args.At.Lacks(f.catalog.Position())
+	ahead := args.lacks(f.catalog.Position())
 	confirms := f.fresh.Confirms(now, older(args.Age, now.Sub(asked)))
 	tries := f.tries.Lacking(now, args.Tries)
 	return ahead || confirms || tries || f.view.Self().Leaving
--- a/internal/gateway/discovery/source.go
+++ b/internal/gateway/discovery/source.go
@@ -33,6 +33,18 @@
 	Latest *ConfigObject
 }
 
+// EvacuationList is all evacuations at a revision of the store.
+type EvacuationList struct {
+	Revision    uint64
+	Evacuations []catalog.Evacuation
+}
+
+// EvacuationChanges is what happened to evacuations up to a revision.
+type EvacuationChanges struct {
+	Revision uint64
+	Changes  []catalog.EvacuationChange
+}
+
 // Glance is what the store held up to some seconds ago.
 type Glance struct {
 	// Config is nil where there was none yet.
@@ -47,6 +59,12 @@
 	WatchConfig  func(ctx context.Context, from uint64, wait time.Duration) (ConfigChanges, error)
 	Targets      func(ctx context.Context) (TargetList, error)
 	WatchTargets func(ctx context.Context, from uint64, wait time.Duration) (TargetChanges, error)
+	// Evacuations, WatchEvacuations and GlanceEvacuations are nil where no hall is ever
+	// evacuated, which saves the calls.
+	Evacuations      func(ctx context.Context) (EvacuationList, error)
+	WatchEvacuations func(ctx context.Context, from uint64, wait time.Duration) (EvacuationChanges, error)
+	// GlanceEvacuations are those of some seconds ago.
+	GlanceEvacuations func(ctx context.Context) ([]catalog.Evacuation, error)
 	// Glance is what the store held up to some seconds ago, at a small part of the cost
 	// of the calls above.
 	Glance func(ctx context.Context) (Glance, error)
@@ -54,6 +72,15 @@
 	Ping func(ctx context.Context) error
 }
 
+// WithoutEvacuations is the source where no hall is ever evacuated.
+func (s Source) WithoutEvacuations() Source {
+	s.Evacuations, s.WatchEvacuations, s.GlanceEvacuations = nil, nil, nil
+	return s
+}
+
+// followsEvacuations says whether halls may be evacuated.
+func (s Source) followsEvacuations() bool { return s.Evacuations != nil }
+
 // Errors of a Source; whatever else it returns counts as ErrUnavailable does.
 var (
 	// ErrUnavailable says that the store could not be reached, turned the call away
--- a/internal/gateway/discovery/start.go
+++ b/internal/gateway/discovery/start.go
@@ -56,8 +56,14 @@
 	if seen.Config == nil {
 		return false
 	}
-	f.apply(fromGlance, func(c *catalog.Catalog) (bool, bool) {
-		return c.Guess(seen.Config.Version, seen.Config.Body, seen.Targets)
-	})
+	guess := catalog.Guess{Version: seen.Config.Version, Body: seen.Config.Body, Targets: seen.Targets}
+	if f.options.Source.followsEvacuations() {
+		if guess.Evacuations, err = f.options.Source.GlanceEvacuations(ctx); err != nil {
+			// It serves all the same: they are known before anything is due of it.
+			f.options.Metrics.StoreCall(callGlance, callFailed)
+			f.options.Log.Info("no glance at the evacuations", "error", err.Error())
+		}
+	}
+	f.apply(fromGlance, func(c *catalog.Catalog) catalog.Changed { return c.Guess(guess) })
 	return true
 }
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -47,8 +47,9 @@
 // decide has the decision made, and notes it where it is that no target will do.
 func (b *balancer) decide(req *request, svc *service, deadlines placement.Deadlines, best *candidate, localOnly bool) placement.Decision {
 	now := b.options.Clock()
+	believed := b.options.Snapshot()
 	state := placement.State{
-		Now: now, Deadlines: deadlines, Targets: len(req.targets),
+		Now: now, Deadlines: deadlines, Targets: len(believed.Targets(req.service)), Evacuated: believed.Evacuated(req.service),
 		LocalOnly: localOnly, Yield: svc.yields(now, req.route.Priority),
 	}
 	if best != nil {
@@ -59,7 +60,7 @@
 		svc.waited(now, req.route.Priority)
 	}
 	switch decision.Action() {
-	case placement.Take, placement.RefuseNoTarget:
+	case placement.Take, placement.RefuseNoTarget, placement.RefuseEvacuated:
 	default:
 		b.options.Metrics.Wait(req.service)
 	}
--- a/internal/gateway/forward/probe.go
+++ b/internal/gateway/forward/probe.go
@@ -44,7 +44,8 @@
 	return best
 }
 
-// order draws the order in which the targets of a request are probed.
+// order draws the order in which the targets of a request are probed: those that take
+// requests now, so that what waits or is sent again follows each change.
 func (b *balancer) order(req *request, svc *service, avoid []string) (local, remote []catalog.Target) {
 	now := b.options.Clock()
 	filter := placement.Filter{
@@ -55,7 +56,7 @@
 		idle := b.options.Pool.Idle()
 		filter.Connected = func(id string) bool { return idle[id] > 0 }
 	}
-	return placement.Order(req.targets, filter, rand.Shuffle)
+	return placement.Order(b.options.Snapshot().Targets(req.service), filter, rand.Shuffle)
 }
 
 // probeWave probes targets at once and returns the best of them and of best. It
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/deadline"
 	"github.com/sprucecrank/sprucecrank/core/gateway/refusal"
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
@@ -23,7 +22,6 @@
 	config  uint64 // the version by which the request is handled
 	route   *routing.Route
 	service string
-	targets []catalog.Target
 	// healthPath is where the targets of the service answer health probes.
 	healthPath string
 	began      time.Time
@@ -57,7 +55,6 @@
 	}
 	req.route = route
 	req.service = route.Pick(h.options.Draw())
-	req.targets = believed.Targets(req.service)
 	if service, ok := table.Service(req.service); ok {
 		req.healthPath = service.HealthPath
 	}
--- a/internal/gateway/metrics/metrics.go
+++ b/internal/gateway/metrics/metrics.go
@@ -48,6 +48,9 @@
 	// seconds, it was confirmed to be the newest.
 	ConfigVersion uint64
 	ConfigAge     float64
+	// EvacuatedHalls is how many halls are evacuated, as far as is known since
+	// ConfigAge.
+	EvacuatedHalls int
 	// Active is how many requests are under way.
 	Active int64
 	// LogDropped is how many log lines found no room.
@@ -106,6 +109,10 @@
 	if err != nil {
 		return err
 	}
+	evacuated, err := meter.Int64ObservableGauge("sprucecrank.gateway.halls.evacuated", metric.WithDescription("Halls whose targets get nothing since they are evacuated, by what was confirmed config.age ago."))
+	if err != nil {
+		return err
+	}
 	active, err := meter.Int64ObservableGauge("sprucecrank.gateway.requests.active", metric.WithDescription("Requests under way."))
 	if err != nil {
 		return err
@@ -118,10 +125,11 @@
 		now := state()
 		o.ObserveInt64(version, int64(now.ConfigVersion))
 		o.ObserveFloat64(age, now.ConfigAge)
+		o.ObserveInt64(evacuated, int64(now.EvacuatedHalls))
 		o.ObserveInt64(active, now.Active)
 		o.ObserveInt64(dropped, int64(now.LogDropped))
 		return nil
-	}, version, age, active, dropped)
+	}, version, age, evacuated, active, dropped)
 	return err
 }
 
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -52,6 +52,7 @@
 const (
 	ReasonNoService       Reason = "no-service"
 	ReasonNoTarget        Reason = "no-target"
+	ReasonEvacuated       Reason = "evacuated"
 	ReasonQueueFull       Reason = "queue-full"
 	ReasonTooLate         Reason = "too-late"
 	ReasonDeadline        Reason = "deadline"
