A gateway that is busy sending all targets sends nothing else

A reply of a gateway that was busy held the evacuations, no targets, and the position of one that knows all; the asker merged it and took itself for as far, with no targets, until one changed. Change: such a reply is a position alone; a table that was never read is not caught up by a position, and changes without a whole before them bring nothing.

--- a/core/gateway/catalog/catalog.go
+++ b/core/gateway/catalog/catalog.go
@@ -311,7 +311,7 @@
 			targets = append(targets, change.Target)
 		}
 		changed.Targets = d.To.Targets > c.targets.known && c.Replace(d.To.Targets, targets)
-	} else {
+	} else if c.targets.known > 0 {
 		changed.Targets = c.Advance(d.To.Targets, d.Changes)
 	}
 	if d.HasEvacuations {
--- a/core/gateway/catalog/catalog_test.go
+++ b/core/gateway/catalog/catalog_test.go
@@ -163,6 +163,19 @@
 	g.Expect(knows.Since(not.Position()).IsEmpty()).To(BeTrue(), "nothing has changed")
 }
 
+// A position alone, as of a gateway that is too busy to send all, brings no knowledge.
+func TestAPositionAloneIsNoKnowledge(t *testing.T) {
+	g := NewWithT(t)
+	knows, not := catalog.New(), catalog.New()
+	knows.Replace(530, []catalog.Target{target("s")})
+	knows.ReplaceEvacuations(530, nil)
+	not.Merge(catalog.Delta{To: knows.Position(), HasEvacuations: true})
+	g.Expect(not.Position()).To(Equal(catalog.Position{Evacuations: 530, EvacuationsChanged: 530}))
+	g.Expect(not.Position().Lacks(knows.Position())).To(BeTrue())
+	not.CatchUp(knows.Position())
+	g.Expect(not.Position().Lacks(knows.Position())).To(BeTrue())
+}
+
 func TestAGuessOfEvacuationsServesUntilSomethingIsKnown(t *testing.T) {
 	g := NewWithT(t)
 	c := catalog.New()
--- a/core/gateway/catalog/table.go
+++ b/core/gateway/catalog/table.go
@@ -105,8 +105,12 @@
 	return changed
 }
 
-// catchUp notes that nothing is missing up to the revisions of another table.
+// catchUp notes that nothing is missing up to the revisions of another table. Of a table
+// that was never read all is missing.
 func (t *table[E]) catchUp(known, changed uint64) {
+	if t.known == 0 {
+		return
+	}
 	t.known = max(t.known, known)
 	t.changed = max(t.changed, changed)
 }
--- a/internal/gateway/discovery/evacuation_test.go
+++ b/internal/gateway/discovery/evacuation_test.go
@@ -310,6 +310,7 @@
 	if !args.Digest {
 		target := catalog.Target{ID: "s1", Service: "shop", Hall: "hall-1", Address: "10.0.0.1:80"}
 		reply.Delta.Changes = []catalog.Change{{Revision: 3, Target: target}}
+		reply.Delta.Whole = args.At.Targets == 0
 	}
 	return nil
 }
@@ -332,3 +333,24 @@
 	g.Eventually(gw.EvacuatedHalls, eventual).Should(Equal(1), "so it reads them itself")
 	g.Expect(gw.targets()).To(BeEmpty())
 }
+
+// A gateway that is busy sending all targets to others says how far it is and sends
+// nothing: what it said of evacuations once made others take themselves for as far, with
+// no targets (a day on which all gateways were killed).
+func TestAFleetThatLosesPowerKnowsAllTargetsSoon(t *testing.T) {
+	measureReading(t, fleetSize(60), 1, (*access).following, func(g *WithT, fleet *bigFleet) {
+		fleet.store.evacuate("hall-1", true)
+		size := len(fleet.gateways)
+		fleet.stopAll()
+		time.Sleep(time.Second)
+		for i := range size {
+			fleet.gateways[i] = fleet.start(i, false)
+		}
+		time.Sleep(3 * time.Second)
+		for _, gw := range fleet.gateways {
+			g.Expect(gw.targets()).To(HaveLen(301))
+			g.Expect(gw.EvacuatedHalls()).To(Equal(1))
+			g.Expect(gw.Current()).To(BeTrue())
+		}
+	})
+}
--- a/internal/gateway/discovery/serve.go
+++ b/internal/gateway/discovery/serve.go
@@ -71,7 +71,7 @@
 	reply.Delta = f.catalog.Since(args.At)
 	if reply.Delta.Whole {
 		if reply.Busy = !f.wholes.Allow(); reply.Busy {
-			reply.Delta.Changes, reply.Delta.Whole, reply.Delta.Config = nil, false, nil
+			reply.Delta = catalog.Delta{To: reply.Delta.To}
 			return nil
 		}
 		var err error
