Cold targets take one request at a time, and from all gateways together what they bear

A cold target takes a request only while it reports that it has nothing to do, and only of a gateway that has a turn: its share of what all cold targets bear, by the number of gateways, which the scores of the first in rank tell (peers.Size). Its predicted time is learnt apart, twice the usual before; usual times and costs of levels are not learnt from it. No hedge goes there; where no probe is answered the entry's word counts.

--- a/core/gateway/estimate/estimate.go
+++ b/core/gateway/estimate/estimate.go
@@ -56,6 +56,8 @@
 	Bytes int
 	// Report is the target's load when it was chosen.
 	Report load.Report
+	// Cold says that the target was cold then.
+	Cold bool
 }
 
 // Prediction is what a target would take for a request.
@@ -81,13 +83,16 @@
 	bytes     map[string]float64 // of an answer, by route
 	idleShare float64            // of the targets that were probed
 	levels    levels
+	cold      cost // of a cold target that had no other requests
 	silent    int  // probes in a row without a load report
 	reports   bool // some probe held a load report
 }
 
 // New makes the estimates of a service of which nothing is known.
 func New() *Service {
-	return &Service{medians: map[string]median{}, bytes: map[string]float64{}, levels: newLevels()}
+	return &Service{
+		medians: map[string]median{}, bytes: map[string]float64{}, levels: newLevels(), cold: cost{factor: firstColdCost},
+	}
 }
 
 // Usual is how long a request of a route usually takes on an idle target.
@@ -111,8 +116,13 @@
 	}
 }
 
+// PredictCold is what a cold target with a load would take for a request of a route.
+func (s *Service) PredictCold(route *routing.Route, report load.Report) time.Duration {
+	return report.Predict(s.Usual(route), s.cold.factor)
+}
+
 // Answered learns from a request that was answered. A target that was slow or had a
-// queue says nothing about the usual time. One that had other requests tells what its
+// queue says nothing about the usual time, nor does one that was cold. One that had other requests tells what its
 // level of fullness costs, and the usual time only where that is nothing.
 func (s *Service) Answered(route *routing.Route, a Answer) {
 	s.bytes[route.Name] += bytesStep * (float64(a.Bytes) - s.bytes[route.Name])
@@ -120,6 +130,10 @@
 		return
 	}
 	usual := s.Usual(route)
+	if a.Cold {
+		s.cold.learn(float64(a.Took) / float64(max(usual, minUsual)))
+		return
+	}
 	if _, measured := s.medians[route.Name]; measured && a.Report.Running() > 0 {
 		s.levels.learn(a.Report, float64(a.Took)/float64(max(usual, minUsual)))
 	}
--- a/core/gateway/estimate/estimate_test.go
+++ b/core/gateway/estimate/estimate_test.go
@@ -199,3 +199,24 @@
 	fmt.Println(s.Usual(route), s.Predict(route, full).Saturated())
 	// Output: 175ms true
 }
+
+// What cold targets take is learnt apart: neither the usual time nor what levels cost is
+// spoilt by it.
+func TestColdTargetsSpoilNothingThatIsLearnt(t *testing.T) {
+	g := NewWithT(t)
+	s := estimate.New()
+	idle := load.New(0, 0, 2, 1, time.Time{})
+	for range 30 {
+		s.Answered(route, answer(100*time.Millisecond, idle))
+	}
+	usual, before := s.Usual(route), s.Predict(route, idle)
+	cold := answer(300*time.Millisecond, idle)
+	cold.Cold = true
+	g.Expect(s.PredictCold(route, idle)).To(Equal(2*usual), "believed before any was answered")
+	for range 30 {
+		s.Answered(route, cold)
+	}
+	g.Expect(s.Usual(route)).To(Equal(usual))
+	g.Expect(s.Predict(route, idle)).To(Equal(before))
+	g.Expect(s.PredictCold(route, idle)).To(BeNumerically("~", 300*time.Millisecond, 10*time.Millisecond))
+}
--- a/core/gateway/estimate/levels.go
+++ b/core/gateway/estimate/levels.go
@@ -26,6 +26,9 @@
 	// firstLastCost is believed of the last slot before any request took one. 1.25 in
 	// its place was measured and lost (loblolly scale-1, .867: docs/DESIGN.md).
 	firstLastCost = 1.15
+	// firstColdCost is how much longer requests are believed to take at a cold target
+	// before any was answered by one. Chosen: the users' take twice as long.
+	firstColdCost = 2
 	// limitGain is by how much more work a target must do when it is held below all
 	// of its slots, for some to be left free. Chosen: below it either is as good.
 	limitGain = 1.0
--- a/core/gateway/peers/peers.go
+++ b/core/gateway/peers/peers.go
@@ -28,6 +28,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -145,6 +146,31 @@
 	e.suspectUntil = now.Add(e.suspectFor)
 }
 
+// Size is about how many gateways there are, this one among them. All of a small fleet
+// are known. Of a larger one the scores of the first in rank tell: the k-th greatest of n
+// numbers drawn evenly from [0, 1) lies about k/n below 1. With six of them it is off by
+// half, in either direction, for a third of the fleets.
+func (v *View) Size(now time.Time) int {
+	known := 1
+	for _, e := range v.entries {
+		if e.live(now) && !e.Leaving {
+			known++
+		}
+	}
+	if known <= room {
+		return known
+	}
+	scores := []uint64{v.score}
+	for _, e := range v.ranked(now, rankedRoom) {
+		scores = append(scores, e.score)
+	}
+	slices.Sort(scores)
+	slices.Reverse(scores)
+	last := min(rankedRoom, len(scores)) - 1
+	below := 1 - float64(scores[last])/math.MaxUint64
+	return max(known, int(float64(last)/below))
+}
+
 // Usable says whether another gateway may be asked now.
 func (v *View) Usable(now time.Time, id string) bool {
 	e, ok := v.entries[id]
--- a/core/gateway/peers/peers_test.go
+++ b/core/gateway/peers/peers_test.go
@@ -205,6 +205,17 @@
 	g.Expect(v.Alone(at(10 * time.Second))).To(BeTrue())
 }
 
+func TestTheSizeOfAFleetIsAboutKnown(t *testing.T) {
+	for _, c := range []struct{ fleet, least, most int }{{1, 1, 1}, {13, 13, 13}, {95, 48, 190}, {473, 240, 950}, {2072, 1000, 4200}} {
+		t.Run(fmt.Sprint(c.fleet), func(t *testing.T) {
+			g := NewWithT(t)
+			size := newView(c.fleet - 1).Size(begin)
+			t.Logf("taken for %d", size)
+			g.Expect(size).To(And(BeNumerically(">=", c.least), BeNumerically("<=", c.most)))
+		})
+	}
+}
+
 func TestHallsAreLinkedBySomeOfTheirGateways(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(newView(0).LinkShare(begin)).To(Equal(1.0))
--- a/core/gateway/placement/decide.go
+++ b/core/gateway/placement/decide.go
@@ -164,6 +164,6 @@
 	if best.Free() && best.lastRoom() && s.Yield {
 		return false
 	}
-	lastRound := s.Deadlines.searchEnded(s.Now)
-	return (lastRound && best.Reserved == 0 || best.Free()) && s.Deadlines.inTime(s.Now, best.Predicted)
+	queues := s.Deadlines.searchEnded(s.Now) && best.Reserved == 0 && !best.Cold
+	return (queues || best.Free()) && s.Deadlines.inTime(s.Now, best.Predicted)
 }
--- a/core/gateway/placement/placement.go
+++ b/core/gateway/placement/placement.go
@@ -36,6 +36,7 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/estimate"
 	"github.com/sprucecrank/sprucecrank/core/gateway/load"
+	"github.com/sprucecrank/sprucecrank/core/gateway/warmup"
 )
 
 // Candidate is a target as it was found when it was probed.
@@ -53,10 +54,27 @@
 	Saturated bool
 	// Reserved is how many of its slots are better left free.
 	Reserved int
+	// Cold says that the target is cold, and Turn that this gateway may send a cold
+	// target a request (core/gateway/warmup).
+	Cold bool
+	Turn bool
 }
 
-// Room is how many more requests the target should begin at once.
-func (c *Candidate) Room() int { return max(c.Report.Free()-c.Reserved, 0) }
+// Room is how many more requests the target should begin at once: a cold one begins one
+// at a time.
+func (c *Candidate) Room() int {
+	if c.Cold {
+		return c.coldRoom()
+	}
+	return max(c.Report.Free()-c.Reserved, 0)
+}
+
+func (c *Candidate) coldRoom() int {
+	if c.Turn && warmup.Idle(c.Report.Running(), c.Report.Waiting()) {
+		return 1
+	}
+	return 0
+}
 
 // Free says whether the target reports a free slot that is worth taking.
 func (c *Candidate) Free() bool { return c.HasReport && c.Healthy && c.Room() > 0 }
@@ -65,9 +83,9 @@
 func (c *Candidate) lastRoom() bool { return c.Report.Slots() > 1 && c.Room() <= 1 }
 
 // Idle says whether no other target could be better by much: it has a free slot,
-// works at its usual speed and is not saturated.
+// works at its usual speed, and is neither saturated nor cold.
 func (c *Candidate) Idle() bool {
-	return c.Free() && !c.Saturated && c.Report.Slowness() <= estimate.UsualSlowness
+	return c.Free() && !c.Cold && !c.Saturated && c.Report.Slowness() <= estimate.UsualSlowness
 }
 
 const (
@@ -77,6 +95,9 @@
 	// unhealthyPenalty ranks targets that say they are ill behind all others.
 	// They stay candidates since some say so though they are well.
 	unhealthyPenalty = time.Minute
+	// closedPenalty ranks cold targets that may not take the request behind those that
+	// may, however full.
+	closedPenalty = unhealthyPenalty / 2
 )
 
 // cost ranks candidates: the predicted time and penalties.
@@ -88,6 +109,9 @@
 	if !c.Healthy {
 		cost += unhealthyPenalty
 	}
+	if c.Cold && c.Room() == 0 {
+		cost += closedPenalty
+	}
 	return cost
 }
 
--- a/core/gateway/placement/placement_test.go
+++ b/core/gateway/placement/placement_test.go
@@ -44,6 +44,10 @@
 	lastWorth.Reserved = 1
 	fullReserved := candidate(3, 0, 1, 3*usual)
 	fullReserved.Reserved = 1
+	cold, coldBusy, coldClosed := candidate(0, 0, 1, 2*usual), candidate(1, 0, 1, 2*usual), candidate(0, 0, 1, 2*usual)
+	cold.Cold, cold.Turn = true, true
+	coldBusy.Cold, coldBusy.Turn = true, true
+	coldClosed.Cold = true
 	silent := &placement.Candidate{Report: load.New(0, 0, 3, 1, time.Time{}), Healthy: true}
 	for name, c := range map[string]struct {
 		best      *placement.Candidate
@@ -62,6 +66,13 @@
 		"a last slot":                                  {best: lastSlot, at: early, action: placement.Take},
 		"a last slot that others wait for":             {best: lastSlot, at: early, yield: true, action: placement.Wait, contended: true},
 		"a last slot that others wait for, no hope":    {best: lastSlot, at: hopeless, yield: true, action: placement.Take},
+		"a cold target that has nothing to do":         {best: cold, at: early, action: placement.Take},
+		"a cold target, only the own hall probed":      {best: cold, at: early, localOnly: true, action: placement.Wait},
+		"a cold target that works":                     {best: coldBusy, at: early, action: placement.Wait, contended: true},
+		"a cold target that works, last round":         {best: coldBusy, at: late, action: placement.RefuseFull, contended: true},
+		"a cold target, no turn":                       {best: coldClosed, at: early, action: placement.Wait, contended: true},
+		"a cold target, no turn, last round":           {best: coldClosed, at: late, action: placement.RefuseFull, contended: true},
+		"a cold target, no turn, no hope":              {best: coldClosed, at: hopeless, action: placement.RefuseFull, contended: true},
 		"a target without a report":                    {best: silent, at: early, action: placement.Take},
 		"a slow target while there is hope":            {best: slow, at: early, action: placement.Wait, contended: true},
 		"a slow target in the last round":              {best: slow, at: late, action: placement.Wait, contended: true},
--- a/core/gateway/routing/routing.go
+++ b/core/gateway/routing/routing.go
@@ -51,6 +51,8 @@
 	Name string
 	// HealthPath is where a target answers health probes.
 	HealthPath string
+	// ColdRate is how many requests a second a cold target bears; 0 if nobody says.
+	ColdRate float64
 }
 
 // Limits bound what clients may send and how long they may stay; a field that is
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,7 +107,8 @@
 	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Opened: g.metrics.Opened})
 	g.forward = forward.New(forward.Options{
 		Names: o.Wire.Headers, Hall: s.Hall, Snapshot: g.discovery.Snapshot, Current: g.discovery.Current,
-		Ready: g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
+		Gateways: g.discovery.Gateways,
+		Ready:    g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
 		Retry: forward.Retry{Window: seconds(s.RetryWindow), Ratio: s.RetryRatio},
 	})
 	return nil
--- a/internal/cli/timeline/timeline.go
+++ b/internal/cli/timeline/timeline.go
@@ -181,6 +181,8 @@
 		return "answered by a second target; the first was slow"
 	case l.Waits > 0:
 		return fmt.Sprintf("answered after %s without a free target", rounds(l.Waits))
+	case last.Cold:
+		return "answered by a target that was cold"
 	case last.Slowness >= slow:
 		return fmt.Sprintf("answered by a target at %.1f times its usual time, the best of those asked", last.Slowness)
 	case last.Running >= last.Slots && last.Slots > 0:
--- a/internal/gateway/discovery/publish.go
+++ b/internal/gateway/discovery/publish.go
@@ -85,6 +85,13 @@
 	return len(f.catalog.Evacuations())
 }
 
+// Gateways is about how many gateways there are, this one among them.
+func (f *Follower) Gateways() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Size(f.options.Clock())
+}
+
 // logTargets writes which targets take requests now that did not before, and
 // which no longer do.
 func (f *Follower) logTargets(from string, before, now map[string][]catalog.Target) {
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -4,7 +4,8 @@
 //
 // It owns the requests under way and, for each service, the state that the
 // decisions go by (service.go): all of it is lost with the process. It holds no
-// rule of its own. Which target, wait or refuse: core/gateway/placement. Again,
+// rule of its own. Which target, wait or refuse: core/gateway/placement. When a cold
+// one: core/gateway/warmup. Again,
 // or a second send beside a slow one: core/gateway/retry. How a send ended and
 // what that means: core/gateway/outcome. Who is left alone: core/gateway/ejection.
 // How a request ends that is given up: core/gateway/refusal.
@@ -54,6 +55,8 @@
 	Ready <-chan struct{}
 	// ReadyTimeout is how long a request waits for that; 0 means 200 ms.
 	ReadyTimeout time.Duration
+	// Gateways is about how many gateways there are; nil for this one alone.
+	Gateways func() int
 	// Current says whether what is believed was confirmed lately.
 	Current func() bool
 	Pool    *upstream.Pool
@@ -107,6 +110,9 @@
 	if o.ExploreLimit == nil {
 		o.ExploreLimit = func() bool { return rand.Float64() < exploreLimitShare }
 	}
+	if o.Gateways == nil {
+		o.Gateways = func() int { return 1 }
+	}
 	if o.ReadyTimeout == 0 {
 		o.ReadyTimeout = readyTimeout
 	}
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -42,11 +42,15 @@
 // standin is a target that tells its load and does what a test says.
 type standin struct {
 	catalog.Target
-	load  atomic.Pointer[string]
-	runs  atomic.Int32
-	seen  sync.Map // header of each request by its id
-	do    http.HandlerFunc
-	entry *httptest.Server
+	load atomic.Pointer[string]
+	// warmup is for how much longer it says that it is cold, in milliseconds, and silent
+	// that it does not answer probes.
+	warmup atomic.Int64
+	silent atomic.Bool
+	runs   atomic.Int32
+	seen   sync.Map // header of each request by its id
+	do     http.HandlerFunc
+	entry  *httptest.Server
 }
 
 func newStandin(t testing.TB, id, service, hall string, do http.HandlerFunc) *standin {
@@ -62,12 +66,21 @@
 	return s
 }
 
+func (s *standin) setWarmup(left time.Duration) { s.warmup.Store(left.Milliseconds()) }
+
 func (s *standin) setLoad(load string) { s.load.Store(&load) }
 
 func (s *standin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(names.Load, *s.load.Load())
 	if r.URL.Path == "/health" {
+		if s.silent.Load() {
+			<-r.Context().Done()
+			return
+		}
 		w.Header().Set(names.Instance, s.ID)
+		if left := s.warmup.Load(); left > 0 {
+			w.Header().Set(names.Warmup, strconv.FormatInt(left, 10))
+		}
 		return
 	}
 	id := r.Header.Get(names.RequestID)
--- a/internal/gateway/forward/hedge.go
+++ b/internal/gateway/forward/hedge.go
@@ -111,7 +111,7 @@
 	if found == nil {
 		return nil
 	}
-	suits := retry.HedgeSuits(&found.Candidate, overdue)
+	suits := retry.HedgeSuits(&found.Candidate, overdue) && !found.Cold
 	if !suits || ctx.Err() != nil || !r.svc.spendHedge(b.options.Clock()) {
 		b.release(found)
 		return nil
--- a/internal/gateway/forward/log.go
+++ b/internal/gateway/forward/log.go
@@ -23,6 +23,8 @@
 	AgeMS       float64 `json:"age_ms"`
 	PredictedMS float64 `json:"predicted_ms"`
 	TookMS      float64 `json:"took_ms"`
+	// Cold says that the target was cold when it was chosen.
+	Cold bool `json:"cold,omitempty"`
 	// Hedge says that the send was made beside another that was slow.
 	Hedge bool `json:"hedge"`
 	// Result is the status of the target's answer, or why there was none.
@@ -32,7 +34,7 @@
 // describe makes the record of a send.
 func describe(chosen *candidate, began, now time.Time, result string) Send {
 	s := Send{
-		Target: chosen.target.ID, Hall: chosen.target.Hall, Hedge: chosen.hedge,
+		Target: chosen.target.ID, Hall: chosen.target.Hall, Hedge: chosen.hedge, Cold: chosen.Cold,
 		PredictedMS: milliseconds(chosen.Predicted), TookMS: milliseconds(now.Sub(began)), Result: result,
 	}
 	if chosen.HasReport {
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -56,6 +56,10 @@
 		state.Best = &best.Candidate
 	}
 	decision := placement.Decide(state)
+	if decision.Action() == placement.Take && best.Cold && best.HasReport && !b.takeTurn(req, svc) {
+		best.Turn = false // another request of this gateway was quicker
+		decision = placement.Decide(state)
+	}
 	if decision.Contended() {
 		svc.waited(now, req.route.Priority)
 	}
@@ -70,7 +74,7 @@
 // fallback takes any target that can be reached.
 func (b *balancer) fallback(ctx context.Context, req *request, svc *service) (*candidate, *verdict.Error) {
 	local, remote := b.order(req, svc, req.avoid)
-	if reached := b.firstReached(ctx, svc, append(local, remote...)); reached != nil {
+	if reached := b.firstReached(ctx, req, svc, append(local, remote...)); reached != nil {
 		return reached, nil
 	}
 	if ctx.Err() != nil {
--- a/internal/gateway/forward/probe.go
+++ b/internal/gateway/forward/probe.go
@@ -29,7 +29,7 @@
 func (b *balancer) probeRound(ctx context.Context, req *request, svc *service, avoid []string, localOnly bool) *candidate {
 	local, remote := b.order(req, svc, avoid)
 	if !svc.reportsLoad() {
-		return b.firstReached(ctx, svc, append(local, remote...))
+		return b.firstReached(ctx, req, svc, append(local, remote...))
 	}
 	effort := placement.Effort{
 		LocalOnly: localOnly, Contended: svc.isContended(b.options.Clock()), MostlyIdle: svc.mostlyIdle(),
@@ -130,6 +130,10 @@
 		Report: report, HasReport: hasReport, Healthy: health.Healthy(),
 		Local: target.Hall == b.options.Hall, Predicted: svc.usual(req.route),
 	}}
+	if svc.toldWarmup(b.options.Clock(), target, health.Warmup()) {
+		b.warmUp(req, svc, c)
+		return c
+	}
 	if c.HasReport {
 		prediction := svc.predict(req.route, c.Report)
 		c.Predicted, c.Saturated = prediction.Took(), prediction.Saturated()
@@ -174,13 +178,17 @@
 }
 
 // firstReached connects to the least loaded target by own counts that can be
-// reached; nil if none can.
-func (b *balancer) firstReached(ctx context.Context, svc *service, targets []catalog.Target) *candidate {
+// reached; nil if none can. A cold one needs a turn, whose end is not waited for.
+func (b *balancer) firstReached(ctx context.Context, req *request, svc *service, targets []catalog.Target) *candidate {
 	placement.ByOwnCounts(targets, svc.activeAt)
 	for _, target := range targets {
+		cold := svc.isCold(b.options.Clock(), target)
+		if cold && !b.takeTurn(req, svc) {
+			continue
+		}
 		conn, failure := b.options.Pool.Get(ctx, target)
 		if failure == nil {
-			return b.unprobed(target, conn)
+			return b.unprobed(target, conn, cold)
 		}
 		if ctx.Err() != nil {
 			return nil
@@ -191,8 +199,9 @@
 }
 
 // unprobed is a target of whose load nothing is known: it counts as empty.
-func (b *balancer) unprobed(target catalog.Target, conn *upstream.Conn) *candidate {
+func (b *balancer) unprobed(target catalog.Target, conn *upstream.Conn, cold bool) *candidate {
 	return &candidate{target: target, conn: conn, Candidate: placement.Candidate{
+		Cold: cold, Turn: cold,
 		Report: load.New(0, 0, target.Slots, 1, time.Time{}), Healthy: true, Local: target.Hall == b.options.Hall,
 	}}
 }
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -24,9 +24,11 @@
 	service string
 	// healthPath is where the targets of the service answer health probes.
 	healthPath string
-	began      time.Time
-	deadline   deadline.Deadline
-	sends      atomic.Int32
+	// coldRate is how many requests a second a cold target of the service bears.
+	coldRate float64
+	began    time.Time
+	deadline deadline.Deadline
+	sends    atomic.Int32
 	// avoid are the ids of the targets to which the request was sent already.
 	avoid []string
 	// waits counts the rounds of probes in which no target would do.
@@ -56,7 +58,7 @@
 	req.route = route
 	req.service = route.Pick(h.options.Draw())
 	if service, ok := table.Service(req.service); ok {
-		req.healthPath = service.HealthPath
+		req.healthPath, req.coldRate = service.HealthPath, service.ColdRate
 	}
 	req.deadline = deadline.New(req.began, route.Timeout, h.allowed(req))
 	return nil
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -40,7 +40,7 @@
 	now := b.options.Clock()
 	svc.endSend(now, chosen.target.ID, result.outcome)
 	if result.outcome == outcome.Served {
-		svc.answered(req.route, estimate.Answer{Took: now.Sub(began), Bytes: len(result.answer.Body()), Report: chosen.Report})
+		svc.answered(req.route, estimate.Answer{Took: now.Sub(began), Bytes: len(result.answer.Body()), Report: chosen.Report, Cold: chosen.Cold})
 	}
 	req.sendLog.add(describe(chosen, began, now, result.name()))
 	b.options.Metrics.Send(req.service, result.name(), first)
--- a/internal/gateway/forward/service.go
+++ b/internal/gateway/forward/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/placement"
 	"github.com/sprucecrank/sprucecrank/core/gateway/retry"
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
+	"github.com/sprucecrank/sprucecrank/core/gateway/warmup"
 )
 
 // budgetAllowance is how many second sends a process may make beyond the ratio,
@@ -55,6 +57,7 @@
 	estimate   *estimate.Service
 	ejections  *ejection.Tracker
 	contention *placement.Contention
+	turns      *warmup.Turns
 	active     map[string]int // sends under way, by the target's id
 }
 
@@ -63,6 +66,7 @@
 		name: name, log: log,
 		budget:   budget.New(r.Window, r.Ratio, budgetAllowance),
 		estimate: estimate.New(), ejections: ejection.New(), contention: placement.NewContention(),
+		turns:  warmup.New(rand.Float64()),
 		active: map[string]int{},
 	}
 }
--- a/internal/gateway/upstream/probe.go
+++ b/internal/gateway/upstream/probe.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/load"
@@ -17,11 +18,15 @@
 	healthy bool
 	load    load.Report
 	hasLoad bool
+	warmup  time.Duration
 }
 
 // Healthy says whether the target answered that it is well.
 func (h Health) Healthy() bool { return h.healthy }
 
+// Warmup is for how much longer the target is cold; 0 for not.
+func (h Health) Warmup() time.Duration { return h.warmup }
+
 // Load is the load that the target reported; ok is false if it reported none.
 func (h Health) Load() (report load.Report, ok bool) { return h.load, h.hasLoad }
 
@@ -54,5 +59,8 @@
 	if report, err := load.Parse(response.Header.Get(names.Load), c.pool.options.Clock()); err == nil {
 		h.load, h.hasLoad = report, true
 	}
+	if ms, err := strconv.ParseFloat(response.Header.Get(names.Warmup), 64); err == nil && ms > 0 {
+		h.warmup = time.Duration(ms * float64(time.Millisecond))
+	}
 	return h, nil
 }
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -27,6 +27,9 @@
 	Instance string
 	// Load is a target's load: running, waiting, slots, percent of usual time.
 	Load string
+	// Warmup is for how much longer a target is cold, in milliseconds, in its health
+	// answers.
+	Warmup string
 	// NotRun marks an answer of a target that did not run the request.
 	NotRun string
 }
@@ -39,6 +42,7 @@
 		ExpectInstance: "Sprucecrank-Expect-Instance",
 		Instance:       "Target-Instance",
 		Load:           "Target-Load",
+		Warmup:         "Target-Warmup-Ms",
 		NotRun:         "Target-Verdict",
 	}
 }
