--- a/e2e/gateway/evacuation_test.go
+++ b/e2e/gateway/evacuation_test.go
@@ -20,9 +20,7 @@
 	t.Helper()
 	d = newDeploymentWith(t, gateways, time.Millisecond, storetest.Object{"evacuate_within_s": 5, "hall": "hall-b"})
 	lone = newTargetServer(t, "i-lone", &d.runs, time.Millisecond)
-	entry := storetest.ServerEntry("shop", lone.address(), "ready")
-	entry["information"].(storetest.Object)["zone"] = "hall-b"
-	d.store.Put(storetest.Servers, lone.id, entry)
+	d.store.Put(storetest.Servers, lone.id, storetest.ServerEntryIn("hall-b", "shop", lone.address(), "ready"))
 	return d, lone
 }
 
--- a/e2e/gateway/soak_test.go
+++ b/e2e/gateway/soak_test.go
@@ -160,6 +160,10 @@
 		time.Sleep(lasts)
 		w.store.Recover()
 	}},
+	{"hall evacuated", true, (*world).evacuate},
+	{"hall cold at once", true, func(w *world, random *rand.Rand, lasts time.Duration) {
+		w.chill([]string{"hall-0", "hall-1"}[random.IntN(2)], lasts)
+	}},
 	{"store forgets", false, func(w *world, _ *rand.Rand, _ time.Duration) { w.store.Forget() }},
 }
 
@@ -241,12 +245,33 @@
 	}
 	b.leaving.Store(true)
 	if random.IntN(2) == 0 {
-		w.store.Put(storetest.Servers, b.id, storetest.ServerEntry(b.service, b.proxy.Address(), "draining"))
+		w.store.Put(storetest.Servers, b.id, storetest.ServerEntryIn(b.hall, b.service, b.proxy.Address(), "draining"))
 		return
 	}
 	w.store.Remove(storetest.Servers, b.id)
 }
 
+// evacuate has one hall's targets get nothing for a while; some come back cold.
+func (w *world) evacuate(random *rand.Rand, lasts time.Duration) {
+	w.store.Put(storetest.Evacuations, "hall-1", storetest.Object{})
+	time.Sleep(lasts)
+	if random.IntN(2) == 0 {
+		w.chill("hall-1", lasts)
+	}
+	w.store.Remove(storetest.Evacuations, "hall-1")
+}
+
+// chill makes the targets of a hall cold, all at once.
+func (w *world) chill(hall string, lasts time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, b := range w.targets {
+		if b.hall == hall {
+			b.coldUntil.Store(int64(time.Since(w.began) + lasts))
+		}
+	}
+}
+
 // replace ends a target at once and gives its address to one of the other service.
 func (w *world) replace(random *rand.Rand, lasts time.Duration) {
 	b := w.pickTarget(random)
@@ -385,6 +410,7 @@
 		g.Eventually(func() int { return w.probe(gateway, versionPath(w.version.Load()-oldestRoute)) }, eventual).Should(Equal(http.StatusNotFound))
 		g.Eventually(func() int { return w.probe(gateway, "/far/") }, eventual).Should(Equal(http.StatusOK))
 	}
+	w.settleEvacuation(g)
 	g.Eventually(func() int64 {
 		before := w.arrivalsAtLeaving()
 		for n := range 20 {
@@ -394,6 +420,22 @@
 	}, eventual).Should(BeZero(), "a target that leaves still gets requests")
 }
 
+// settleEvacuation waits until nothing more reaches a hall that is evacuated, and
+// requests come again when it is taken back.
+func (w *world) settleEvacuation(g *WithT) {
+	arrive := func() int64 {
+		before := w.arrivalsIn("hall-1")
+		for n := range 20 {
+			w.probe(w.gateways[n%len(w.gateways)], "/read/")
+		}
+		return w.arrivalsIn("hall-1") - before
+	}
+	w.store.Put(storetest.Evacuations, "hall-1", storetest.Object{})
+	g.Eventually(arrive, eventual).Should(BeZero(), "targets of an evacuated hall still get requests")
+	w.store.Remove(storetest.Evacuations, "hall-1")
+	g.Eventually(arrive, eventual).Should(BeNumerically(">", 0), "a hall that was taken back gets nothing")
+}
+
 func (w *world) probe(g *soakGateway, path string) int {
 	id := fmt.Sprint("probe-", rand.Uint64())
 	r, err := http.NewRequest(http.MethodGet, "http://"+g.clients.Address()+path+"x", nil)
@@ -461,6 +503,9 @@
 			fail(id, "BUDGET %s: ran at %d targets, %d are allowed", id, ran, soakAttempts)
 		}
 	}
+	if most, target := w.records.mostCold(); float64(most) > soakColdMost {
+		w.t.Errorf("FAILBACK: %s, which was cold, got %d requests in a second, %.2f are allowed", target, most, soakColdMost)
+	}
 	for service, n := range second {
 		if most := soakRatio*float64(requests[service]) + float64(w.lives.Load()); float64(n) > most {
 			w.t.Errorf("BUDGET: %d second sends to %s, %.0f are allowed for %d requests", n, service, most, requests[service])
--- a/e2e/gateway/soak_world_test.go
+++ b/e2e/gateway/soak_world_test.go
@@ -22,6 +22,10 @@
 	soakSlots    = 3
 	soakAttempts = 2
 	soakRatio    = 0.2
+	// soakColdRate is how many requests a second a cold target bears, and soakColdMost
+	// how many it may get in any second, by the users' rule.
+	soakColdRate = 2.5
+	soakColdMost = soakColdRate*1.5 + 8
 	// clientTime is how long a client of the soak waits.
 	clientTime = 4 * time.Second
 )
@@ -42,15 +46,18 @@
 // soakTarget is one start of a target: it tells its load and keeps a record of
 // each request that reaches it.
 type soakTarget struct {
-	id, service string
-	records     *records
-	running     atomic.Int32
-	behaviour   atomic.Int32
-	leaving     atomic.Bool
-	arrivals    atomic.Int64
-	server      *http.Server
-	address     string
-	proxy       *faultproxy.Proxy
+	id, service, hall string
+	records           *records
+	// coldUntil is when it is warm again, in ns since the soak began.
+	coldUntil atomic.Int64
+	world     *world
+	running   atomic.Int32
+	behaviour atomic.Int32
+	leaving   atomic.Bool
+	arrivals  atomic.Int64
+	server    *http.Server
+	address   string
+	proxy     *faultproxy.Proxy
 }
 
 func (b *soakTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -62,6 +69,9 @@
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d,%d", b.running.Load(), soakSlots, slowness))
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", b.id)
+		if left := b.coldFor(); left > 0 {
+			w.Header().Set("Warmup-Remaining-Ms", fmt.Sprint(left.Milliseconds()+1))
+		}
 		if b.leaving.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -74,6 +84,9 @@
 		return
 	}
 	b.arrivals.Add(1)
+	if b.coldFor() > 0 {
+		b.records.arrivedCold(b.id, time.Since(b.world.began))
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // cut on its way: not run
@@ -104,11 +117,19 @@
 	}
 }
 
+// coldFor is for how much longer the target is cold.
+func (b *soakTarget) coldFor() time.Duration {
+	return time.Duration(b.coldUntil.Load()) - time.Since(b.world.began)
+}
+
 func (b *soakTarget) work(ctx context.Context, does behaviour) {
 	work := 10 * time.Millisecond
 	if does == isSlow {
 		work *= 5
 	}
+	if b.coldFor() > 0 {
+		work *= 2
+	}
 	select {
 	case <-time.After(work):
 	case <-ctx.Done():
@@ -134,6 +155,33 @@
 	mu       sync.Mutex
 	arrivals map[string][]arrival
 	outcomes map[string]outcome
+	// cold are the times at which requests came to targets that were cold, by target.
+	cold map[string][]time.Duration
+}
+
+func (r *records) arrivedCold(target string, at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cold[target] = append(r.cold[target], at)
+}
+
+// mostCold is the most requests that came to a cold target within a second, and to
+// which.
+func (r *records) mostCold() (most int, target string) {
+	for id, times := range r.cold {
+		for i, last := range times {
+			in := 0
+			for _, other := range times[:i+1] {
+				if last-other < time.Second {
+					in++
+				}
+			}
+			if in > most {
+				most, target = in, id
+			}
+		}
+	}
+	return most, target
 }
 
 func (r *records) arrived(id string, b *soakTarget, request *http.Request, body []byte, ran bool) {
@@ -190,7 +238,7 @@
 	t.Helper()
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), began: time.Now(),
-		records: &records{arrivals: map[string][]arrival{}, outcomes: map[string]outcome{}},
+		records: &records{arrivals: map[string][]arrival{}, outcomes: map[string]outcome{}, cold: map[string][]time.Duration{}},
 	}
 	var address string
 	w.store, address = storetest.New(t)
@@ -203,7 +251,7 @@
 	for i := range gateways {
 		g := &soakGateway{process: newProcess(t, fmt.Sprint("gateway-", i), address, &[]string{}), index: i}
 		g.clients, g.peers, g.store = w.proxy(g.addresses["listen"]), w.proxy(g.addresses["peer_listen"]), w.proxy(address)
-		g.extra = storetest.Object{"peer_advertise": g.peers.Address(), "hall": fmt.Sprint("hall-", i%2), "watch_trust_s": 3, "restore_within_s": 2.3}
+		g.extra = storetest.Object{"peer_advertise": g.peers.Address(), "hall": fmt.Sprint("hall-", i%2), "watch_trust_s": 3, "restore_within_s": 2.3, "evacuate_within_s": 5}
 		seeds = append(seeds, g.peers.Address())
 		w.gateways = append(w.gateways, g)
 	}
@@ -243,13 +291,16 @@
 		return nil // somebody else has the address now
 	}
 	w.started++
-	b := &soakTarget{id: fmt.Sprint("i-", w.started), service: service, records: w.records, address: listener.Addr().String()}
+	b := &soakTarget{
+		id: fmt.Sprint("i-", w.started), service: service, hall: fmt.Sprint("hall-", w.started/2%2),
+		records: w.records, address: listener.Addr().String(), world: w,
+	}
 	b.server = &http.Server{Handler: b}
 	go func() { _ = b.server.Serve(listener) }()
 	w.t.Cleanup(func() { _ = b.server.Close() })
 	b.proxy = w.proxy(b.address)
 	w.targets = append(w.targets, b)
-	w.store.Put(storetest.Servers, b.id, storetest.ServerEntry(service, b.proxy.Address(), "ready"))
+	w.store.Put(storetest.Servers, b.id, storetest.ServerEntryIn(b.hall, service, b.proxy.Address(), "ready"))
 	return b
 }
 
@@ -289,8 +340,8 @@
 		"version": version, "limits": storetest.Object{"maxBodyBytes": 1 << 20},
 		"listeners": []storetest.Object{{"hostname": "shop.example", "rules": rules}},
 		"clusters": []storetest.Object{
-			{"name": soakService, "healthCheckPath": "/health", "maxConnections": 200},
-			{"name": otherService, "healthCheckPath": "/health", "maxConnections": 200},
+			{"name": soakService, "healthCheckPath": "/health", "maxConnections": 200, "warmupPerS": soakColdRate},
+			{"name": otherService, "healthCheckPath": "/health", "maxConnections": 200, "warmupPerS": soakColdRate},
 		},
 	})
 	w.version.Store(version)
@@ -334,5 +385,17 @@
 	return n
 }
 
+// arrivalsIn counts what reached the targets of a hall.
+func (w *world) arrivalsIn(hall string) (n int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, b := range w.targets {
+		if b.hall == hall {
+			n += b.arrivals.Load()
+		}
+	}
+	return n
+}
+
 // ids lists the requests that were made, in order.
 func (r *records) ids() []string { return slices.Sorted(maps.Keys(r.outcomes)) }
