A client whose request was shed comes back at once where there is room

Change: refusal.Room says from contention and the share of the latest sends that were shed whether the door is open; then Retry-After is 5 to 25 ms. Where nearly all is shed, or slots are taken, it is as before.

--- a/core/gateway/estimate/estimate.go
+++ b/core/gateway/estimate/estimate.go
@@ -41,6 +41,9 @@
 	// Probing so was measured: docs/DESIGN.md, "one at a time where most are idle".
 	idleStep        = 0.05
 	mostlyIdleShare = 0.5
+	// shedStep is how far one send moves the share of sends that targets did not take.
+	// Chosen: eight in a row make it 0.8, one in two keeps it below that.
+	shedStep = 0.2
 	// silentProbes is how many probes in a row without a load report show that a
 	// service reports none. Chosen, not measured.
 	silentProbes = 8
@@ -82,6 +85,7 @@
 	medians   map[string]median  // of the time of an answer, by route
 	bytes     map[string]float64 // of an answer, by route
 	idleShare float64            // of the targets that were probed
+	shedShare float64            // of the sends
 	levels    levels
 	cold      cost // of a cold target that had no other requests
 	silent    int  // probes in a row without a load report
@@ -151,6 +155,18 @@
 	s.idleShare += idleStep * (found - s.idleShare)
 }
 
+// Sent learns whether a target did not take a request that was sent to it.
+func (s *Service) Sent(shed bool) {
+	found := 0.0
+	if shed {
+		found = 1
+	}
+	s.shedShare += shedStep * (found - s.shedShare)
+}
+
+// ShedShare is the share of the latest sends that targets did not take.
+func (s *Service) ShedShare() float64 { return s.shedShare }
+
 // MostlyIdle says whether the first target that is probed will mostly do.
 func (s *Service) MostlyIdle() bool { return s.idleShare > mostlyIdleShare }
 
--- a/core/gateway/refusal/refusal.go
+++ b/core/gateway/refusal/refusal.go
@@ -10,6 +10,9 @@
 //
 //	failure := refusal.Final(refusal.Ending{Failure: failure, Last: last, MayHaveRun: true})
 //	pause := refusal.RetryAfter(left, rand.Float64())
+//	if failure.Reason() == verdict.ReasonShed && room.IsOpen() {
+//		pause = refusal.AtOnce(rand.Float64())
+//	}
 package refusal
 
 import (
@@ -29,6 +32,16 @@
 	// minRetryAfter is the shortest pause: a full service is not free again
 	// before. Chosen, not measured.
 	minRetryAfter = 150 * time.Millisecond
+	// atOnceFrom and atOnceSpread are when a client should come back whose request targets
+	// shed though others have room: far enough apart that those of one moment don't come
+	// back as one, near enough that nothing is lost of the objective. Chosen: some
+	// probes' time.
+	atOnceFrom   = 5 * time.Millisecond
+	atOnceSpread = 20 * time.Millisecond
+	// shutShare is the share of the sends from which on targets shed so much that coming
+	// back at once would burn the few repeats that a client has: of an attempt of two
+	// sends, two out of three are shed then. Chosen.
+	shutShare = 0.8
 	// NotReadyRetryAfter is when to come back to a gateway that knows too little
 	// to serve: it learns within some round trips to the store. Chosen.
 	NotReadyRetryAfter = 300 * time.Millisecond
@@ -87,6 +100,23 @@
 	return verdict.New(verdict.NotRun, reason, e.Failure.Detail()).WithCause(e.Failure.Unwrap()).WithRetryAfter(e.RetryAfter)
 }
 
+// Room is what is known of a service when one of its requests is refused.
+type Room struct {
+	// Contended says that requests have lately found no free slot.
+	Contended bool
+	// ShedShare is the share of the latest sends that targets did not take.
+	ShedShare float64
+}
+
+// IsOpen says whether a client whose request was shed should come back at once: there is
+// room, and most attempts find it.
+func (r Room) IsOpen() bool { return !r.Contended && r.ShedShare < shutShare }
+
+// AtOnce is when such a client should come back; draw is uniform in [0, 1).
+func AtOnce(draw float64) time.Duration {
+	return atOnceFrom + time.Duration(draw*float64(atOnceSpread))
+}
+
 // RetryAfter is when a refused client should come back: left is the time until it
 // stops waiting, draw is uniform in [0, 1).
 func RetryAfter(left time.Duration, draw float64) time.Duration {
--- a/core/gateway/refusal/refusal_test.go
+++ b/core/gateway/refusal/refusal_test.go
@@ -72,6 +72,25 @@
 	g.Expect(refusal.RetryAfter(-time.Second, 0.5)).To(Equal(150 * time.Millisecond))
 }
 
+func TestAClientOfAShedRequestComesBackAtOnceWhereThereIsRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		room refusal.Room
+		open bool
+	}{
+		"room, now and then one is shed": {refusal.Room{ShedShare: 0.2}, true},
+		"more than half are":             {refusal.Room{ShedShare: 0.55}, true},
+		"nearly all are":                 {refusal.Room{ShedShare: 0.8}, false},
+		"all slots are taken":            {refusal.Room{Contended: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(c.room.IsOpen()).To(Equal(c.open))
+		})
+	}
+	g := NewWithT(t)
+	g.Expect(refusal.AtOnce(0)).To(Equal(5 * time.Millisecond))
+	g.Expect(refusal.AtOnce(0.5)).To(Equal(15 * time.Millisecond))
+}
+
 func ExampleFinal() {
 	broken := verdict.New(verdict.MayHaveRun, verdict.ReasonTargetFailed, "the connection broke")
 	full := verdict.New(verdict.NotRun, verdict.ReasonTooLate, "every target is full")
--- a/internal/gateway/forward/balancer.go
+++ b/internal/gateway/forward/balancer.go
@@ -50,7 +50,7 @@
 	for {
 		chosen, failure := b.place(ctx, req, svc)
 		if failure != nil {
-			return b.giveUp(req, past, failure)
+			return b.giveUp(req, svc, past, failure)
 		}
 		result := b.attempt(ctx, req, svc, chosen)
 		if result.failure == nil {
@@ -59,7 +59,7 @@
 		past.add(result)
 		req.avoid = append(req.avoid, chosen.target.ID)
 		if ctx.Err() != nil || !b.retries(req, svc, result.failure) {
-			return b.giveUp(req, past, result.failure)
+			return b.giveUp(req, svc, past, result.failure)
 		}
 	}
 }
@@ -78,16 +78,20 @@
 
 // giveUp ends a request with the failure that a target answered, or with one of
 // the gateway's.
-func (b *balancer) giveUp(req *request, past history, failure *verdict.Error) (*upstream.Answer, *verdict.Error) {
+func (b *balancer) giveUp(req *request, svc *service, past history, failure *verdict.Error) (*upstream.Answer, *verdict.Error) {
 	if past.answer != nil && refusal.PassesOwn(failure) {
 		return past.answer, nil
 	}
 	return nil, refusal.Final(refusal.Ending{
-		Failure: failure, Last: past.last, MayHaveRun: past.mayHaveRun, RetryAfter: b.retryAfter(req),
+		Failure: failure, Last: past.last, MayHaveRun: past.mayHaveRun, RetryAfter: b.retryAfter(req, svc, failure),
 	})
 }
 
-func (b *balancer) retryAfter(req *request) time.Duration {
+// retryAfter is when the client of a refused request should come back, by its cause.
+func (b *balancer) retryAfter(req *request, svc *service, failure *verdict.Error) time.Duration {
+	if failure.Reason() == verdict.ReasonShed && svc.room(b.options.Clock()).IsOpen() {
+		return refusal.AtOnce(b.options.Draw())
+	}
 	left := req.deadline.Client().Sub(b.options.Clock())
 	return refusal.RetryAfter(left, b.options.Draw())
 }
--- a/internal/gateway/forward/service.go
+++ b/internal/gateway/forward/service.go
@@ -12,6 +12,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/load"
 	"github.com/sprucecrank/sprucecrank/core/gateway/outcome"
 	"github.com/sprucecrank/sprucecrank/core/gateway/placement"
+	"github.com/sprucecrank/sprucecrank/core/gateway/refusal"
 	"github.com/sprucecrank/sprucecrank/core/gateway/retry"
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/gateway/warmup"
@@ -128,6 +129,9 @@
 	defer s.mu.Unlock()
 	s.active[id]--
 	s.ejections.Ended(now, id, o)
+	if o != outcome.Abandoned {
+		s.estimate.Sent(o == outcome.Shed)
+	}
 }
 
 // answered learns from a request that was served.
@@ -207,6 +211,13 @@
 	return s.contention.Contended(now)
 }
 
+// room is what is known of the service when one of its requests is refused.
+func (s *service) room(now time.Time) refusal.Room {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return refusal.Room{Contended: s.contention.Contended(now), ShedShare: s.estimate.ShedShare()}
+}
+
 func (s *service) yields(now time.Time, priority int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
