--- a/box/box.go
+++ b/box/box.go
@@ -127,23 +127,43 @@
 	}
 }
 
+// assemble puts the box's parts together, each after those that it uses.
 func (b *Box) assemble() error {
-	s, o := b.settings, b.options
-	var traces io.Writer
-	if s.Traces == "stdout" {
-		traces = o.Traces
+	if err := b.assembleTelemetry(); err != nil {
+		return trace.Wrap(err)
 	}
+	b.assembleGrants()
+	b.assembleDuties()
+	b.assembleEntry()
 	var err error
-	b.telemetry, err = telemetry.New(telemetry.Options{Box: s.ID, Traces: traces})
-	if err != nil {
-		return trace.Wrap(err)
+	b.peers, err = peer.NewServer(b.handlers())
+	return trace.Wrap(err)
+}
+
+func (b *Box) assembleTelemetry() error {
+	var traces io.Writer
+	if b.settings.Traces == "stdout" {
+		traces = b.options.Traces
 	}
+	var err error
+	b.telemetry, err = telemetry.New(telemetry.Options{Box: b.settings.ID, Traces: traces})
+	return err
+}
+
+// assembleGrants makes what grants slots at targets, and runs requests once.
+func (b *Box) assembleGrants() {
+	s, o := b.settings, b.options
 	self := member.Box{ID: s.ID, Peer: b.PeerAddress(), Hall: s.Hall, Start: uint64(o.Clock().UnixNano())}
 	b.platform = store.New(store.Options{Address: s.Platform, CallsPerSecond: s.PlatformCalls})
 	b.members = grant.NewMembers(self, o.Clock, o.DialPeer)
 	b.home = home.New(home.Options{Clock: o.Clock, Random: rand.Float64})
 	b.broker = grant.New(grant.Options{Members: b.members, Home: b.home, Clock: o.Clock, Log: b.log})
 	b.runner = oncerun.New(oncerun.Options{Objects: b.platform.Objects(), Box: s.ID, Clock: o.Clock, Log: b.log})
+}
+
+// assembleDuties makes what works in the background.
+func (b *Box) assembleDuties() {
+	s, o := b.settings, b.options
 	b.compiler = newCompiler(b.log)
 	b.prober = probe.New(probe.Options{
 		Home: b.home, Telemetry: b.telemetry, Clock: o.Clock, MaxBoxes: s.MaxBoxes,
@@ -154,13 +174,16 @@
 		Log: b.log, Changed: b.reconfigure, Seeds: s.Peers,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
+}
+
+// assembleEntry makes what serves clients.
+func (b *Box) assembleEntry() {
+	s, o := b.settings, b.options
 	b.entry = entry.New(entry.Options{
 		Broker: b.broker, Runner: b.runner, Telemetry: b.telemetry, Clock: o.Clock, Log: b.log,
 		Limits:   entry.Limits{BufferBytes: s.BufferBytes, BodyBytes: s.BodyBytes, OnceBytes: s.OnceBytes},
 		MaxBoxes: s.MaxBoxes, Draining: b.draining.Load, Dial: o.DialTarget,
 	})
-	b.peers, err = peer.NewServer(b.handlers())
-	return trace.Wrap(err)
 }
 
 // ClientAddress is where clients come in.
--- a/core/gateway/estimate/estimate.go
+++ b/core/gateway/estimate/estimate.go
@@ -9,7 +9,7 @@
 //
 // Steps, and not sums, so that an estimate follows a service that changes, and a
 // single long answer moves it by a bounded part. "Learn by large steps at first"
-// was measured on the bench (docs/DESIGN.md, "Which target").
+// was measured (docs/DESIGN.md, "Which target").
 //
 // # Usage
 //
--- a/core/gateway/estimate/levels.go
+++ b/core/gateway/estimate/levels.go
@@ -15,7 +15,7 @@
 	// longestPull bounds what one answer counts for, as a multiple of the cost
 	// believed: a target that hangs tells nothing of its level. Chosen.
 	longestPull = 3
-	// maxCost bounds what is believed of a level. On the bench last slots cost 1.7 to
+	// maxCost bounds what is believed of a level. Last slots were measured to cost 1.7 to
 	// 2.1, full targets up to 3.5 (docs/DESIGN.md, "Which target"); more is chosen.
 	maxCost = 8
 	// noCost is a level that costs nothing, and mattersFrom the greatest cost that is
@@ -24,7 +24,7 @@
 	noCost      = 1
 	mattersFrom = 1.35
 	// firstLastCost is believed of the last slot before any request took one. 1.25 in
-	// its place was measured and lost (loblolly scale-1, .867: docs/DESIGN.md).
+	// its place was measured and lost (docs/DESIGN.md, "Which target").
 	firstLastCost = 1.15
 	// firstColdCost is how much longer requests are believed to take at a cold target
 	// before any was answered by one. Chosen: the users' take twice as long.
--- a/core/gateway/load/load.go
+++ b/core/gateway/load/load.go
@@ -5,9 +5,9 @@
 // relies on nothing else: it does no I/O and reads no clock. What a prediction
 // is used for stands in core/gateway/placement.
 //
-// A report counts at the start of the work only. Of 2,918 sends of a quiet day
-// none that began on a target of usual speed took more than 2.5 times the usual
-// time, but for last slots (docs/DESIGN.md, "Which target").
+// A report counts at the start of the work only. Of 2,918 sends while targets
+// were mostly idle none that began on one of usual speed took more than 2.5 times the
+// usual time, but for last slots (docs/DESIGN.md, "Which target").
 //
 // # Usage
 //
--- a/core/gateway/placement/probe.go
+++ b/core/gateway/placement/probe.go
@@ -17,7 +17,7 @@
 	// localProbes and remoteProbes bound the targets probed in one round, and
 	// contendedProbes those of each where requests wait: few targets are idle
 	// then, and each probe takes time from their work. Measured: docs/DESIGN.md,
-	// "few while requests wait"; five at once cost chaiwat scale-2 .05.
+	// "few while requests wait"; five at once served less.
 	localProbes     = 4
 	remoteProbes    = 4
 	contendedProbes = 2
--- a/core/gateway/reader/reader.go
+++ b/core/gateway/reader/reader.go
@@ -15,9 +15,9 @@
 // to, spares the others the call. This is the timer of reliable multicast's negative
 // acknowledgements.
 //
-// Measured: with two watches a gateway, calls to the store cost more than all that
-// a day earned on the grown sites (worth -0.5 on the quiet day, a trial); with one
-// reader 69 to 82 calls on the quiet days (docs/DESIGN.md, "Costs"). How few read when
+// Measured: with two watches a gateway, calls to the store cost users of large fleets
+// more than all that was served earned them; with one reader there were 69 to 82 calls
+// in half a minute in which nothing happened (docs/DESIGN.md, "Costs"). How few read when
 // many fall silent together: internal/gateway/discovery's tests.
 //
 // # Usage
@@ -51,7 +51,7 @@
 	// wait, take a glance at the store, evenly, unless another offers what it knows. A
 	// list of 719 targets is 250 kB, and a whole fleet that asks for it at once fills the
 	// store's link: with 0.1 s, half of 461 gateways that had lost power together knew
-	// the configuration 0.48 s after their start (a day of the large deployment).
+	// the configuration 0.48 s after their start.
 	glanceSpread = 450 * time.Millisecond
 	// seedSpread is the time over which gateways read that others turn to when they
 	// start: these should know first. Chosen.
--- a/internal/gateway/discovery/evacuation_test.go
+++ b/internal/gateway/discovery/evacuation_test.go
@@ -336,7 +336,7 @@
 
 // A gateway that is busy sending all targets to others says how far it is and sends
 // nothing: what it said of evacuations once made others take themselves for as far, with
-// no targets (a day on which all gateways were killed).
+// no targets.
 func TestAFleetThatLosesPowerKnowsAllTargetsSoon(t *testing.T) {
 	measureReading(t, fleetSize(60), 1, (*access).following, func(g *WithT, fleet *bigFleet) {
 		fleet.store.evacuate("hall-1", true)
--- a/internal/gateway/discovery/neighbour.go
+++ b/internal/gateway/discovery/neighbour.go
@@ -21,8 +21,8 @@
 	// farFactor is how much longer neighbours in other halls are kept, and how much more
 	// seldom members are swapped with them: bytes between halls are paid for. Questions
 	// wait as long as within a hall: with three times that, knowledge in other halls than
-	// the reader's grew so old on the way that standbys read (24 gateways, a quiet day:
-	// 106 calls to the store in place of 66).
+	// the reader's grew so old on the way that standbys read (24 gateways, half a minute
+	// in which nothing happened: 106 calls to the store in place of 66).
 	farFactor = 3
 	// firstKeptFor is that time for a gateway that has just begun, and newFor how long
 	// it counts as such: it knows few others yet. Chosen.
