--- a/internal/gateway/discovery/fleet_test.go
+++ b/internal/gateway/discovery/fleet_test.go
@@ -54,13 +54,9 @@
 	return usual
 }
 
-// newBigFleet starts a fleet for the first time and waits until it has settled.
-func newBigFleet(t *testing.T, size int, seed uint64) *bigFleet {
-	return newBigFleetReading(t, size, seed, (*access).source)
-}
-
-// newBigFleetReading starts one whose gateways read the store in a way of their own.
-func newBigFleetReading(t *testing.T, size int, seed uint64, source func(*access) discovery.Source) *bigFleet {
+// newBigFleet starts a fleet for the first time, whose gateways read the store by a
+// source, and waits until it has settled.
+func newBigFleet(t *testing.T, size int, seed uint64, source func(*access) discovery.Source) *bigFleet {
 	f := &bigFleet{t: t, fabric: newFabric(), store: newFilledStore(), seed: seed, source: source}
 	f.store.delay = 4 * time.Millisecond
 	for i := range 300 {
@@ -167,7 +163,7 @@
 	for seed := range seeds {
 		t.Run(fmt.Sprintf("%d gateways, seed %d", size, seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fleet := newBigFleetReading(t, size, seed, source)
+				fleet := newBigFleet(t, size, seed, source)
 				defer time.Sleep(10 * time.Second) // until all goroutines of the bubble have ended
 				defer fleet.stopAll()
 				f(NewWithT(t), fleet)
