Sight: whether a target's process ended under a send, and whose request it was

Each attempt has an id of its own, and a target that ended looked like one that broke off an answer.

Change: a line of a request that a target broke off holds a fingerprint of its content and of its caller; its send says target_ended where nobody listens at the target's address afterwards. That costs a connection after each send that was broken off, which is kept for requests where the target lives. A counter by service.

--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -154,10 +154,8 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	req := &request{
-		id: r.Header.Get(h.options.Names.RequestID), in: r, began: h.options.Clock(), exploresLimit: h.options.ExploreLimit(),
-		end: func() {},
-	}
+	req := newRequest(r.Header.Get(h.options.Names.RequestID), r, h.options.Clock())
+	req.exploresLimit = h.options.ExploreLimit()
 	defer func() { req.end() }()
 	answer, failure := h.serve(req)
 	if failure != nil {
--- a/internal/gateway/forward/log.go
+++ b/internal/gateway/forward/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 	Hedge bool `json:"hedge"`
 	// Result is the status of the target's answer, or why there was none.
 	Result string `json:"result"`
+	// TargetEnded says that the target broke the send off and nobody listened at its
+	// address afterwards.
+	TargetEnded bool `json:"target_ended,omitempty"`
 }
 
 // describe makes the record of a send.
@@ -77,6 +81,11 @@
 	return l.sends
 }
 
+// anyBroken says whether a target broke any of the sends off.
+func anyBroken(sends []Send) bool {
+	return slices.ContainsFunc(sends, func(s Send) bool { return s.Result == string(verdict.ReasonTargetFailed) })
+}
+
 // Messages of the line that each request gets.
 const (
 	MessageServed    = "served"
@@ -105,7 +114,7 @@
 }
 
 // maxAttributes is how many a line has at most.
-const maxAttributes = 15
+const maxAttributes = 17
 
 // attributes are those of a line that tell what was done for a request.
 func (r *request) attributes(status int, held time.Duration) []slog.Attr {
@@ -126,5 +135,9 @@
 	if sends := r.sendLog.list(); len(sends) > 0 {
 		list = append(list, slog.Any("sends", sends))
 	}
+	if anyBroken(r.sendLog.list()) {
+		print := r.fingerprint()
+		list = append(list, slog.String("content", print.Content), slog.String("caller", print.Caller))
+	}
 	return list
 }
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/deadline"
+	"github.com/sprucecrank/sprucecrank/core/gateway/fingerprint"
 	"github.com/sprucecrank/sprucecrank/core/gateway/refusal"
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
@@ -43,6 +46,27 @@
 	// exploresLimit says that it may take a slot that is better left free.
 	exploresLimit bool
 	sendLog       sendLog
+	// fingerprint tells it from others; it is worked out when first asked for.
+	fingerprint func() fingerprint.Fingerprint
+}
+
+// newRequest takes a client's request in.
+func newRequest(id string, in *http.Request, began time.Time) *request {
+	req := &request{id: id, in: in, began: began, end: func() {}}
+	req.fingerprint = sync.OnceValue(req.takeFingerprint)
+	return req
+}
+
+// takeFingerprint is that of the request and its caller; the body must have been read.
+func (r *request) takeFingerprint() fingerprint.Fingerprint {
+	address, _, err := net.SplitHostPort(r.in.RemoteAddr)
+	if err != nil {
+		address = r.in.RemoteAddr // whole, where it has no port
+	}
+	return fingerprint.Of(fingerprint.Request{
+		Method: r.in.Method, Host: r.in.Host, URI: r.in.RequestURI, Body: r.body, Address: address,
+		Credentials: []string{r.in.Header.Get("Authorization"), r.in.Header.Get("Cookie")},
+	})
 }
 
 // route finds the route, the service and the deadline of a request.
--- a/internal/gateway/forward/sending.go
+++ b/internal/gateway/forward/sending.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/estimate"
@@ -49,7 +50,12 @@
 	if result.outcome == outcome.Served {
 		s.svc.answered(s.req.route, estimate.Answer{Took: max(took-s.chosen.Trip, 0), Bytes: result.answer.BytesRead(), Report: s.chosen.Report, Cold: s.chosen.Cold})
 	}
-	s.req.sendLog.add(s.balancer.describe(s.chosen, s.began, now, result.name()))
+	described := s.balancer.describe(s.chosen, s.began, now, result.name())
+	if result.outcome == outcome.Broken && options.Pool.Refuses(context.Background(), target) {
+		described.TargetEnded = true
+		options.Metrics.TargetEnded(s.req.service)
+	}
+	s.req.sendLog.add(described)
 	options.Metrics.Send(s.req.service, result.name(), s.chosen.Tier.String(), s.first)
 }
 
--- a/internal/gateway/metrics/metrics.go
+++ b/internal/gateway/metrics/metrics.go
@@ -37,6 +37,7 @@
 	sends      metric.Int64Counter
 	checks     metric.Int64Counter
 	opened     metric.Int64Counter
+	ended      metric.Int64Counter
 	storeCalls metric.Int64Counter
 	peersLost  metric.Int64Counter
 	cut        metric.Int64Counter
@@ -98,6 +99,7 @@
 		{&m.sends, "sprucecrank.gateway.sends", "Sends to targets, by service, result, how far the target is, and whether it was the first of its request."},
 		{&m.checks, "sprucecrank.gateway.checks", "Health checks, by service and result."},
 		{&m.opened, "sprucecrank.gateway.connections.opened", "New connections to targets."},
+		{&m.ended, "sprucecrank.gateway.targets.ended", "Sends under which the target's process ended, by service."},
 		{&m.storeCalls, "sprucecrank.gateway.store.calls", "Calls to the store, by watch and result."},
 		{&m.peersLost, "sprucecrank.gateway.peers.lost", "Gateways that did not answer."},
 		{&m.rolloutWrites, "sprucecrank.gateway.rollout.writes", "Writes of rollouts' stages and verdicts by this gateway, by how they ended."},
@@ -160,6 +162,13 @@
 	}
 }
 
+// TargetEnded counts a send under which its target's process ended.
+func (m *Metrics) TargetEnded(service string) {
+	if m != nil {
+		add(m.ended, attribute.String("service", service))
+	}
+}
+
 // Opened counts a new connection to a target.
 func (m *Metrics) Opened() {
 	if m != nil {
