Failing tests: a request that ends its targets reaches all of them

Cause of the failure: nothing remembers a request under which a target's process ended. A lookup is sent to a second target then, and each repeat of either kind, at any gateway, to one or two more.

Allowed: three, and three more from all gateways together.

--- a/e2e/gateway/process_test.go
+++ b/e2e/gateway/process_test.go
@@ -53,6 +53,10 @@
 	arrivals, active atomic.Int64
 	// fails says that it answers with a failure.
 	fails atomic.Bool
+	// fatal says which requests end the target's process; nil for none. ended is whether
+	// one has.
+	fatal func(r *http.Request) bool
+	ended atomic.Bool
 }
 
 func newTargetServer(t *testing.T, id string, runs *sync.Map, work time.Duration) *targetServer {
@@ -87,6 +91,11 @@
 	count, _ := b.runs.LoadOrStore(id, &atomic.Int32{})
 	count.(*atomic.Int32).Add(1)
 	time.Sleep(b.work)
+	if b.fatal != nil && b.fatal(r) {
+		b.ended.Store(true)
+		_ = b.http.Config.Close()
+		return
+	}
 	w.Header().Set("Server-Signature", b.id)
 	if b.fails.Load() {
 		w.WriteHeader(http.StatusInternalServerError)
