Requests under which three targets ended are sent to nobody, by all gateways

Cause: nothing remembered a request under which a target's process ended, so that it took one target after the other: each repeat at any gateway one or two.

Ruled out: load and a kill from outside. The failing tests bring the same about with targets that run nothing else.

Change: core/gateway/quarantine keeps the ends of targets by request and caller. Three quarantine it (four, of several callers, for all callers); an answer clears it; an end that a worse request was part of does not count. internal/gateway/fatal guards it, discovery passes word on with the exchange that there is, forward asks before each send: first, again, hedge, after a wait. From the second end on no second send. An end counts only where the target broke the send off and nobody listens at its address afterwards.

--- a/core/gateway/fingerprint/fingerprint.go
+++ b/core/gateway/fingerprint/fingerprint.go
@@ -15,7 +15,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"hash"
-	"io"
 	"strconv"
 )
 
@@ -57,7 +56,7 @@
 // add adds texts, each with its length before it, so that no two lists look alike.
 func add(h hash.Hash, texts ...string) {
 	for _, text := range texts {
-		_, _ = io.WriteString(h, strconv.Itoa(len(text))+":"+text) // a hash takes all
+		h.Write([]byte(strconv.Itoa(len(text)) + ":" + text))
 	}
 }
 
--- /dev/null
+++ b/core/gateway/quarantine/ledger.go
@@ -0,0 +1,251 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Ledger is what a gateway knows of requests under which targets ended. It is not safe
+// for concurrent use.
+type Ledger struct {
+	number   uint64
+	version  uint64
+	records  map[string]*record // by content
+	verdicts Verdicts
+}
+
+// New makes a ledger that knows nothing. number is drawn at random, so that others can
+// tell it from that of an earlier life of the gateway.
+func New(number uint64) *Ledger {
+	return &Ledger{number: number, records: map[string]*record{}}
+}
+
+// Verdicts are those by what is known now.
+func (l *Ledger) Verdicts() Verdicts { return l.verdicts }
+
+// Size is how many requests the ledger knows of.
+func (l *Ledger) Size() int { return len(l.records) }
+
+// Position is how far the ledger has come.
+func (l *Ledger) Position() Position {
+	if l.version == 0 {
+		return Position{}
+	}
+	return Position{Ledger: l.number, Version: l.version}
+}
+
+// NoteEnd notes that a target ended while it had a request under way.
+func (l *Ledger) NoteEnd(now time.Time, r Request, e End) {
+	l.expire(now)
+	kept := l.record(r.Print.Content, r.Service)
+	kept.seen = now
+	kept.ends = append(kept.ends, end{id: e.ID, target: e.Target, caller: r.Print.Caller, at: now})
+	kept.trim()
+	l.touch(kept)
+	l.limit()
+	l.judge()
+}
+
+// NoteAnswer notes that a target has run a request and lives, and says whether that
+// changes anything.
+func (l *Ledger) NoteAnswer(now time.Time, r Request) bool {
+	kept, ok := l.records[r.Print.Content]
+	if !ok {
+		return false
+	}
+	changed := false
+	for i := range kept.ends {
+		e := &kept.ends[i]
+		excuse := Answered
+		if e.caller == r.Print.Caller {
+			excuse = Cleared
+		}
+		changed = e.raise(excuse) || changed
+	}
+	if changed {
+		kept.seen = now
+		l.touch(kept)
+		l.judge()
+	}
+	return changed
+}
+
+// NoteRefused notes that a quarantined request came again, and says whether others should
+// hear of that.
+func (l *Ledger) NoteRefused(now time.Time, r Request) bool {
+	kept, ok := l.records[r.Print.Content]
+	if !ok {
+		return false
+	}
+	kept.seen = now
+	if now.Sub(kept.told) < toldAgainAfter {
+		return false
+	}
+	l.touch(kept)
+	return true
+}
+
+// Expire forgets what has lapsed, and says whether anything has.
+func (l *Ledger) Expire(now time.Time) bool {
+	if !l.expire(now) {
+		return false
+	}
+	l.judge()
+	return true
+}
+
+func (l *Ledger) expire(now time.Time) bool {
+	before := len(l.records)
+	for content, r := range l.records {
+		if now.Sub(r.seen) >= lapseAfter {
+			delete(l.records, content)
+		}
+	}
+	return len(l.records) < before
+}
+
+// Merge takes in what another gateway told, and says whether that changes anything.
+func (l *Ledger) Merge(now time.Time, words []Word) bool {
+	changed := false
+	for _, w := range words {
+		if w.Seen < lapseAfter && len(w.Ends) > 0 {
+			changed = l.merge(now, w) || changed
+		}
+	}
+	if changed {
+		l.limit()
+		l.judge()
+	}
+	return changed
+}
+
+func (l *Ledger) merge(now time.Time, w Word) bool {
+	kept := l.record(w.Content, w.Service)
+	changed := false
+	for _, told := range w.Ends {
+		changed = kept.take(now, told) || changed
+	}
+	changed = kept.trim() || changed
+	if seen := now.Add(-w.Seen); seen.After(kept.seen) {
+		changed = changed || seen.Sub(kept.told) >= toldAgainAfter
+		kept.seen = seen
+	}
+	if changed {
+		l.touch(kept)
+	}
+	return changed
+}
+
+// Since lists what changed since a position of this ledger, the earliest changes first, and
+// how far that comes: not all where it is much.
+func (l *Ledger) Since(now time.Time, at Position) ([]Word, Position) {
+	if at.Ledger != l.number {
+		at = Position{Ledger: l.number}
+	}
+	var newer []*record
+	for _, r := range l.records {
+		if r.version > at.Version {
+			newer = append(newer, r)
+		}
+	}
+	slices.SortFunc(newer, func(a, b *record) int { return cmp.Compare(a.version, b.version) })
+	to := l.Position()
+	if len(newer) > maxWords {
+		newer = newer[:maxWords]
+		to.Version = newer[maxWords-1].version
+	}
+	words := make([]Word, 0, len(newer))
+	for _, r := range newer {
+		words = append(words, r.word(now))
+	}
+	return words, to
+}
+
+// record is what is known of a request; a new one where nothing is.
+func (l *Ledger) record(content, service string) *record {
+	r, ok := l.records[content]
+	if !ok {
+		r = &record{content: content, service: service}
+		l.records[content] = r
+	}
+	return r
+}
+
+// touch has a record told to others again.
+func (l *Ledger) touch(r *record) {
+	l.version++
+	r.version = l.version
+	r.told = r.seen
+}
+
+// limit forgets the requests with fewest ends, of these those that were not seen for
+// longest, until few enough are left.
+func (l *Ledger) limit() {
+	if len(l.records) <= maxRequests {
+		return
+	}
+	all := make([]*record, 0, len(l.records))
+	for _, r := range l.records {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(b.against(), a.against()), b.seen.Compare(a.seen), cmp.Compare(a.content, b.content))
+	})
+	for _, r := range all[maxRequests:] {
+		delete(l.records, r.content)
+	}
+}
+
+// against is how many ends speak against the request of any caller.
+func (r *record) against() (n int) {
+	for _, e := range r.ends {
+		if e.excuse < Cleared {
+			n++
+		}
+	}
+	return n
+}
+
+// take takes in an end that another gateway told, and says whether it is new or has a
+// better excuse.
+func (r *record) take(now time.Time, told End) bool {
+	i := slices.IndexFunc(r.ends, func(e end) bool { return e.id == told.ID })
+	if i >= 0 {
+		return r.ends[i].raise(told.Excuse)
+	}
+	at := now.Add(-told.Ago)
+	if len(r.ends) >= maxEnds && !at.After(r.ends[0].at) {
+		return false // it would be dropped at once
+	}
+	r.ends = append(r.ends, end{id: told.ID, target: told.Target, caller: told.Caller, at: at, excuse: told.Excuse})
+	return true
+}
+
+// raise gives an end a better excuse, and says whether it had none as good.
+func (e *end) raise(excuse Excuse) bool {
+	if excuse <= e.excuse {
+		return false
+	}
+	e.excuse = excuse
+	return true
+}
+
+// trim orders the ends by time and drops all but the latest.
+func (r *record) trim() bool {
+	slices.SortFunc(r.ends, func(a, b end) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id)) })
+	if len(r.ends) <= maxEnds {
+		return false
+	}
+	r.ends = slices.Clone(r.ends[len(r.ends)-maxEnds:])
+	return true
+}
+
+// word is what others are told of a request.
+func (r *record) word(now time.Time) Word {
+	w := Word{Content: r.content, Service: r.service, Seen: now.Sub(r.seen)}
+	for _, e := range r.ends {
+		w.Ends = append(w.Ends, End{ID: e.id, Target: e.target, Caller: e.caller, Ago: now.Sub(e.at), Excuse: e.excuse})
+	}
+	return w
+}
--- /dev/null
+++ b/core/gateway/quarantine/quarantine.go
@@ -0,0 +1,146 @@
+// Package quarantine decides which requests are sent to no target any more, since
+// targets end under them: a request that crashes whoever runs it, comes again, and would
+// take one target after the other.
+//
+// It owns what is known of such requests (Ledger), and the rule. A target that ends takes
+// all requests with it that it has under way, and most are innocent: they ran beside a
+// fatal one, or the target was killed. So the rule goes by three things:
+//
+//   - Three targets must have ended under the same request of the same caller, or four
+//     under the same request of several callers.
+//   - An answer clears a request: a target has run it and lives.
+//   - An end that a worse request was part of says nothing about the others. Of two
+//     requests that ran at three targets when they ended, the one that ran at five is
+//     quarantined and the other is not.
+//
+// Gateways tell each other what they know (Word), each only what changed (Since); what
+// they know becomes alike in whatever order word comes. All of it lapses some time after
+// the request was last seen, so that it is tried again once its targets were mended.
+//
+// The package does no I/O, reads no clock and draws no random numbers. Times should carry
+// Go's monotonic reading.
+//
+// # Usage
+//
+//	ledger := quarantine.New(rand.Uint64())
+//	ledger.NoteEnd(now, request, quarantine.End{ID: rand.Uint64(), Target: "i-1"})
+//	if ledger.Verdicts().Of(request).IsQuarantined() {
+//		// refuse it
+//	}
+package quarantine
+
+import (
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/fingerprint"
+)
+
+const (
+	// ownEnds is how many targets must have ended under a caller's request. Two are not
+	// enough: while many targets end, a request that ran beside a fatal one twice is
+	// common, and its caller would lose it.
+	ownEnds = 3
+	// allEnds is how many must have ended under a request of several callers that nobody
+	// got an answer to, until it is taken from all: one more, since that concerns callers
+	// who have never sent it.
+	allEnds = 4
+	// suspectEnds is from how many ends on a request gets no second send: each might
+	// cost one more target, and few innocent ones get so far.
+	suspectEnds = 2
+	// lapseAfter is how long after it was last seen a request is forgotten, so that it
+	// may be tried again. It costs three targets each time that it still is fatal:
+	// chosen, so that these are a few in an hour.
+	lapseAfter = 10 * time.Minute
+	// toldAgainAfter is how much later a request must have been seen to be told again: a
+	// quarantined one that comes each second is told each minute.
+	toldAgainAfter = lapseAfter / 10
+	// sameEndWithin is how far apart two gateways may note the end of one target. Both do
+	// within a few ways there and back; the target takes longer to start again.
+	sameEndWithin = time.Second
+	// maxRequests and maxEnds bound what is kept, to some 400 kB: of the requests, those
+	// with most ends, of their ends the latest. Chosen: a service of ten targets has 30
+	// requests under way, all of which a fatal one may take along.
+	maxRequests = 256
+	maxEnds     = 32
+	// maxWords bounds what one message tells, to some 10 kB.
+	maxWords = 32
+)
+
+// LapseAfter is how long after it was last seen a request is forgotten.
+func LapseAfter() time.Duration { return lapseAfter }
+
+// Request is a request as the Ledger knows it.
+type Request struct {
+	Print   fingerprint.Fingerprint
+	Service string
+}
+
+// Excuse is why the end of a target does not speak against a request. Greater ones
+// include the others.
+type Excuse int
+
+// The excuses.
+const (
+	// None: it does speak against it.
+	None Excuse = iota
+	// Answered: a target has run the same request of another caller and lives. It still
+	// speaks against this caller's.
+	Answered
+	// Cleared: a target has run this caller's request and lives.
+	Cleared
+)
+
+// End is the end of a target while it had a request under way, as gateways tell each
+// other of it.
+type End struct {
+	// ID is drawn by the gateway that noted it.
+	ID uint64
+	// Target is the target's id, Caller the fingerprint of who sent the request.
+	Target string
+	Caller string
+	// Ago is how long ago it was.
+	Ago    time.Duration
+	Excuse Excuse
+}
+
+// Word is what one gateway tells another of a request.
+type Word struct {
+	Content string
+	Service string
+	Ends    []End
+	// Seen is how long ago the request last came or ended a target.
+	Seen time.Duration
+}
+
+// Position is how far a ledger has come, so that another gateway can say what it has
+// heard of it. The zero Position is that of an empty one.
+type Position struct {
+	// Ledger is the ledger's own number: a gateway that starts again has another.
+	Ledger  uint64
+	Version uint64
+}
+
+// end is an End by the time of this process.
+type end struct {
+	id     uint64
+	target string
+	caller string
+	at     time.Time
+	excuse Excuse
+}
+
+// isSame says whether two ends are of one life of a target.
+func (e end) isSame(other end) bool {
+	return e.target == other.target && e.at.Sub(other.at).Abs() < sameEndWithin
+}
+
+// record is what is known of one request.
+type record struct {
+	content string
+	service string
+	ends    []end
+	seen    time.Time
+	// told is the seen that was last told, version that of the ledger at its latest change.
+	told    time.Time
+	version uint64
+}
--- /dev/null
+++ b/core/gateway/quarantine/quarantine_test.go
@@ -0,0 +1,268 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/fingerprint"
+	"github.com/sprucecrank/sprucecrank/core/gateway/quarantine"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func request(content, caller string) quarantine.Request {
+	return quarantine.Request{Print: fingerprint.Fingerprint{Content: content, Caller: caller}, Service: "shop"}
+}
+
+// scene is a ledger to which things happen one after the other, 10 ms apart.
+type scene struct {
+	ledger *quarantine.Ledger
+	now    time.Time
+	ids    uint64
+}
+
+func newScene() *scene { return &scene{ledger: quarantine.New(7), now: start} }
+
+// ends notes that a target ended under some requests.
+func (s *scene) ends(target string, under ...quarantine.Request) {
+	s.now = s.now.Add(10 * time.Millisecond)
+	for _, r := range under {
+		s.ids++
+		s.ledger.NoteEnd(s.now, r, quarantine.End{ID: s.ids, Target: target})
+	}
+}
+
+func (s *scene) answers(r quarantine.Request) { s.ledger.NoteAnswer(s.now, r) }
+
+func (s *scene) isQuarantined(r quarantine.Request) bool {
+	return s.ledger.Verdicts().Of(r.Print).IsQuarantined()
+}
+
+func TestThreeTargetsThatEndUnderARequestQuarantineIt(t *testing.T) {
+	g := NewWithT(t)
+	s := newScene()
+	fatal := request("fatal", "c1")
+	for i, suspect := range []bool{false, true} {
+		s.ends(fmt.Sprint("i-", i), fatal)
+		g.Expect(s.isQuarantined(fatal)).To(BeFalse())
+		g.Expect(s.ledger.Verdicts().Of(fatal.Print).IsSuspect()).To(Equal(suspect))
+	}
+	s.ends("i-2", fatal)
+	g.Expect(s.isQuarantined(fatal)).To(BeTrue())
+	g.Expect(s.ledger.Verdicts().Of(fatal.Print).Targets()).To(Equal([]string{"i-0", "i-1", "i-2"}))
+	g.Expect(s.ledger.Verdicts().Concerns("shop")).To(BeTrue())
+	g.Expect(s.ledger.Verdicts().Concerns("farm")).To(BeFalse())
+	for _, other := range []quarantine.Request{request("fatal", "c2"), request("another", "c1")} {
+		g.Expect(s.isQuarantined(other)).To(BeFalse())
+	}
+}
+
+func TestOneLifeOfATargetCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := newScene()
+	fatal := request("fatal", "c1")
+	s.ends("i-0", fatal, fatal, fatal)
+	g.Expect(s.isQuarantined(fatal)).To(BeFalse())
+	for range 2 { // it starts again under its id
+		s.now = s.now.Add(2 * time.Second)
+		s.ends("i-0", fatal)
+	}
+	g.Expect(s.isQuarantined(fatal)).To(BeTrue())
+}
+
+func TestAnAnswerClearsARequest(t *testing.T) {
+	g := NewWithT(t)
+	s := newScene()
+	often := request("often", "c1")
+	for i := range 20 { // targets that are killed have it under way, and it is answered elsewhere
+		s.ends(fmt.Sprint("i-", i), often)
+		if i%2 == 1 {
+			s.answers(often)
+		}
+		g.Expect(s.isQuarantined(often)).To(BeFalse())
+	}
+}
+
+func TestOneThatRanBesideAFatalRequestIsInnocent(t *testing.T) {
+	g := NewWithT(t)
+	s := newScene()
+	fatal, beside := request("fatal", "c1"), request("beside", "c2")
+	s.ends("i-0", fatal)
+	for i := range 3 {
+		s.ends(fmt.Sprint("i-", i+1), beside, fatal)
+		g.Expect(s.isQuarantined(beside)).To(BeFalse())
+	}
+	g.Expect(s.isQuarantined(fatal)).To(BeTrue())
+	g.Expect(s.ledger.Verdicts().Of(beside.Print).IsSuspect()).To(BeFalse())
+}
+
+func TestOfTwoFatalRequestsEachIsQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	s := newScene()
+	first, second := request("first", "c1"), request("second", "c2")
+	for i := range 5 {
+		s.ends(fmt.Sprint("i-", i), first)
+	}
+	s.ends("i-5", first, second)
+	s.ends("i-6", second)
+	s.ends("i-7", second)
+	g.Expect(s.isQuarantined(second)).To(BeFalse()) // the first may be to blame for one
+	s.ends("i-8", second)
+	g.Expect(s.isQuarantined(first)).To(BeTrue())
+	g.Expect(s.isQuarantined(second)).To(BeTrue())
+}
+
+func TestARequestOfManyCallersIsTakenFromAllOnceNobodyGetsAnAnswer(t *testing.T) {
+	g := NewWithT(t)
+	s := newScene()
+	beside := request("beside", "c9")
+	for i := range 4 {
+		g.Expect(s.isQuarantined(request("fatal", "new"))).To(BeFalse())
+		under := []quarantine.Request{request("fatal", fmt.Sprint("c", i%3))}
+		if i%2 == 0 {
+			under = append(under, beside)
+		}
+		s.ends(fmt.Sprint("i-", i), under...)
+	}
+	g.Expect(s.isQuarantined(request("fatal", "new"))).To(BeTrue())
+	g.Expect(s.ledger.Verdicts().Of(beside.Print).IsSuspect()).To(BeFalse())
+
+	s = newScene()
+	for i := range 9 { // some caller gets an answer, so that the content is not to blame
+		s.ends(fmt.Sprint("i-", i), request("popular", fmt.Sprint("c", i)))
+		if i%3 == 0 {
+			s.answers(request("popular", "c99"))
+		}
+		g.Expect(s.isQuarantined(request("popular", "new"))).To(BeFalse())
+	}
+}
+
+func TestACallerThatRanBesideTheSameRequestOfAnotherIsInnocent(t *testing.T) {
+	g := NewWithT(t)
+	s := newScene()
+	fatal, beside := request("path", "c1"), request("path", "c2")
+	for i := range 6 {
+		under := []quarantine.Request{fatal}
+		if i%3 == 2 {
+			under = append(under, beside)
+		}
+		s.ends(fmt.Sprint("i-", i), under...)
+	}
+	g.Expect(s.isQuarantined(fatal)).To(BeTrue())
+	g.Expect(s.isQuarantined(beside)).To(BeFalse())
+	g.Expect(s.isQuarantined(request("path", "c3"))).To(BeFalse())
+}
+
+func TestWhatWasNotSeenForLongLapses(t *testing.T) {
+	g := NewWithT(t)
+	s := newScene()
+	fatal := request("fatal", "c1")
+	for i := range 3 {
+		s.ends(fmt.Sprint("i-", i), fatal)
+	}
+	for range 20 { // as long as it comes, it is refused
+		s.now = s.now.Add(quarantine.LapseAfter() - time.Second)
+		s.ledger.Expire(s.now)
+		g.Expect(s.isQuarantined(fatal)).To(BeTrue())
+		g.Expect(s.ledger.NoteRefused(s.now, fatal)).To(BeTrue())
+		g.Expect(s.ledger.NoteRefused(s.now, fatal)).To(BeFalse()) // told already
+	}
+	s.now = s.now.Add(quarantine.LapseAfter())
+	g.Expect(s.ledger.Expire(s.now)).To(BeTrue())
+	g.Expect(s.isQuarantined(fatal)).To(BeFalse())
+	g.Expect(s.ledger.Size()).To(BeZero())
+}
+
+func TestWhatIsKeptAndToldIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := newScene()
+	fatal := request("fatal", "c1")
+	for i := range 100 {
+		s.ends(fmt.Sprint("i-", i), fatal)
+	}
+	for i := range 1000 { // a hall loses power: each request ran at one target that ended
+		s.ends("i-lost", request(fmt.Sprint("lost-", i), "c2"))
+	}
+	g.Expect(s.ledger.Size()).To(Equal(256))
+	g.Expect(s.isQuarantined(fatal)).To(BeTrue())
+	words, at := s.ledger.Since(s.now, quarantine.Position{})
+	g.Expect(words).To(HaveLen(32))
+	for _, w := range words {
+		g.Expect(len(w.Ends)).To(BeNumerically("<=", 32))
+	}
+	told := 0
+	for ; len(words) > 0; words, at = s.ledger.Since(s.now, at) {
+		told += len(words)
+	}
+	g.Expect(told).To(Equal(256))
+	g.Expect(at).To(Equal(s.ledger.Position()))
+}
+
+func TestALedgerThatBeginsAnewIsToldAll(t *testing.T) {
+	g := NewWithT(t)
+	s := newScene()
+	g.Expect(s.ledger.Position()).To(Equal(quarantine.Position{}))
+	s.ends("i-0", request("a", "c1"))
+	words, _ := s.ledger.Since(s.now, quarantine.Position{Ledger: 8, Version: 99})
+	g.Expect(words).To(HaveLen(1))
+}
+
+// Gateways hear of ends and answers in any order, several times over, and late.
+func TestLedgersBecomeAlikeInWhateverOrderTheyHear(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const gateways = 3
+		var ledgers [gateways]*quarantine.Ledger
+		for i := range ledgers {
+			ledgers[i] = quarantine.New(uint64(i + 1))
+		}
+		draw := func(n int, what string) int { return rapid.IntRange(0, n-1).Draw(t, what) }
+		tell := func(from, to int, now time.Time) bool {
+			words, _ := ledgers[from].Since(now, quarantine.Position{})
+			return ledgers[to].Merge(now, words)
+		}
+		now := start
+		for i := range rapid.IntRange(0, 40).Draw(t, "events") {
+			now = now.Add(time.Duration(draw(300, "pause")) * time.Millisecond)
+			at := draw(gateways, "gateway")
+			r := request(fmt.Sprint("r", draw(3, "content")), fmt.Sprint("c", draw(2, "caller")))
+			switch draw(4, "event") {
+			case 0:
+				ledgers[at].NoteAnswer(now, r)
+			case 1:
+				tell(at, draw(gateways, "to"), now)
+			default:
+				ledgers[at].NoteEnd(now, r, quarantine.End{ID: uint64(i + 1), Target: fmt.Sprint("i-", draw(6, "target"))})
+			}
+		}
+		quiet := false
+		for range 10 {
+			if quiet = !slices.Contains([]bool{tell(0, 1, now), tell(1, 2, now), tell(2, 0, now), tell(1, 0, now)}, true); quiet {
+				break
+			}
+		}
+		if !quiet {
+			t.Fatal("ledgers that told each other all still have news")
+		}
+		for _, l := range ledgers[1:] {
+			if got, want := l.Verdicts().Quarantined(), ledgers[0].Verdicts().Quarantined(); !slices.Equal(got, want) {
+				t.Fatalf("%v is quarantined by one, %v by another", got, want)
+			}
+		}
+	})
+}
+
+func ExampleLedger() {
+	ledger := quarantine.New(1)
+	fatal := request("order", "10.0.0.1")
+	for i := range 3 {
+		at := start.Add(time.Duration(i) * time.Second)
+		ledger.NoteEnd(at, fatal, quarantine.End{ID: uint64(i), Target: fmt.Sprint("i-", i)})
+	}
+	fmt.Println(ledger.Verdicts().Of(fatal.Print).IsQuarantined())
+	// Output: true
+}
--- a/e2e/gateway/fatal_test.go
+++ b/e2e/gateway/fatal_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -45,6 +46,12 @@
 	g := NewWithT(t)
 	d := newDeployment(t, 4, 0)
 	d.makeFragile(t, 20)
+	for _, p := range d.gateways {
+		g.Eventually(func() (string, error) {
+			raw, err := os.ReadFile(p.log)
+			return string(raw), err
+		}, eventual).Should(ContainSubstring("i-more-19"))
+	}
 	client := &http.Client{Transport: &http.Transport{}}
 	var last int
 	for i := range 24 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/delivery"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/discovery"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
@@ -68,6 +69,7 @@
 	pool      *upstream.Pool
 	answers   *upstream.Room // for what is held of answers
 	forward   *forward.Handler
+	fatal     *fatal.Register  // requests that end targets
 	metrics   *metrics.Metrics // nil without an address to serve them on
 	stopping  atomic.Bool
 	listeners listeners
@@ -103,16 +105,18 @@
 	}
 	o := g.options
 	self := member.Box{ID: s.ID, Peer: s.peerAddress(), Hall: s.Hall, Start: uint64(o.Clock().UnixNano())}
+	g.fatal = fatal.New(fatal.Options{Clock: o.Clock, Log: g.log})
 	g.discovery = discovery.New(discovery.Options{
 		Self: self, FirstStart: s.FirstStart, Seeds: func() []string { return g.settings.Load().Seeds },
 		Source: followed(o.Source, s), Decode: g.decode, Timing: timing(s), Places: g.places.Load, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
+		Fatal: g.fatal,
 	})
 	g.answers = upstream.NewRoom(answerRoom(s))
 	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Room: g.answers, Opened: g.metrics.Opened})
 	g.forward = forward.New(forward.Options{
 		Names: o.Wire.Headers, Places: g.places.Load, Snapshot: g.discovery.Snapshot, Current: g.discovery.Current,
-		Gateways: g.discovery.Gateways,
-		Ready:    g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
+		Gateways: g.discovery.Gateways, Fatal: g.fatal,
+		Ready: g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
 		Retry: forward.Retry{Window: seconds(s.RetryWindow), Ratio: s.RetryRatio},
 	})
 	if s.Rollout != nil {
@@ -151,7 +155,7 @@
 func (g *Gateway) state() metrics.State {
 	state := metrics.State{
 		Active: g.forward.Active(), ConfigAge: g.discovery.Age().Seconds(), EvacuatedHalls: g.discovery.EvacuatedHalls(),
-		AnswerBytes: g.answers.Held(),
+		AnswerBytes: g.answers.Held(), Quarantined: g.fatal.Quarantined(),
 		FarServices: g.forward.FarServices(), Trips: g.forward.Trips(),
 	}
 	if table := g.discovery.Snapshot().Table(); table != nil {
--- a/internal/cli/timeline/timeline.go
+++ b/internal/cli/timeline/timeline.go
@@ -145,6 +145,7 @@
 	verdict.ReasonNoTarget:    "no target of the service was known",
 	verdict.ReasonEvacuated:   "all targets of the service stand in halls that are evacuated",
 	verdict.ReasonRegion:      "no target of the service stands in a region that the route allows",
+	verdict.ReasonQuarantined: "three targets or more ended under this request; lines \"request quarantined\" with its content name them",
 	verdict.ReasonUnreachable: "no connection to any target could be made",
 }
 
--- a/internal/gateway/discovery/discovery.go
+++ b/internal/gateway/discovery/discovery.go
@@ -60,6 +60,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
 	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
 )
 
@@ -114,6 +115,9 @@
 	Clock  func() time.Time
 	// Places says how far halls are. It may be nil for a fleet of one region.
 	Places func() *locality.Map
+	// Fatal is what is known of requests that end targets, which gateways tell each other;
+	// nil where nobody notes any here.
+	Fatal *fatal.Register
 	// Metrics may be nil.
 	Metrics *metrics.Metrics
 	Log     *slog.Logger
@@ -181,6 +185,7 @@
 	}
 	f.nextSeed = int(o.Draw() * float64(len(o.Seeds())))
 	f.view.SetTiers(f.tier)
+	o.Fatal.OnNews(f.wakeUp)
 	if o.Source.followsEvacuations() {
 		f.fresh.FollowEvacuations()
 	}
@@ -199,6 +204,9 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
+	if o.Fatal == nil {
+		o.Fatal = fatal.New(fatal.Options{Clock: o.Clock, Log: o.Log})
+	}
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{}).DialContext
 	}
@@ -268,6 +276,13 @@
 	return f.fresh.Reads(f.options.Clock())
 }
 
+// wakeUp wakes those that wait for a change.
+func (f *Follower) wakeUp() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wake()
+}
+
 // wake wakes those that wait for a change; the lock is held.
 func (f *Follower) wake() {
 	close(f.changed)
--- a/internal/gateway/discovery/neighbour.go
+++ b/internal/gateway/discovery/neighbour.go
@@ -6,6 +6,7 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/peers"
+	"github.com/sprucecrank/sprucecrank/core/gateway/quarantine"
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
 )
@@ -42,6 +43,9 @@
 	// own leaving was.
 	toldTries   int
 	toldLeaving bool
+	// heardFatal is how far that gateway was heard on requests that end targets, and
+	// toldFatal how far it was told.
+	heardFatal, toldFatal quarantine.Position
 }
 
 // follow is the duty of exchanging with one neighbour after the other.
@@ -131,6 +135,7 @@
 	now := f.options.Clock()
 	args := f.standing(now)
 	args.Wait, args.Digest = wait, !f.asksInFull(n.peer)
+	args.AsksFatal, args.FatalAt = true, n.heardFatal
 	if args.Digest && args.At.Lacks(n.at) {
 		args.At = n.at // what is missing here is asked for already
 	}
@@ -162,6 +167,7 @@
 		args.News, args.Base = f.newsFor(n), n.at
 		n.at, n.confirmed = args.At, now.Add(-min(args.Age, longAgo))
 		n.toldTries, n.toldLeaving = f.tries.Version(), args.From.Leaving
+		args.Fatal, n.toldFatal = f.options.Fatal.Since(n.toldFatal)
 	}
 	changed = f.changed
 	f.mu.Unlock()
@@ -177,7 +183,8 @@
 	leaves := f.view.Self().Leaving && !n.toldLeaving
 	further := n.at.Lacks(f.catalog.Position())
 	tries := f.tries.Version() != n.toldTries
-	return leaves || further || tries || f.fresh.Confirms(now, now.Sub(n.confirmed))
+	fatal := f.options.Fatal.Position() != n.toldFatal
+	return leaves || further || tries || fatal || f.fresh.Confirms(now, now.Sub(n.confirmed))
 }
 
 // noteExchanged notes how far a neighbour is, and logs who it is if it is new. One that
@@ -189,7 +196,7 @@
 	if first := n.confirmed.IsZero(); first && n.peer.ID != "" {
 		f.options.Log.Info("news come from", "peer", n.peer.ID, "address", n.peer.Peer, "hall", n.peer.Hall, "age_s", f.loggedAge())
 	}
-	n.at = reply.Delta.To
+	n.at, n.heardFatal = reply.Delta.To, reply.FatalAt
 	n.confirmed = now.Add(-min(reply.Age, longAgo))
 	if !f.fresh.Fresh(now) && reply.Age >= f.options.Timing.SilentAfter {
 		n.until = earlier(n.until, now.Add(staleFor))
--- a/internal/gateway/discovery/serve.go
+++ b/internal/gateway/discovery/serve.go
@@ -74,6 +74,9 @@
 	}
 	reply.Age, reply.Origin = f.fresh.Age(now), f.fresh.Origin()
 	reply.Tries = f.tries.Told(now)
+	if args.AsksFatal {
+		reply.Fatal, reply.FatalAt = f.options.Fatal.Since(args.FatalAt)
+	}
 	if id, age := f.fresh.Reader(now); age < f.options.Timing.SilentAfter {
 		reply.Reader, reply.ReaderAge = id, age
 	}
@@ -114,6 +117,7 @@
 	f.asked = now
 	f.meet(now, args.Members, f.view.Called)
 	f.hear(now, args.Tries)
+	f.hearFatal(args.Fatal, args.From.ID)
 	if args.From.ID == "" {
 		return
 	}
@@ -170,12 +174,13 @@
 }
 
 // hasAnswer says whether there is something to answer now: an update, a word that
-// confirms the caller's old knowledge, a try to read the store that it has not heard
-// of, or that this gateway leaves; the lock is held.
+// confirms the caller's old knowledge, a try to read the store or a request that ends
+// targets that it has not heard of, or that this gateway leaves; the lock is held.
 func (f *Follower) hasAnswer(args UpdateArgs, asked time.Time) bool {
 	now := f.options.Clock()
 	ahead := args.lacks(f.catalog.Position())
 	confirms := f.fresh.Confirms(now, older(args.Age, now.Sub(asked)))
 	tries := f.tries.Lacking(now, args.Tries)
-	return ahead || confirms || tries || f.view.Self().Leaving
+	fatal := args.AsksFatal && f.options.Fatal.Position() != args.FatalAt
+	return ahead || confirms || tries || fatal || f.view.Self().Leaving
 }
--- /dev/null
+++ b/internal/gateway/fatal/fatal.go
@@ -0,0 +1,177 @@
+// Package fatal keeps what this gateway knows of requests under which targets ended, its
+// own observations and those of other gateways, and gives the data path the verdicts.
+//
+// It owns the ledger (core/gateway/quarantine, which has the rule) under one lock, the log
+// lines of what is quarantined, and nothing that must last. The data path
+// (internal/gateway/forward) notes ends and answers and asks for verdicts; the exchange
+// between gateways (internal/gateway/discovery) passes word on.
+//
+// # Usage
+//
+//	register := fatal.New(fatal.Options{Log: log})
+//	register.NoteEnd(request, "i-1")
+//	if register.Verdict("shop", fingerprint).IsQuarantined() {
+//		// refuse the request
+//	}
+package fatal
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/fingerprint"
+	"github.com/sprucecrank/sprucecrank/core/gateway/quarantine"
+)
+
+// fromOwn names this gateway's own observations in log lines.
+const fromOwn = "own"
+
+// Options configure a Register; zero values are usable.
+type Options struct {
+	Clock func() time.Time
+	Log   *slog.Logger
+	// Draw gives numbers that no other gateway draws as well.
+	Draw func() uint64
+}
+
+// Register holds what is known of requests that end targets. It is safe for concurrent
+// use.
+type Register struct {
+	options  Options
+	verdicts atomic.Pointer[quarantine.Verdicts]
+
+	mu     sync.Mutex
+	ledger *quarantine.Ledger
+	notify func()
+}
+
+// New makes a register that knows of no request.
+func New(o Options) *Register {
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Draw == nil {
+		o.Draw = rand.Uint64
+	}
+	r := &Register{options: o, ledger: quarantine.New(o.Draw()), notify: func() {}}
+	r.verdicts.Store(&quarantine.Verdicts{})
+	return r
+}
+
+// OnNews has a function called, without any lock held, once there is something that other
+// gateways should hear of. It must be set before the register is used by others.
+func (r *Register) OnNews(notify func()) { r.notify = notify }
+
+// Verdict is that on a request for a service. Its fingerprint is taken only where anything
+// is known of the service's requests.
+func (r *Register) Verdict(service string, print func() fingerprint.Fingerprint) quarantine.Verdict {
+	verdicts := r.verdicts.Load()
+	if !verdicts.Concerns(service) {
+		return quarantine.Verdict{}
+	}
+	return verdicts.Of(print())
+}
+
+// NoteEnd notes that a target's process ended while it had a request under way.
+func (r *Register) NoteEnd(request quarantine.Request, target string) {
+	r.note(func(now time.Time) bool {
+		r.ledger.NoteEnd(now, request, quarantine.End{ID: r.options.Draw(), Target: target})
+		return true
+	})
+}
+
+// NoteAnswer notes that a target has run a request and lives.
+func (r *Register) NoteAnswer(service string, print func() fingerprint.Fingerprint) {
+	if !r.verdicts.Load().Concerns(service) {
+		return
+	}
+	r.note(func(now time.Time) bool {
+		return r.ledger.NoteAnswer(now, quarantine.Request{Print: print(), Service: service})
+	})
+}
+
+// NoteRefused notes that a quarantined request came again.
+func (r *Register) NoteRefused(request quarantine.Request) {
+	r.note(func(now time.Time) bool { return r.ledger.NoteRefused(now, request) })
+}
+
+// note changes the ledger and has others hear of what is news.
+func (r *Register) note(change func(now time.Time) (isNews bool)) {
+	r.mu.Lock()
+	isNews := change(r.options.Clock())
+	if isNews {
+		r.publish(fromOwn)
+	}
+	r.mu.Unlock()
+	if isNews {
+		r.notify()
+	}
+}
+
+// Expire forgets what has lapsed.
+func (r *Register) Expire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ledger.Expire(r.options.Clock()) {
+		r.publish(fromOwn)
+	}
+}
+
+// Merge takes in what another gateway told and says whether any of it is news here.
+func (r *Register) Merge(words []quarantine.Word, from string) bool {
+	if len(words) == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	isNews := r.ledger.Merge(r.options.Clock(), words)
+	if isNews {
+		r.publish(from)
+	}
+	return isNews
+}
+
+// Since lists what changed since a position, and how far that comes.
+func (r *Register) Since(at quarantine.Position) ([]quarantine.Word, quarantine.Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.Since(r.options.Clock(), at)
+}
+
+// Position is how far the register has come.
+func (r *Register) Position() quarantine.Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.Position()
+}
+
+// Quarantined is how many requests are quarantined.
+func (r *Register) Quarantined() int { return len(r.verdicts.Load().Quarantined()) }
+
+// publish gives the data path the verdicts, and logs what is quarantined now that was not
+// before, and what no longer is; the lock is held.
+func (r *Register) publish(from string) {
+	before, now := r.verdicts.Load(), r.ledger.Verdicts()
+	r.verdicts.Store(&now)
+	old, current := before.Quarantined(), now.Quarantined()
+	for _, print := range current {
+		if !slices.Contains(old, print) {
+			verdict := now.Of(print)
+			r.options.Log.Warn("request quarantined", "content", print.Content, "caller", print.Caller,
+				"service", verdict.Service(), "targets", verdict.Targets(), "from", from)
+		}
+	}
+	for _, print := range old {
+		if !slices.Contains(current, print) {
+			r.options.Log.Info("request no longer quarantined", "content", print.Content, "caller", print.Caller,
+				"service", before.Of(print).Service(), "from", from)
+		}
+	}
+}
--- a/internal/gateway/forward/answer.go
+++ b/internal/gateway/forward/answer.go
@@ -39,6 +39,9 @@
 		h.report(req, 0, f)
 		panic(http.ErrAbortHandler)
 	}
+	if f.Reason() == verdict.ReasonQuarantined {
+		h.options.Fatal.NoteRefused(req.forQuarantine())
+	}
 	out := w.Header()
 	out.Set(h.options.Names.RequestID, req.id)
 	out.Set(verdict.Header, f.Verdict().String())
--- a/internal/gateway/forward/balancer.go
+++ b/internal/gateway/forward/balancer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/quarantine"
 	"github.com/sprucecrank/sprucecrank/core/gateway/refusal"
 	"github.com/sprucecrank/sprucecrank/core/gateway/retry"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
@@ -78,7 +79,7 @@
 		Sends: int(req.sends.Load()), MaxAttempts: req.route.MaxAttempts,
 		Left: req.deadline.Request().Sub(now), Usual: svc.usual(req.route),
 	})
-	return decision == retry.Again && svc.spendRetry(now)
+	return decision == retry.Again && !b.verdictOn(req).IsSuspect() && svc.spendRetry(now)
 }
 
 // giveUp ends a request with the failure that a target answered, or with one of
@@ -95,6 +96,9 @@
 
 // retryAfter is when the client of a refused request should come back, by its cause.
 func (b *balancer) retryAfter(req *request, svc *service, failure *verdict.Error) time.Duration {
+	if failure.Reason() == verdict.ReasonQuarantined {
+		return quarantine.LapseAfter()
+	}
 	if failure.Reason() == verdict.ReasonShed && svc.room(b.options.Clock()).IsOpen() {
 		return refusal.AtOnce(b.options.Draw())
 	}
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -9,7 +9,8 @@
 // one: core/gateway/warmup. Again,
 // or a second send beside a slow one: core/gateway/retry. How a send ended and
 // what that means: core/gateway/outcome. Who is left alone: core/gateway/ejection.
-// How a request ends that is given up: core/gateway/refusal.
+// How a request ends that is given up: core/gateway/refusal. Which requests are sent to
+// nobody since targets end under them: core/gateway/quarantine.
 //
 // It relies on a snapshot of what the process believes (internal/gateway/discovery
 // makes it) and on connections to targets (internal/gateway/upstream). It goes on
@@ -30,6 +31,7 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
@@ -62,6 +64,9 @@
 	Current func() bool
 	Pool    *upstream.Pool
 	Retry   Retry
+	// Fatal knows which requests end the targets that run them; nil for what this handler
+	// sees alone.
+	Fatal *fatal.Register
 	// Metrics may be nil.
 	Metrics *metrics.Metrics
 	Clock   func() time.Time
@@ -111,6 +116,9 @@
 	if o.ExploreLimit == nil {
 		o.ExploreLimit = func() bool { return rand.Float64() < exploreLimitShare }
 	}
+	if o.Fatal == nil {
+		o.Fatal = fatal.New(fatal.Options{Clock: o.Clock, Log: o.Log})
+	}
 	if o.Gateways == nil {
 		o.Gateways = func() int { return 1 }
 	}
--- a/internal/gateway/forward/hedge.go
+++ b/internal/gateway/forward/hedge.go
@@ -125,7 +125,7 @@
 	b := r.balancer
 	now := b.options.Clock()
 	overdue := retry.Overdue(now.Sub(r.began), r.first.Predicted)
-	if !retry.HedgeNow(r.svc.isContended(now), overdue) || !r.svc.canSpendHedge() {
+	if !retry.HedgeNow(r.svc.isContended(now), overdue) || !r.svc.canSpendHedge() || b.verdictOn(r.req).IsSuspect() {
 		return nil
 	}
 	avoid := append([]string{r.first.target.ID}, r.req.avoid...)
--- a/internal/gateway/forward/log.go
+++ b/internal/gateway/forward/log.go
@@ -105,6 +105,10 @@
 		return
 	}
 	message, attributes := MessageServed, req.attributes(status, held)
+	if reason == string(verdict.ReasonQuarantined) || anyBroken(req.sendLog.list()) {
+		print := req.fingerprint()
+		attributes = append(attributes, slog.String("content", print.Content), slog.String("caller", print.Caller))
+	}
 	if f != nil {
 		message = MessageNotServed
 		attributes = append(attributes, slog.String("verdict", f.Verdict().String()), slog.String("reason", reason),
@@ -135,9 +139,5 @@
 	if sends := r.sendLog.list(); len(sends) > 0 {
 		list = append(list, slog.Any("sends", sends))
 	}
-	if anyBroken(r.sendLog.list()) {
-		print := r.fingerprint()
-		list = append(list, slog.String("content", print.Content), slog.String("caller", print.Caller))
-	}
 	return list
 }
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -17,6 +17,9 @@
 	}
 	deadlines := placement.NewDeadlines(req.began, req.route.Objective, svc.usual(req.route))
 	for {
+		if failure := b.quarantined(req); failure != nil {
+			return nil, failure
+		}
 		within := b.within(req, svc)
 		best := b.probeRound(ctx, req, svc, req.avoid, within)
 		if ctx.Err() != nil {
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -31,6 +31,10 @@
 
 // send makes one send, and learns from how it ended once its answer has.
 func (b *balancer) send(ctx context.Context, req *request, svc *service, chosen *candidate) sent {
+	if failure := b.quarantined(req); failure != nil {
+		b.release(chosen)
+		return sent{outcome: outcome.Abandoned, failure: failure}
+	}
 	s := &sending{
 		balancer: b, req: req, svc: svc, chosen: chosen, first: req.sends.Add(1) == 1, began: b.options.Clock(),
 	}
--- a/internal/gateway/forward/sending.go
+++ b/internal/gateway/forward/sending.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/estimate"
@@ -51,10 +50,7 @@
 		s.svc.answered(s.req.route, estimate.Answer{Took: max(took-s.chosen.Trip, 0), Bytes: result.answer.BytesRead(), Report: s.chosen.Report, Cold: s.chosen.Cold})
 	}
 	described := s.balancer.describe(s.chosen, s.began, now, result.name())
-	if result.outcome == outcome.Broken && options.Pool.Refuses(context.Background(), target) {
-		described.TargetEnded = true
-		options.Metrics.TargetEnded(s.req.service)
-	}
+	described.TargetEnded = s.balancer.learnFatal(s.req, target, result)
 	s.req.sendLog.add(described)
 	options.Metrics.Send(s.req.service, result.name(), s.chosen.Tier.String(), s.first)
 }
--- a/internal/gateway/metrics/gauges.go
+++ b/internal/gateway/metrics/gauges.go
@@ -9,9 +9,9 @@
 
 // gauges show the State of the moment when they are read.
 type gauges struct {
-	version, evacuated, far, active, held metric.Int64ObservableGauge
-	age, trip                             metric.Float64ObservableGauge
-	dropped                               metric.Int64ObservableCounter
+	version, evacuated, far, active, held, quarantined metric.Int64ObservableGauge
+	age, trip                                          metric.Float64ObservableGauge
+	dropped                                            metric.Int64ObservableCounter
 }
 
 // observe sets the gauges up; state is read at each scrape.
@@ -23,7 +23,7 @@
 	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g.observe(o, state())
 		return nil
-	}, g.version, g.age, g.evacuated, g.far, g.trip, g.active, g.held, g.dropped)
+	}, g.version, g.age, g.evacuated, g.far, g.trip, g.active, g.held, g.quarantined, g.dropped)
 	return err
 }
 
@@ -49,6 +49,7 @@
 		{&g.evacuated, "sprucecrank.gateway.halls.evacuated", "", "Halls whose targets get nothing since they are evacuated, by what was confirmed config.age ago."},
 		{&g.far, "sprucecrank.gateway.services.far", "", "Services with requests that go to other regions now."},
 		{&g.active, "sprucecrank.gateway.requests.active", "", "Requests under way."},
+		{&g.quarantined, "sprucecrank.gateway.requests.quarantined", "", "Requests that are sent to nobody since targets end under them, by content and caller."},
 		{&g.held, "sprucecrank.gateway.answers.held", "By", "Bytes that are held of answers on their way to clients."},
 	} {
 		if *i.set, err = meter.Int64ObservableGauge(i.name, metric.WithUnit(i.unit), metric.WithDescription(i.help)); err != nil {
@@ -85,5 +86,6 @@
 	}
 	o.ObserveInt64(g.active, now.Active)
 	o.ObserveInt64(g.held, now.AnswerBytes)
+	o.ObserveInt64(g.quarantined, int64(now.Quarantined))
 	o.ObserveInt64(g.dropped, int64(now.LogDropped))
 }
--- a/internal/gateway/metrics/metrics.go
+++ b/internal/gateway/metrics/metrics.go
@@ -63,6 +63,8 @@
 	Active int64
 	// AnswerBytes is how many bytes are held of answers on their way to clients.
 	AnswerBytes int64
+	// Quarantined is how many requests are sent to nobody since targets end under them.
+	Quarantined int
 	// LogDropped is how many log lines found no room.
 	LogDropped uint64
 	// Rollouts are those that are known.
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -54,6 +54,7 @@
 	ReasonNoTarget        Reason = "no-target"
 	ReasonEvacuated       Reason = "evacuated"
 	ReasonRegion          Reason = "region-not-allowed"
+	ReasonQuarantined     Reason = "quarantined"
 	ReasonQueueFull       Reason = "queue-full"
 	ReasonTooLate         Reason = "too-late"
 	ReasonDeadline        Reason = "deadline"
