Quarantined requests are saved in the store, by whoever reads it

Cause: what gateways tell each other is forgotten when all of them end, and never reaches one that is cut off from the others but not from the store.

Change: one object of our own kind, written on condition of its revision by the gateway that reads the store, watched by it, and read by whoever takes the reading up.

Found on the way, by a trial on the users' platform in which 18 gateways noted three ends at one moment: they went on telling each other for ever (22.6 s of processor time in place of 1.0 s). Each kept the latest 32 ends, and reckons a time later than the one that told it. Which ends are kept goes by their ids now; the test with more ends than are kept did not come to rest with the rule before.

Measured: three gateways killed at once and started again refuse the request and end no further target; one that starts while the store is away hears of it from the others.

--- a/core/gateway/quarantine/ledger.go
+++ b/core/gateway/quarantine/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -65,6 +66,7 @@
 	}
 	if changed {
 		kept.seen = now
+		kept.trim()
 		l.touch(kept)
 		l.judge()
 	}
@@ -126,7 +128,6 @@
 	for _, told := range w.Ends {
 		changed = kept.take(now, told) || changed
 	}
-	changed = kept.trim() || changed
 	if seen := now.Add(-w.Seen); seen.After(kept.seen) {
 		changed = changed || seen.Sub(kept.told) >= toldAgainAfter
 		kept.seen = seen
@@ -162,6 +163,17 @@
 	return words, to
 }
 
+// Words lists all that is known of some requests, by their contents, in a fixed order.
+func (l *Ledger) Words(now time.Time, contents map[string]bool) []Word {
+	var words []Word
+	for _, content := range slices.Sorted(maps.Keys(contents)) {
+		if r, ok := l.records[content]; ok {
+			words = append(words, r.word(now))
+		}
+	}
+	return words
+}
+
 // record is what is known of a request; a new one where nothing is.
 func (l *Ledger) record(content, service string) *record {
 	r, ok := l.records[content]
@@ -212,13 +224,16 @@
 func (r *record) take(now time.Time, told End) bool {
 	i := slices.IndexFunc(r.ends, func(e end) bool { return e.id == told.ID })
 	if i >= 0 {
-		return r.ends[i].raise(told.Excuse)
+		raised := r.ends[i].raise(told.Excuse)
+		r.trim()
+		return raised
 	}
-	at := now.Add(-told.Ago)
-	if len(r.ends) >= maxEnds && !at.After(r.ends[0].at) {
+	news := end{id: told.ID, target: told.Target, caller: told.Caller, at: now.Add(-told.Ago), excuse: told.Excuse}
+	if len(r.ends) >= maxEnds && byWorth(news, r.ends[len(r.ends)-1]) >= 0 {
 		return false // it would be dropped at once
 	}
-	r.ends = append(r.ends, end{id: told.ID, target: told.Target, caller: told.Caller, at: at, excuse: told.Excuse})
+	r.ends = append(r.ends, news)
+	r.trim()
 	return true
 }
 
@@ -231,14 +246,19 @@
 	return true
 }
 
-// trim orders the ends by time and drops all but the latest.
-func (r *record) trim() bool {
-	slices.SortFunc(r.ends, func(a, b end) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id)) })
-	if len(r.ends) <= maxEnds {
-		return false
+// byWorth orders ends by which of them are kept: cleared ones last. Of the others any will
+// do, but the same everywhere. Their times would not be: each gateway reckons them a little
+// later than the one that told it, so that gateways would go on replacing each other's.
+func byWorth(a, b end) int {
+	return cmp.Or(cmp.Compare(a.excuse, b.excuse), cmp.Compare(a.id, b.id))
+}
+
+// trim drops all but the ends that are most worth keeping.
+func (r *record) trim() {
+	slices.SortFunc(r.ends, byWorth)
+	if len(r.ends) > maxEnds {
+		r.ends = slices.Clone(r.ends[:maxEnds])
 	}
-	r.ends = slices.Clone(r.ends[len(r.ends)-maxEnds:])
-	return true
 }
 
 // word is what others are told of a request.
--- a/core/gateway/quarantine/quarantine.go
+++ b/core/gateway/quarantine/quarantine.go
@@ -57,12 +57,13 @@
 	// sameEndWithin is how far apart two gateways may note the end of one target. Both do
 	// within a few ways there and back; the target takes longer to start again.
 	sameEndWithin = time.Second
-	// maxRequests and maxEnds bound what is kept, to some 400 kB: of the requests, those
-	// with most ends, of their ends the latest. Chosen: a service of ten targets has 30
-	// requests under way, all of which a fatal one may take along.
+	// maxRequests and maxEnds bound what is kept, to some 2 MB if each place is taken: of the
+	// requests, those with most ends. Chosen: a service of ten targets has 30 requests under
+	// way, all of which a fatal one may take along, and a request that is quarantined after
+	// the third end comes to some dozens while word of it spreads.
 	maxRequests = 256
-	maxEnds     = 32
-	// maxWords bounds what one message tells, to some 10 kB.
+	maxEnds     = 64
+	// maxWords bounds what one message tells: some 5 kB where requests have a few ends.
 	maxWords = 32
 )
 
--- a/core/gateway/quarantine/verdicts.go
+++ b/core/gateway/quarantine/verdicts.go
@@ -212,7 +212,9 @@
 	return left
 }
 
+// targetsOf lists the targets that ended, in the order in which they did.
 func targetsOf(ends []end) []string {
+	ends = slices.SortedFunc(slices.Values(ends), func(a, b end) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id)) })
 	targets := make([]string, 0, len(ends))
 	for _, e := range ends {
 		targets = append(targets, e.target)
--- a/e2e/gateway/process_test.go
+++ b/e2e/gateway/process_test.go
@@ -196,6 +196,8 @@
 	targets  []*targetServer
 	gateways []*process
 	runs     sync.Map
+	// attempts counts the attempts that got an id.
+	attempts atomic.Int64
 }
 
 func newDeployment(t *testing.T, gateways int, work time.Duration) *deployment {
--- a/internal/gateway/discovery/calls.go
+++ b/internal/gateway/discovery/calls.go
@@ -28,7 +28,7 @@
 	return nil
 }
 
-func (f *Follower) configChanges(ctx context.Context, whole bool) (ConfigChanges, error) {
+func (f *Follower) configChanges(ctx context.Context, whole bool) (Newest[ConfigObject], error) {
 	from := f.position().ConfigRevision
 	if whole || from == 0 {
 		return f.options.Source.Config(ctx)
@@ -56,12 +56,12 @@
 	if whole || from == 0 {
 		list, err := f.options.Source.Targets(ctx)
 		return func(c *catalog.Catalog) catalog.Changed {
-			return catalog.Changed{Targets: c.Replace(list.Revision, list.Targets)}
+			return catalog.Changed{Targets: c.Replace(list.Revision, list.Items)}
 		}, err
 	}
 	changes, err := f.options.Source.WatchTargets(ctx, from, f.waitFor(f.fresh.Targets()))
 	return func(c *catalog.Catalog) catalog.Changed {
-		return catalog.Changed{Targets: c.Advance(changes.Revision, changes.Changes)}
+		return catalog.Changed{Targets: c.Advance(changes.Revision, changes.Items)}
 	}, err
 }
 
@@ -83,12 +83,12 @@
 	if whole || from == 0 {
 		list, err := f.options.Source.Evacuations(ctx)
 		return func(c *catalog.Catalog) catalog.Changed {
-			return catalog.Changed{Evacuations: c.ReplaceEvacuations(list.Revision, list.Evacuations)}
+			return catalog.Changed{Evacuations: c.ReplaceEvacuations(list.Revision, list.Items)}
 		}, err
 	}
 	changes, err := f.options.Source.WatchEvacuations(ctx, from, f.waitFor(f.fresh.Evacuations()))
 	return func(c *catalog.Catalog) catalog.Changed {
-		return catalog.Changed{Evacuations: c.AdvanceEvacuations(changes.Revision, changes.Changes)}
+		return catalog.Changed{Evacuations: c.AdvanceEvacuations(changes.Revision, changes.Items)}
 	}, err
 }
 
@@ -110,12 +110,12 @@
 	if whole || from == 0 {
 		list, err := f.options.Source.Rollouts(ctx)
 		return func(c *catalog.Catalog) catalog.Changed {
-			return catalog.Changed{Rollouts: c.ReplaceRollouts(list.Revision, list.Rollouts)}
+			return catalog.Changed{Rollouts: c.ReplaceRollouts(list.Revision, list.Items)}
 		}, err
 	}
 	changes, err := f.options.Source.WatchRollouts(ctx, from, f.waitFor(f.fresh.Rollouts()))
 	return func(c *catalog.Catalog) catalog.Changed {
-		return catalog.Changed{Rollouts: c.AdvanceRollouts(changes.Revision, changes.Changes)}
+		return catalog.Changed{Rollouts: c.AdvanceRollouts(changes.Revision, changes.Items)}
 	}, err
 }
 
--- a/internal/gateway/discovery/discovery.go
+++ b/internal/gateway/discovery/discovery.go
@@ -29,6 +29,7 @@
 //	links.go      connections to them; protocol.go: what gateways say to each other
 //	publish.go    the snapshot of the data path, and the log lines of changes
 //	assign.go     which targets the snapshot leaves to the versions on trial
+//	saved.go      what is saved in the store of requests that end targets
 //	rollout.go    what is told of rollouts to whom decides on them
 //
 // # Usage
@@ -113,6 +114,8 @@
 	Decode func(body []byte) (*routing.Table, error)
 	Timing Timing
 	Clock  func() time.Time
+	// TimeOfDay is what other lives of gateways can compare with; nil for time.Now.
+	TimeOfDay func() time.Time
 	// Places says how far halls are. It may be nil for a fleet of one region.
 	Places func() *locality.Map
 	// Fatal is what is known of requests that end targets, which gateways tell each other;
@@ -159,6 +162,8 @@
 	draw  float64
 	// tried is this gateway's latest try to read the store on behalf of others.
 	tried reader.Try
+	// saved is what the store holds of requests that end targets.
+	saved saved
 	// asked is when another gateway last asked this one for updates.
 	asked time.Time
 
@@ -201,6 +206,9 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
+	if o.TimeOfDay == nil {
+		o.TimeOfDay = time.Now
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -232,6 +240,9 @@
 	if f.options.Source.followsRollouts() {
 		duties = append(duties, f.readRollouts)
 	}
+	if f.options.Source.Saved != nil {
+		duties = append(duties, f.readSaved, f.save)
+	}
 	for place := range neighbours {
 		duties = append(duties, func(ctx context.Context) error { return f.follow(ctx, place) })
 	}
--- a/internal/gateway/discovery/source.go
+++ b/internal/gateway/discovery/source.go
@@ -14,47 +14,30 @@
 	Body    []byte
 }
 
-// TargetList is all targets at a revision of the store.
-type TargetList struct {
+// List is all objects of a kind at a revision of the store.
+type List[T any] struct {
 	Revision uint64
-	Targets  []catalog.Target
+	Items    []T
 }
 
-// TargetChanges is what happened to targets up to a revision.
-type TargetChanges struct {
+// Changes is what happened to the objects of a kind up to a revision.
+type Changes[T any] struct {
 	Revision uint64
-	Changes  []catalog.Change
+	Items    []T
 }
 
-// ConfigChanges is what happened to the configuration up to a revision.
-type ConfigChanges struct {
+// Newest is what became of the one object of a kind up to a revision.
+type Newest[T any] struct {
 	Revision uint64
 	// Latest is nil when nothing changed, or when there is none yet.
-	Latest *ConfigObject
+	Latest *T
 }
 
-// EvacuationList is all evacuations at a revision of the store.
-type EvacuationList struct {
-	Revision    uint64
-	Evacuations []catalog.Evacuation
-}
-
-// EvacuationChanges is what happened to evacuations up to a revision.
-type EvacuationChanges struct {
-	Revision uint64
-	Changes  []catalog.EvacuationChange
-}
-
-// RolloutList is all rollouts at a revision of the store.
-type RolloutList struct {
-	Revision uint64
-	Rollouts []catalog.Rollout
-}
-
-// RolloutChanges is what happened to rollouts up to a revision.
-type RolloutChanges struct {
+// SavedObject is the one object in which gateways save what they would forget together.
+type SavedObject struct {
+	// Revision is that of the object; 0 where there is none yet.
 	Revision uint64
-	Changes  []catalog.RolloutChange
+	Body     []byte
 }
 
 // RecordEnd is how the recording of a rollout's progress ended.
@@ -88,24 +71,29 @@
 // Source reads the store. A watch that asks for a forgotten history fails with
 // ErrGone.
 type Source struct {
-	Config       func(ctx context.Context) (ConfigChanges, error)
-	WatchConfig  func(ctx context.Context, from uint64, wait time.Duration) (ConfigChanges, error)
-	Targets      func(ctx context.Context) (TargetList, error)
-	WatchTargets func(ctx context.Context, from uint64, wait time.Duration) (TargetChanges, error)
+	Config       func(ctx context.Context) (Newest[ConfigObject], error)
+	WatchConfig  func(ctx context.Context, from uint64, wait time.Duration) (Newest[ConfigObject], error)
+	Targets      func(ctx context.Context) (List[catalog.Target], error)
+	WatchTargets func(ctx context.Context, from uint64, wait time.Duration) (Changes[catalog.Change], error)
 	// Evacuations, WatchEvacuations and GlanceEvacuations are nil where no hall is ever
 	// evacuated, which saves the calls.
-	Evacuations      func(ctx context.Context) (EvacuationList, error)
-	WatchEvacuations func(ctx context.Context, from uint64, wait time.Duration) (EvacuationChanges, error)
+	Evacuations      func(ctx context.Context) (List[catalog.Evacuation], error)
+	WatchEvacuations func(ctx context.Context, from uint64, wait time.Duration) (Changes[catalog.EvacuationChange], error)
 	// GlanceEvacuations are those of some seconds ago.
 	GlanceEvacuations func(ctx context.Context) ([]catalog.Evacuation, error)
 	// Rollouts, WatchRollouts and GlanceRollouts are nil where no rollout is ever ordered.
-	Rollouts       func(ctx context.Context) (RolloutList, error)
-	WatchRollouts  func(ctx context.Context, from uint64, wait time.Duration) (RolloutChanges, error)
+	Rollouts       func(ctx context.Context) (List[catalog.Rollout], error)
+	WatchRollouts  func(ctx context.Context, from uint64, wait time.Duration) (Changes[catalog.RolloutChange], error)
 	GlanceRollouts func(ctx context.Context) ([]catalog.Rollout, error)
 	// RecordRollout records the progress of a rollout (its State and what follows it) on
 	// condition that the object's revision is still that of the rollout. The error says
 	// why an end is not RecordDone.
 	RecordRollout func(ctx context.Context, r catalog.Rollout) (Record, error)
+	// Saved, WatchSaved and Save are nil where nothing is saved. Save writes the object on
+	// condition of its revision and returns it as it is now, where the store told it.
+	Saved      func(ctx context.Context) (Newest[SavedObject], error)
+	WatchSaved func(ctx context.Context, from uint64, wait time.Duration) (Newest[SavedObject], error)
+	Save       func(ctx context.Context, o SavedObject) (*SavedObject, error)
 	// Glance is what the store held up to some seconds ago, at a small part of the cost
 	// of the calls above.
 	Glance func(ctx context.Context) (Glance, error)
--- a/internal/gateway/fatal/fatal.go
+++ b/internal/gateway/fatal/fatal.go
@@ -152,6 +152,22 @@
 	return r.ledger.Position()
 }
 
+// QuarantinedWords is all that is known of quarantined requests, with their fingerprints.
+func (r *Register) QuarantinedWords() (words []quarantine.Word, prints []string) {
+	quarantined := r.verdicts.Load().Quarantined()
+	if len(quarantined) == 0 {
+		return nil, nil
+	}
+	contents := map[string]bool{}
+	for _, print := range quarantined {
+		prints = append(prints, print.String())
+		contents[print.Content] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.Words(r.options.Clock(), contents), prints
+}
+
 // Quarantined is how many requests are quarantined.
 func (r *Register) Quarantined() int { return len(r.verdicts.Load().Quarantined()) }
 
