--- a/internal/gateway/discovery/discovery_test.go
+++ b/internal/gateway/discovery/discovery_test.go
@@ -19,6 +19,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/discovery"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
 	"github.com/sprucecrank/sprucecrank/internal/standin/faultproxy"
 )
 
@@ -246,6 +247,7 @@
 	log      *lines
 	listener net.Listener
 	stop     context.CancelFunc
+	fatal    *fatal.Register // nil where a test does not look at it
 	mu       sync.Mutex
 	conns    []net.Conn
 }
--- /dev/null
+++ b/internal/gateway/discovery/fatal_test.go
@@ -0,0 +1,102 @@
+package discovery_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/fingerprint"
+	"github.com/sprucecrank/sprucecrank/core/gateway/quarantine"
+)
+
+// fatalRequest is one under which targets end.
+var fatalRequest = quarantine.Request{Print: fingerprint.Fingerprint{Content: "fatal", Caller: "caller"}, Service: "shop"}
+
+// refuses says whether a gateway has the fatal request quarantined.
+func (g *gateway) refuses() bool {
+	print := func() fingerprint.Fingerprint { return fatalRequest.Print }
+	return g.fatal.Verdict(fatalRequest.Service, print).IsQuarantined()
+}
+
+// untilAllRefuse is how long it takes until some gateways have the request quarantined.
+func untilAllRefuse(gateways []*gateway) time.Duration {
+	began := time.Now()
+	for time.Since(began) < patience && slices.ContainsFunc(gateways, func(g *gateway) bool { return !g.refuses() }) {
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// endTargets has targets end under the request, each of them at another gateway.
+func endTargets(gateways []*gateway, targets int) {
+	for i := range targets {
+		gateways[i%len(gateways)].fatal.NoteEnd(fatalRequest, fmt.Sprint("t", i))
+	}
+}
+
+// No gateway sees more than one of the three ends.
+func TestAFleetHearsOfAFatalRequestWithinMoments(t *testing.T) {
+	for _, size := range []int{3, 17, fleetSize(100)} {
+		measure(t, size, 2, func(g *WithT, fleet *bigFleet) {
+			rate := func() float64 { // of writes, a second and gateway
+				writes := fleet.fabric.writes.Load()
+				time.Sleep(5 * time.Second)
+				return float64(fleet.fabric.writes.Load()-writes) / 5 / float64(size)
+			}
+			before := rate()
+			endTargets(fleet.gateways, 2)
+			time.Sleep(time.Second)
+			g.Expect(slices.ContainsFunc(fleet.gateways, (*gateway).refuses)).To(BeFalse())
+			fleet.gateways[size-1].fatal.NoteEnd(fatalRequest, "t2")
+			took := untilAllRefuse(fleet.gateways)
+			fleet.t.Logf("refused everywhere after %v", took)
+			g.Expect(took).To(BeNumerically("<", 100*time.Millisecond))
+
+			after := rate()
+			fleet.t.Logf("%.0f writes a second and gateway, %.0f before", after, before)
+			g.Expect(after).To(BeNumerically("<", 1.3*before), "no more is said of it")
+		})
+	}
+}
+
+func TestAGatewayThatStartsOrWasCutOffHearsOfAFatalRequest(t *testing.T) {
+	measure(t, fleetSize(30), 2, func(g *WithT, fleet *bigFleet) {
+		part := fleet.share(0.3)
+		fleet.cutOff(part, false)
+		time.Sleep(time.Second)
+		endTargets(without(fleet.gateways, part), 3)
+		g.Expect(untilAllRefuse(without(fleet.gateways, part))).To(BeNumerically("<", time.Second))
+		g.Expect(slices.ContainsFunc(part, (*gateway).refuses)).To(BeFalse())
+		fleet.fabric.setCut(func(string, string) bool { return false })
+		took := untilAllRefuse(part)
+		fleet.t.Logf("after the cut: %v", took)
+		g.Expect(took).To(BeNumerically("<", 3*time.Second))
+
+		fleet.gateways[0].kill()
+		time.Sleep(100 * time.Millisecond)
+		fleet.gateways[0] = fleet.start(0, false)
+		took = untilAllRefuse(fleet.gateways[:1])
+		fleet.t.Logf("after a start: %v", took)
+		g.Expect(took).To(BeNumerically("<", time.Second))
+	})
+}
+
+// 64 targets end at once, each with eight requests under way: a hall loses power.
+func TestManyEndsAtOnceAreToldInBoundedMessages(t *testing.T) {
+	measure(t, 17, 1, func(g *WithT, fleet *bigFleet) {
+		bytes := fleet.fabric.all.Load()
+		for i := range 512 {
+			request := quarantine.Request{Print: fingerprint.Fingerprint{Content: fmt.Sprint("r", i), Caller: "caller"}, Service: "shop"}
+			fleet.gateways[i%17].fatal.NoteEnd(request, fmt.Sprint("t", i/8))
+		}
+		time.Sleep(5 * time.Second)
+		told := float64(fleet.fabric.all.Load()-bytes) / 17
+		fleet.t.Logf("%.0f bytes a gateway in 5 s", told)
+		g.Expect(told).To(BeNumerically("<", 1<<20))
+		endTargets(fleet.gateways, 3)
+		g.Expect(untilAllRefuse(fleet.gateways)).To(BeNumerically("<", 200*time.Millisecond))
+	})
+}
--- a/internal/gateway/discovery/fleet_test.go
+++ b/internal/gateway/discovery/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/discovery"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
 )
 
 // These tests run whole fleets of the real code in virtual time, over a network in
@@ -96,13 +97,16 @@
 	draws := rand.New(rand.NewPCG(f.seed, uint64(i)))
 	var mu sync.Mutex
 	ctx, stop := context.WithCancel(context.Background())
-	g := &gateway{access: &access{store: f.store, way: f.storeWay(hall)}, listener: f.fabric.listen(address, hall), stop: stop, log: &lines{}}
+	g := &gateway{
+		access: &access{store: f.store, way: f.storeWay(hall)}, listener: f.fabric.listen(address, hall), stop: stop, log: &lines{},
+		fatal: fatal.New(fatal.Options{}),
+	}
 	places := f.places(hall)
 	self := member.Box{ID: "gateway-" + strconv.Itoa(i), Peer: address, Hall: hall, Start: uint64(time.Now().UnixNano())}
 	g.Follower = discovery.New(discovery.Options{
 		Self: self, FirstStart: first, Seeds: func() []string { return []string{f.address(0), f.address(1), f.address(2)} },
 		Source: f.source(g.access), Timing: fleetTiming, Log: slog.New(slog.NewTextHandler(g.log, nil)),
-		Dial: f.fabric.dialFrom(address), Places: func() *locality.Map { return places },
+		Dial: f.fabric.dialFrom(address), Places: func() *locality.Map { return places }, Fatal: g.fatal,
 		Draw: func() float64 {
 			mu.Lock()
 			defer mu.Unlock()
