Quarantine: the first end under a request is held back for a moment

Cause: when a hall loses power hundreds of requests lose a target, and most are answered by another one at once: word of each was told to all gateways, and then that it is cleared.

Change: a first end is told after .25 to 1 s, and never if an answer follows by then; a second one is told at once.

One that is answered costs nothing, two words before (test).

--- a/core/gateway/quarantine/ledger.go
+++ b/core/gateway/quarantine/ledger.go
@@ -13,17 +13,17 @@
 	number   uint64
 	version  uint64
 	records  map[string]*record // by content
-	verdicts Verdicts
+	verdicts *Verdicts
 }
 
 // New makes a ledger that knows nothing. number is drawn at random, so that others can
 // tell it from that of an earlier life of the gateway.
 func New(number uint64) *Ledger {
-	return &Ledger{number: number, records: map[string]*record{}}
+	return &Ledger{number: number, records: map[string]*record{}, verdicts: &Verdicts{}}
 }
 
 // Verdicts are those by what is known now.
-func (l *Ledger) Verdicts() Verdicts { return l.verdicts }
+func (l *Ledger) Verdicts() *Verdicts { return l.verdicts }
 
 // Size is how many requests the ledger knows of.
 func (l *Ledger) Size() int { return len(l.records) }
@@ -36,20 +36,23 @@
 	return Position{Ledger: l.number, Version: l.version}
 }
 
-// NoteEnd notes that a target ended while it had a request under way.
+// NoteEnd notes that a target ended while it had a request under way. Others should hear of
+// it at once if it is not the first end under this request, else once Tick says so.
 func (l *Ledger) NoteEnd(now time.Time, r Request, e End) {
 	l.expire(now)
 	kept := l.record(r.Print.Content, r.Service)
 	kept.seen = now
 	kept.ends = append(kept.ends, end{id: e.ID, target: e.Target, caller: r.Print.Caller, at: now})
 	kept.trim()
-	l.touch(kept)
+	if len(kept.ends) > 1 {
+		l.touch(kept)
+	}
 	l.limit()
 	l.judge()
 }
 
-// NoteAnswer notes that a target has run a request and lives, and says whether that
-// changes anything.
+// NoteAnswer notes that a target has run a request and lives, and says whether others
+// should hear of that.
 func (l *Ledger) NoteAnswer(now time.Time, r Request) bool {
 	kept, ok := l.records[r.Print.Content]
 	if !ok {
@@ -64,13 +67,19 @@
 		}
 		changed = e.raise(excuse) || changed
 	}
-	if changed {
-		kept.seen = now
-		kept.trim()
-		l.touch(kept)
+	if !changed {
+		return false
+	}
+	if kept.isHeldBack() && kept.against() == 0 {
+		delete(l.records, kept.content)
 		l.judge()
+		return false
 	}
-	return changed
+	kept.seen = now
+	kept.trim()
+	l.touch(kept)
+	l.judge()
+	return true
 }
 
 // NoteRefused notes that a quarantined request came again, and says whether others should
@@ -88,13 +97,20 @@
 	return true
 }
 
-// Expire forgets what has lapsed, and says whether anything has.
-func (l *Ledger) Expire(now time.Time) bool {
-	if !l.expire(now) {
-		return false
+// Tick forgets what has lapsed, and no longer holds back what was noted some time ago. It
+// says whether there is anything that others should hear of. It should be called each
+// second.
+func (l *Ledger) Tick(now time.Time) (isNews bool) {
+	if l.expire(now) {
+		l.judge()
 	}
-	l.judge()
-	return true
+	for _, r := range l.records {
+		if r.isHeldBack() && now.Sub(r.seen) >= holdBack {
+			l.touch(r)
+			isNews = true
+		}
+	}
+	return isNews
 }
 
 func (l *Ledger) expire(now time.Time) bool {
--- a/core/gateway/quarantine/quarantine.go
+++ b/core/gateway/quarantine/quarantine.go
@@ -54,6 +54,10 @@
 	// toldAgainAfter is how much later a request must have been seen to be told again: a
 	// quarantined one that comes each second is told each minute.
 	toldAgainAfter = lapseAfter / 10
+	// holdBack is for how long the first end under a request is not told to others. Most
+	// requests that lose their target are answered by another meanwhile and were never
+	// worth a word: when a hall loses power, there are hundreds.
+	holdBack = 250 * time.Millisecond
 	// sameEndWithin is how far apart two gateways may note the end of one target. Both do
 	// within a few ways there and back; the target takes longer to start again.
 	sameEndWithin = time.Second
@@ -141,7 +145,11 @@
 	service string
 	ends    []end
 	seen    time.Time
-	// told is the seen that was last told, version that of the ledger at its latest change.
+	// told is the seen that was last told, version that of the ledger at its latest change;
+	// 0 while nothing of it is told.
 	told    time.Time
 	version uint64
 }
+
+// isHeldBack says whether nothing of the record is told yet.
+func (r *record) isHeldBack() bool { return r.version == 0 }
--- a/core/gateway/quarantine/verdicts.go
+++ b/core/gateway/quarantine/verdicts.go
@@ -40,10 +40,10 @@
 
 // Concerns says whether anything is known of requests for a service; where nothing is, no
 // fingerprint need be taken.
-func (v Verdicts) Concerns(service string) bool { return v.services[service] }
+func (v *Verdicts) Concerns(service string) bool { return v.services[service] }
 
 // Of is the verdict on a request.
-func (v Verdicts) Of(print fingerprint.Fingerprint) Verdict {
+func (v *Verdicts) Of(print fingerprint.Fingerprint) Verdict {
 	if all, ok := v.of[fingerprint.Fingerprint{Content: print.Content, Caller: anyCaller}]; ok {
 		return all
 	}
@@ -52,7 +52,7 @@
 
 // Quarantined lists the requests that are quarantined, in a fixed order; one without a
 // caller is quarantined for all.
-func (v Verdicts) Quarantined() []fingerprint.Fingerprint {
+func (v *Verdicts) Quarantined() []fingerprint.Fingerprint {
 	var list []fingerprint.Fingerprint
 	for print, verdict := range v.of {
 		if verdict.quarantined {
@@ -76,7 +76,7 @@
 
 // judge works the verdicts out anew.
 func (l *Ledger) judge() {
-	v := Verdicts{services: map[string]bool{}}
+	v := &Verdicts{services: map[string]bool{}}
 	for _, r := range l.records {
 		v.services[r.service] = true
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -135,7 +135,7 @@
 // retain closes connections to targets that are gone or that are idle for too long, and
 // forgets quarantined requests that have not come for long.
 func (g *Gateway) retain(context.Context) {
-	g.fatal.Expire()
+	g.fatal.Tick()
 	known := map[string]bool{}
 	for _, t := range g.discovery.Snapshot().Connectable() {
 		known[t.ID] = true
--- a/internal/gateway/fatal/fatal.go
+++ b/internal/gateway/fatal/fatal.go
@@ -61,7 +61,7 @@
 		o.Draw = rand.Uint64
 	}
 	r := &Register{options: o, ledger: quarantine.New(o.Draw()), notify: func() {}}
-	r.verdicts.Store(&quarantine.Verdicts{})
+	r.verdicts.Store(r.ledger.Verdicts())
 	return r
 }
 
@@ -102,27 +102,20 @@
 	r.note(func(now time.Time) bool { return r.ledger.NoteRefused(now, request) })
 }
 
-// note changes the ledger and has others hear of what is news.
+// note changes the ledger, and has others hear of it if it is news.
 func (r *Register) note(change func(now time.Time) (isNews bool)) {
 	r.mu.Lock()
 	isNews := change(r.options.Clock())
-	if isNews {
-		r.publish(fromOwn)
-	}
+	r.publish(fromOwn)
 	r.mu.Unlock()
 	if isNews {
 		r.notify()
 	}
 }
 
-// Expire forgets what has lapsed.
-func (r *Register) Expire() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.ledger.Expire(r.options.Clock()) {
-		r.publish(fromOwn)
-	}
-}
+// Tick forgets what has lapsed and tells what was held back; it should be called each
+// second.
+func (r *Register) Tick() { r.note(func(now time.Time) bool { return r.ledger.Tick(now) }) }
 
 // Merge takes in what another gateway told and says whether any of it is news here.
 func (r *Register) Merge(words []quarantine.Word, from string) bool {
@@ -175,7 +168,10 @@
 // before, and what no longer is; the lock is held.
 func (r *Register) publish(from string) {
 	before, now := r.verdicts.Load(), r.ledger.Verdicts()
-	r.verdicts.Store(&now)
+	if before == now {
+		return
+	}
+	r.verdicts.Store(now)
 	old, current := before.Quarantined(), now.Quarantined()
 	for _, print := range current {
 		if !slices.Contains(old, print) {
