Tests: waiting and suspect requests, and targets that live

A request that waits is refused once word of the third end comes; from the second end on a request gets no second send; targets that break off, fail, refuse or hang and live have nothing quarantined (six requests to eight targets each).

--- a/internal/gateway/forward/fatal_test.go
+++ b/internal/gateway/forward/fatal_test.go
@@ -1,15 +1,21 @@
 package forward_test
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/fingerprint"
+	"github.com/sprucecrank/sprucecrank/core/gateway/quarantine"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -104,3 +110,97 @@
 		})
 	}
 }
+
+// printOf is the fingerprint of a request that the fixture's put makes.
+func (f *fixture) printOf(t testing.TB, logged *logLines, path, caller, body string) fingerprint.Fingerprint {
+	t.Helper()
+	line := logged.of(t, f.put(path, caller, body).id)
+	return fingerprint.Fingerprint{Content: line.Content, Caller: line.Caller}
+}
+
+// watched is a fixture whose log lines and knowledge of fatal requests the test looks at.
+func watched(f *fixture) (*fatal.Register, *logLines) {
+	logged := &logLines{}
+	f.options.Log = slog.New(slog.NewJSONHandler(logged, nil))
+	f.options.Fatal = fatal.New(fatal.Options{})
+	return f.options.Fatal, logged
+}
+
+// Word of the third end may come while a request waits for a target that has room.
+func TestARequestThatWaitsIsRefusedOnceItIsQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandin(t, "s1", "shop", "a", breakOff)
+	f := newFixture(t, s)
+	register, logged := watched(f)
+	f.start()
+	print := f.printOf(t, logged, orderPath, "caller", fatalBody) // broken off, by a target that lives
+	s.setLoad("3,0,3,100")
+	runs := s.runs.Load()
+	got := make(chan result, 1)
+	go func() { got <- f.put(orderPath, "caller", fatalBody) }()
+	g.Consistently(got, "50ms").ShouldNot(Receive())
+	for i := range 3 {
+		register.NoteEnd(quarantine.Request{Print: print, Service: "shop"}, fmt.Sprint("elsewhere-", i))
+	}
+	s.setLoad("0,0,3,100")
+	var refused result
+	g.Eventually(got, eventual).Should(Receive(&refused))
+	g.Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(logged.of(t, refused.id).Reason).To(Equal(string(verdict.ReasonQuarantined)))
+	g.Expect(s.runs.Load()).To(Equal(runs))
+}
+
+// From the second end on, a slow send gets no hedge and one that fails no retry: each might
+// cost another target.
+func TestASuspectRequestGetsNoSecondSend(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ends int
+		runs int32
+	}{{"one target ended", 1, 2}, {"two ended", 2, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			first, second := newStandin(t, "s1", "shop", "a", breakOff), newStandin(t, "s2", "shop", "a", breakOff)
+			f := newFixture(t, first, second)
+			f.options.Retry.Ratio = 10
+			register, logged := watched(f)
+			f.start()
+			print := f.printOf(t, logged, readPath, "caller", fatalBody) // broken off, by targets that live
+			for i := range c.ends {
+				register.NoteEnd(quarantine.Request{Print: print, Service: "shop"}, fmt.Sprint("elsewhere-", i))
+			}
+			before := first.runs.Load() + second.runs.Load()
+			g.Expect(f.put(readPath, "caller", fatalBody).status).To(Equal(http.StatusBadGateway))
+			g.Expect(first.runs.Load() + second.runs.Load() - before).To(Equal(c.runs))
+		})
+	}
+}
+
+// Targets that break off and live, or that fall silent, end nobody's request.
+func TestRequestsOfTargetsThatLiveAreNeverQuarantined(t *testing.T) {
+	for name, do := range map[string]http.HandlerFunc{
+		"break off": breakOff,
+		"fail":      func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"refuse":    refuse,
+		"hang":      hang(nil),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var targets []*standin
+			for i := range 8 {
+				targets = append(targets, newStandin(t, fmt.Sprint("s", i), "shop", "a", do))
+			}
+			f := newFixture(t, targets...)
+			register, _ := watched(f)
+			f.start()
+			for range 6 {
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+				f.send(ctx, http.MethodGet, readPath, "Authorization", "caller")
+				cancel()
+			}
+			g.Expect(register.Quarantined()).To(BeZero())
+			words, _ := register.Since(quarantine.Position{})
+			g.Expect(words).To(BeEmpty())
+		})
+	}
+}
