Soak: requests that end their targets, at any gateway, beside all other faults

Checked: once all faults have been over for 3 s, all gateways together send each such request to three targets at most and then refuse it; while nothing else is amiss, three more at most later than 3 s after the third end.

--- a/e2e/gateway/soak_test.go
+++ b/e2e/gateway/soak_test.go
@@ -160,6 +160,7 @@
 		time.Sleep(lasts)
 		w.store.Recover()
 	}},
+	{"request that ends its targets", false, (*world).sendFatal},
 	{"hall evacuated", true, (*world).evacuate},
 	{"hall cold at once", true, func(w *world, random *rand.Rand, lasts time.Duration) {
 		w.chill([]string{"hall-0", "hall-1"}[random.IntN(2)], lasts)
@@ -207,6 +208,7 @@
 		time.Sleep(time.Duration(w.random.Int64N(int64(longestPause))))
 	}
 	underWay.Wait()
+	w.after.Wait()
 	return played
 }
 
@@ -411,6 +413,8 @@
 		g.Eventually(func() int { return w.probe(gateway, "/far/") }, eventual).Should(Equal(http.StatusOK))
 	}
 	w.settleEvacuation(g)
+	w.settleFatal(g)
+	w.after.Wait()
 	g.Eventually(func() int64 {
 		before := w.arrivalsAtLeaving()
 		for n := range 20 {
@@ -511,6 +515,7 @@
 			w.t.Errorf("BUDGET: %d second sends to %s, %.0f are allowed for %d requests", n, service, most, requests[service])
 		}
 	}
+	w.checkFatal()
 	w.t.Logf("%d requests, second sends %v, %d lives of gateways, version %d", len(w.records.outcomes), second, w.lives.Load(), w.version.Load())
 }
 
--- a/e2e/gateway/soak_world_test.go
+++ b/e2e/gateway/soak_world_test.go
@@ -100,6 +100,10 @@
 		return
 	}
 	b.records.arrived(id, b, r, body, true)
+	if name := fatalName(r); name != "" {
+		b.endBy(name)
+		return
+	}
 	b.work(r.Context(), does)
 	switch does {
 	case breaksOff:
@@ -226,6 +230,9 @@
 	trouble  atomic.Int32 // faults under way other than planned stops
 	clean    atomic.Int64 // when the latest of them ended, in ns since began
 	began    time.Time
+	healed   time.Duration // when all faults were over, since began
+	fatals   fatals
+	after    sync.WaitGroup // what goes on beyond the event that began it
 }
 
 const (
@@ -239,6 +246,7 @@
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), began: time.Now(),
 		records: &records{arrivals: map[string][]arrival{}, outcomes: map[string]outcome{}, cold: map[string][]time.Duration{}},
+		fatals:  fatals{runs: map[string][]fatalRun{}},
 	}
 	var address string
 	w.store, address = storetest.New(t)
@@ -360,6 +368,7 @@
 // heal ends all faults that are still under way.
 func (w *world) heal() {
 	w.store.Recover()
+	w.healed = time.Since(w.began)
 	for _, g := range w.gateways {
 		for _, p := range []*faultproxy.Proxy{g.clients, g.peers, g.store} {
 			p.Set(faultproxy.Fault{})
