A target's life: what was learnt of the one before does not count for the next

Cause: a target was its id everywhere. One that left, or was ejected, and started again under its id stayed so; late word of the life before put its address back.

Change: an entry's time of start is read; catalog.Life (id and that time) is what ejections, own counts, coldness, connections, targets that a request avoids and the versions of rollouts go by. In the catalog a later life goes before word of an earlier one, whatever the order; leaving sticks to a life.

Where most targets tell their start, an entry that doesn't is another writer's; one entry that does can't have the others taken for such.

--- a/core/gateway/catalog/catalog.go
+++ b/core/gateway/catalog/catalog.go
@@ -1,7 +1,8 @@
 // Package catalog holds what a gateway believes of the configuration, of the targets,
 // of the halls that are evacuated and of the rollouts: the greatest version seen of
 // each, however it was learnt. Nothing ever goes back: an older configuration is not
-// taken in, a target that has begun to leave stays leaving by its id. Evacuations and
+// taken in, a target that has begun to leave stays leaving for that life of it, and word of
+// an earlier life of a target undoes nothing that is known of a later one (lives). Evacuations and
 // rollouts are as the store has them, since operators begin and end them as often as
 // they like.
 //
@@ -26,25 +27,6 @@
 //	delta := c.Since(catalog.Position{Config: 7, Targets: 530})
 package catalog
 
-// Target is one running target, known by the id of this start of it.
-type Target struct {
-	ID      string
-	Service string
-	// Address is IP number and port.
-	Address string
-	// Hall is where the target stands.
-	Hall string
-	// Version is that of its software; empty if it does not say.
-	Version string
-	// Slots is how many requests it works on at once; 0 if it does not say.
-	Slots int
-	// Leaving targets get no new requests.
-	Leaving bool
-	// Cold says that the target was still cold when it last wrote its entry: it is slow
-	// and bears few requests a second for a while.
-	Cold bool
-}
-
 // Change is one target at one revision of the store.
 type Change struct {
 	Revision uint64
@@ -137,7 +119,7 @@
 	configRevision uint64
 	config         []byte
 	targets        table[Target]
-	leaving        map[string]bool // ids of all targets that were seen leaving
+	lives          lives
 	evacuations    table[Evacuation]
 	rollouts       table[Rollout]
 }
@@ -145,7 +127,7 @@
 // New makes an empty catalog.
 func New() *Catalog {
 	return &Catalog{
-		targets: newTable[Target](), leaving: map[string]bool{},
+		targets: newTable[Target](), lives: lives{},
 		evacuations: newTable[Evacuation](), rollouts: newTable[Rollout](),
 	}
 }
@@ -205,12 +187,14 @@
 }
 
 // Replace takes in all targets as they stood at a revision, if that is not
-// older than what is held. A target that has begun to leave never comes back.
+// older than what is held. A target that has begun to leave comes back only in another life.
 func (c *Catalog) Replace(revision uint64, targets []Target) bool {
 	if revision < c.targets.known {
 		return false
 	}
-	return c.targets.replace(revision, c.believedTargets(targets))
+	changed := c.targets.replace(revision, c.believedTargets(targets))
+	c.lives.trim(c.targets.entries)
+	return changed
 }
 
 // Advance takes in the changes of targets up to a revision.
@@ -219,7 +203,9 @@
 	for _, change := range changes {
 		made = append(made, entryChange[Target]{revision: change.Revision, id: change.Target.ID, entry: change.Target, gone: change.Gone})
 	}
-	return c.targets.advance(revision, made, c.believed)
+	changed := c.targets.advance(revision, made, c.believed)
+	c.lives.trim(c.targets.entries)
+	return changed
 }
 
 // ReplaceEvacuations takes in all evacuations as they stood at a revision, if that is
@@ -236,7 +222,7 @@
 			revision: change.Revision, id: change.Evacuation.Hall, entry: change.Evacuation, gone: change.Gone,
 		})
 	}
-	return c.evacuations.advance(revision, made, func(e Evacuation) Evacuation { return e })
+	return c.evacuations.advance(revision, made, func(e Evacuation) (Evacuation, bool) { return e, true })
 }
 
 func byHall(evacuations []Evacuation) map[string]Evacuation {
@@ -262,20 +248,22 @@
 func (c *Catalog) believedTargets(targets []Target) map[string]Target {
 	out := make(map[string]Target, len(targets))
 	for _, t := range targets {
-		out[t.ID] = c.believed(t)
+		if believed, ok := c.believed(t); ok {
+			out[t.ID] = believed
+		}
 	}
 	return out
 }
 
-// believed is a target as it is believed: one that has begun to leave is leaving.
-func (c *Catalog) believed(t Target) Target {
-	if c.leaving[t.ID] {
-		t.Leaving = true
-	}
-	if t.Leaving {
-		c.leaving[t.ID] = true
+// believed is a target as it is believed; ok is false where the word is of an earlier life
+// and no later one is in service.
+func (c *Catalog) believed(t Target) (believed Target, ok bool) {
+	if c.lives.isOver(t.Life()) {
+		believed, ok = c.targets.entries[t.ID]
+		return believed, ok
 	}
-	return t
+	t.Born, t.Leaving = c.lives.note(t.Life(), t.Leaving)
+	return t, true
 }
 
 // Since makes what a gateway at a position lacks.
--- a/core/gateway/catalog/rollout.go
+++ b/core/gateway/catalog/rollout.go
@@ -91,7 +91,7 @@
 			revision: change.Revision, id: change.Rollout.Service, entry: change.Rollout, gone: change.Gone,
 		})
 	}
-	return c.rollouts.advance(revision, made, func(r Rollout) Rollout { return r })
+	return c.rollouts.advance(revision, made, func(r Rollout) (Rollout, bool) { return r, true })
 }
 
 // addRollouts adds what a gateway lacks that knows the rollouts up to a revision.
--- a/core/gateway/catalog/table.go
+++ b/core/gateway/catalog/table.go
@@ -81,8 +81,8 @@
 }
 
 // advance takes in the changes up to a revision; believed makes of an entry what is
-// believed of it.
-func (t *table[E]) advance(revision uint64, changes []entryChange[E], believed func(E) E) (changed bool) {
+// believed of it, and says whether there is one.
+func (t *table[E]) advance(revision uint64, changes []entryChange[E], believed func(E) (E, bool)) (changed bool) {
 	if revision <= t.known {
 		return false
 	}
@@ -90,10 +90,13 @@
 		if c.revision <= t.known {
 			continue
 		}
+		if !c.gone {
+			entry, ok := believed(c.entry)
+			c.entry, c.gone = entry, !ok
+		}
 		if c.gone {
 			delete(t.entries, c.id)
 		} else {
-			c.entry = believed(c.entry)
 			t.entries[c.id] = c.entry
 		}
 		t.note(c)
--- a/core/gateway/ejection/ejection.go
+++ b/core/gateway/ejection/ejection.go
@@ -14,8 +14,8 @@
 // # Usage
 //
 //	tracker := ejection.New()
-//	tracker.Ended(now, "i-1", outcome.Broken)
-//	if tracker.Ejected(now, "i-1") {
+//	tracker.Ended(now, target.Life(), outcome.Broken)
+//	if tracker.Ejected(now, target.Life()) {
 //		// probe others first
 //	}
 package ejection
@@ -23,6 +23,7 @@
 import (
 	"time"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/outcome"
 )
 
@@ -42,7 +43,7 @@
 
 // Tracker holds the ejections of one service. It is not safe for concurrent use.
 type Tracker struct {
-	targets map[string]ejected
+	targets map[catalog.Life]ejected
 }
 
 type ejected struct {
@@ -52,48 +53,50 @@
 }
 
 // New makes a tracker that ejects nobody.
-func New() *Tracker { return &Tracker{targets: map[string]ejected{}} }
+func New() *Tracker { return &Tracker{targets: map[catalog.Life]ejected{}} }
 
 // Ejected says whether a target gets no requests now.
-func (t *Tracker) Ejected(now time.Time, id string) bool { return now.Before(t.targets[id].until) }
+func (t *Tracker) Ejected(now time.Time, life catalog.Life) bool {
+	return now.Before(t.targets[life].until)
+}
 
 // ProbeFailed notes that a target could not be connected to, or did not answer
 // a health probe.
-func (t *Tracker) ProbeFailed(now time.Time, id string) { t.fail(now, id) }
+func (t *Tracker) ProbeFailed(now time.Time, life catalog.Life) { t.fail(now, life) }
 
 // Ended notes how a send to a target ended.
-func (t *Tracker) Ended(now time.Time, id string, o outcome.Outcome) {
+func (t *Tracker) Ended(now time.Time, life catalog.Life, o outcome.Outcome) {
 	switch o {
 	case outcome.Failed, outcome.Broken:
-		t.fail(now, id)
+		t.fail(now, life)
 	case outcome.Shed:
-		t.eject(id, now.Add(shed))
+		t.eject(life, now.Add(shed))
 	case outcome.Misdirected:
-		t.eject(id, now.Add(misdirected))
+		t.eject(life, now.Add(misdirected))
 	case outcome.Served:
-		t.forgive(id)
+		t.forgive(life)
 	case outcome.Abandoned: // says nothing about the target
 	}
 }
 
-func (t *Tracker) fail(now time.Time, id string) {
-	backOff := min(max(2*t.targets[id].backOff, firstFailure), longestFailure)
-	t.targets[id] = ejected{until: now.Add(backOff), backOff: backOff}
+func (t *Tracker) fail(now time.Time, life catalog.Life) {
+	backOff := min(max(2*t.targets[life].backOff, firstFailure), longestFailure)
+	t.targets[life] = ejected{until: now.Add(backOff), backOff: backOff}
 }
 
-func (t *Tracker) eject(id string, until time.Time) {
-	e := t.targets[id]
+func (t *Tracker) eject(life catalog.Life, until time.Time) {
+	e := t.targets[life]
 	e.until = until
-	t.targets[id] = e
+	t.targets[life] = e
 }
 
 // forgive begins the back-off anew; an ejection that runs is not ended, since
 // the send began before it.
-func (t *Tracker) forgive(id string) {
-	e, ok := t.targets[id]
+func (t *Tracker) forgive(life catalog.Life) {
+	e, ok := t.targets[life]
 	if !ok {
 		return
 	}
 	e.backOff = 0
-	t.targets[id] = e
+	t.targets[life] = e
 }
--- a/core/gateway/ejection/ejection_test.go
+++ b/core/gateway/ejection/ejection_test.go
@@ -7,11 +7,12 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/ejection"
 	"github.com/sprucecrank/sprucecrank/core/gateway/outcome"
 )
 
-const id = "i-1"
+var id = catalog.Life{ID: "i-1"}
 
 var now = time.Unix(1000, 0)
 
@@ -37,7 +38,7 @@
 		tracker := ejection.New()
 		tracker.Ended(now, id, o)
 		g.Expect(ejectedFor(tracker)).To(Equal(want), fmt.Sprint(o))
-		g.Expect(tracker.Ejected(now, "another")).To(BeFalse())
+		g.Expect(tracker.Ejected(now, catalog.Life{ID: "another"})).To(BeFalse())
 	}
 }
 
@@ -61,9 +62,17 @@
 	g.Expect(ejectedFor(tracker)).To(Equal(200 * time.Millisecond))
 }
 
+func TestAnotherLifeOfATargetIsNotEjected(t *testing.T) {
+	g := NewWithT(t)
+	tracker := ejection.New()
+	tracker.Ended(now, catalog.Life{ID: "i-1", Born: 1}, outcome.Misdirected)
+	g.Expect(tracker.Ejected(now, catalog.Life{ID: "i-1", Born: 1})).To(BeTrue())
+	g.Expect(tracker.Ejected(now, catalog.Life{ID: "i-1", Born: 2})).To(BeFalse())
+}
+
 func ExampleTracker() {
 	tracker := ejection.New()
-	tracker.Ended(now, "i-1", outcome.Broken)
-	fmt.Println(tracker.Ejected(now.Add(100*time.Millisecond), "i-1"), tracker.Ejected(now.Add(200*time.Millisecond), "i-1"))
+	tracker.Ended(now, id, outcome.Broken)
+	fmt.Println(tracker.Ejected(now.Add(100*time.Millisecond), id), tracker.Ejected(now.Add(200*time.Millisecond), id))
 	// Output: true false
 }
--- a/core/gateway/placement/order.go
+++ b/core/gateway/placement/order.go
@@ -28,16 +28,16 @@
 	// there are targets of other regions, Trip only where these are used.
 	Region func(hall string) string
 	Trip   func(hall string) (d time.Duration, ok bool)
-	// Avoid are the ids of targets that had the request already.
-	Avoid []string
+	// Avoid are the targets that had the request already.
+	Avoid []catalog.Life
 	// Ejected says whether a target gets no requests now, and Cold counts the cold ones among
 	// some targets, which take next to none.
-	Ejected func(id string) bool
+	Ejected func(life catalog.Life) bool
 	Cold    func(targets []catalog.Target) int
 	// Connected says whether there is an idle connection to a target, which saves
 	// it the time of a new one; nil takes no account of that, so that a gateway
 	// goes on finding new targets.
-	Connected func(id string) bool
+	Connected func(life catalog.Life) bool
 }
 
 // Reach says whether targets of other regions are used, and why.
@@ -82,8 +82,8 @@
 	var ejected []catalog.Target
 	for _, t := range targets {
 		switch {
-		case slices.Contains(f.Avoid, t.ID):
-		case f.Ejected(t.ID):
+		case slices.Contains(f.Avoid, t.Life()):
+		case f.Ejected(t.Life()):
 			ejected = append(ejected, t)
 		default:
 			tier := f.Tier(t.Hall)
@@ -163,9 +163,9 @@
 	return float64(len(regions))
 }
 
-func connectedFirst(targets []catalog.Target, connected func(id string) bool) {
+func connectedFirst(targets []catalog.Target, connected func(life catalog.Life) bool) {
 	sortByRank(targets, func(t catalog.Target) int {
-		if connected(t.ID) {
+		if connected(t.Life()) {
 			return 0
 		}
 		return 1
--- a/core/gateway/placement/placement_test.go
+++ b/core/gateway/placement/placement_test.go
@@ -191,7 +191,7 @@
 
 func asGiven(int, func(i, j int)) {}
 
-func nobody(string) bool { return false }
+func nobody(catalog.Life) bool { return false }
 
 // filter is that of a gateway in hall a of a region that has hall b, too; c and d are
 // far, each in a region of its own.
@@ -213,13 +213,13 @@
 	return f
 }
 
-func among(list ...string) func(id string) bool {
-	return func(id string) bool { return slices.Contains(list, id) }
+func among(list ...string) func(catalog.Life) bool {
+	return func(life catalog.Life) bool { return slices.Contains(list, life.ID) }
 }
 
 func TestOrder(t *testing.T) {
 	all := slices.Concat(targets("d", 1), targets("c", 2), targets("b", 2), targets("a", 3))
-	everyone := func(string) bool { return true }
+	everyone := func(catalog.Life) bool { return true }
 	trips := func(c, d time.Duration) func(string) (time.Duration, bool) {
 		of := map[string]time.Duration{"c": c, "d": d}
 		return func(hall string) (time.Duration, bool) { return of[hall], of[hall] > 0 }
@@ -231,10 +231,10 @@
 		reach     placement.Reach
 	}{
 		"the own hall first, no other region": {change: func(*placement.Filter) {}, near: []string{"a0", "a1", "a2", "b0", "b1"}},
-		"not those that had the request": {change: func(f *placement.Filter) { f.Avoid = []string{"a0", "b1"} },
+		"not those that had the request": {change: func(f *placement.Filter) { f.Avoid = []catalog.Life{{ID: "a0"}, {ID: "b1"}} },
 			near: []string{"a1", "a2", "b0"}},
 		"not the ejected": {change: func(f *placement.Filter) { f.Ejected = among("a1") }, near: []string{"a0", "a2", "b0", "b1"}},
-		"the ejected if there are no others": {change: func(f *placement.Filter) { f.Ejected, f.Avoid = everyone, []string{"a0"} },
+		"the ejected if there are no others": {change: func(f *placement.Filter) { f.Ejected, f.Avoid = everyone, []catalog.Life{{ID: "a0"}} },
 			near: []string{"b0", "b1", "a1", "a2"}},
 		"connected ones of the own hall first": {change: func(f *placement.Filter) { f.Connected = among("a2", "b1") },
 			near: []string{"a2", "a0", "a1", "b0", "b1"}},
@@ -330,8 +330,8 @@
 	list := targets("a", 3)
 	list[1].Slots = 30
 	list[2].Slots = 0
-	active := map[string]int{"a0": 1, "a1": 2, "a2": 1}
-	placement.ByOwnCounts(list, func(id string) int { return active[id] })
+	active := map[catalog.Life]int{{ID: "a0"}: 1, {ID: "a1"}: 2, {ID: "a2"}: 1}
+	placement.ByOwnCounts(list, func(life catalog.Life) int { return active[life] })
 	g.Expect(ids(list)).To(Equal([]string{"a1", "a0", "a2"}))
 }
 
--- a/core/gateway/placement/probe.go
+++ b/core/gateway/placement/probe.go
@@ -115,8 +115,8 @@
 
 // ByOwnCounts orders targets by how full they are by the requests of this gateway
 // that are under way, for services that report no load; active counts them.
-func ByOwnCounts(targets []catalog.Target, active func(id string) int) {
+func ByOwnCounts(targets []catalog.Target, active func(life catalog.Life) int) {
 	const fine = 1000 // thousandths of a target's slots
-	fullness := func(t catalog.Target) int { return active(t.ID) * fine / max(t.Slots, 1) }
+	fullness := func(t catalog.Target) int { return active(t.Life()) * fine / max(t.Slots, 1) }
 	slices.SortStableFunc(targets, func(a, b catalog.Target) int { return fullness(a) - fullness(b) })
 }
--- a/core/gateway/rollout/versions.go
+++ b/core/gateway/rollout/versions.go
@@ -18,12 +18,12 @@
 type versions struct {
 	serving map[string]bool
 	trial   map[string]bool
-	// retired are the ids of the targets that a completed rollout replaced; later ones of
+	// retired are the targets that a completed rollout replaced; later ones of
 	// their version may come by other ways and count like those of any.
-	retired map[string]bool
-	// seen holds, by the id of each target of a new version, the revision up to which targets
+	retired map[catalog.Life]bool
+	// seen holds, by each target of a new version, the revision up to which targets
 	// were known when it was first met: it waits until orders are known as far.
-	seen map[string]uint64
+	seen map[catalog.Life]uint64
 }
 
 // NewVersions makes one that has met none.
@@ -64,7 +64,7 @@
 	s, known := v.services[service]
 	if !known {
 		s = &versions{
-			serving: map[string]bool{}, trial: map[string]bool{}, retired: map[string]bool{}, seen: map[string]uint64{},
+			serving: map[string]bool{}, trial: map[string]bool{}, retired: map[catalog.Life]bool{}, seen: map[catalog.Life]uint64{},
 		}
 		v.services[service] = s
 	}
@@ -75,7 +75,7 @@
 func (s *versions) present(targets []catalog.Target) map[string]int {
 	out := map[string]int{}
 	for _, t := range targets {
-		if !t.Leaving && !s.retired[t.ID] {
+		if !t.Leaving && !s.retired[t.Life()] {
 			out[t.Version]++
 		}
 	}
@@ -86,7 +86,7 @@
 func (s *versions) follow(r catalog.Rollout, targets []catalog.Target) {
 	for _, t := range targets {
 		if t.Version == r.Version {
-			delete(s.retired, t.ID)
+			delete(s.retired, t.Life())
 		}
 	}
 	switch {
@@ -105,7 +105,7 @@
 		clear(s.retired)
 		for _, t := range targets {
 			if t.Version != version {
-				s.retired[t.ID] = true
+				s.retired[t.Life()] = true
 			}
 		}
 		clear(s.serving)
@@ -128,16 +128,16 @@
 // meet notes how far targets were known when those of new versions were first met, and
 // which versions are in service: those of which no order can be missing.
 func (s *versions) meet(targets []catalog.Target, at catalog.Position) {
-	seen := map[string]uint64{}
+	seen := map[catalog.Life]uint64{}
 	for _, t := range targets {
-		if !s.isNew(t.Version) || s.retired[t.ID] {
+		if !s.isNew(t.Version) || s.retired[t.Life()] {
 			continue
 		}
-		since, met := s.seen[t.ID]
+		since, met := s.seen[t.Life()]
 		if !met {
 			since = at.Changed
 		}
-		seen[t.ID] = since
+		seen[t.Life()] = since
 		if at.Rollouts > 0 && at.Rollouts >= since && !t.Leaving {
 			s.serving[t.Version] = true
 		}
@@ -167,7 +167,7 @@
 	switch {
 	case s.trial[t.Version]:
 		return ordered && r.Version == t.Version
-	case s.retired[t.ID]:
+	case s.retired[t.Life()]:
 		return false
 	case s.serving[t.Version]:
 		return true
--- a/core/gateway/warmup/warmup.go
+++ b/core/gateway/warmup/warmup.go
@@ -30,7 +30,11 @@
 //	}
 package warmup
 
-import "time"
+import (
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+)
 
 const (
 	// longestPause bounds the time between two looks for which a share grows: one that
@@ -66,7 +70,7 @@
 // Turns holds one service's cold targets and this gateway's turns at them. It is not safe
 // for concurrent use.
 type Turns struct {
-	words map[string]word
+	words map[catalog.Life]word
 	// credit is how many turns are left, and at when it last grew.
 	credit float64
 	at     time.Time
@@ -74,31 +78,31 @@
 
 // New makes one that knows of no cold target. draw is a random number in [0, 1), the
 // part of a turn that a gateway begins with: theirs don't come at the same moment.
-func New(draw float64) *Turns { return &Turns{words: map[string]word{}, credit: draw} }
+func New(draw float64) *Turns { return &Turns{words: map[catalog.Life]word{}, credit: draw} }
 
 // Told takes in for how much longer a target says that it is cold; 0 for not.
-func (t *Turns) Told(now time.Time, id string, remaining time.Duration) {
-	if _, known := t.words[id]; !known && remaining <= 0 {
+func (t *Turns) Told(now time.Time, life catalog.Life, remaining time.Duration) {
+	if _, known := t.words[life]; !known && remaining <= 0 {
 		return // most targets, most of the time
 	}
-	t.words[id] = word{at: now, warm: now.Add(remaining)}
+	t.words[life] = word{at: now, warm: now.Add(remaining)}
 	if len(t.words) > keptTargets {
 		t.forget(now)
 	}
 }
 
 func (t *Turns) forget(now time.Time) {
-	for id, w := range t.words {
+	for life, w := range t.words {
 		if now.Sub(w.at) > forgetAfter {
-			delete(t.words, id)
+			delete(t.words, life)
 		}
 	}
 }
 
 // IsCold says whether a target is cold: by its own word, or by what its entry says
 // (listed) where it has said nothing.
-func (t *Turns) IsCold(now time.Time, id string, listed bool) bool {
-	if w, said := t.words[id]; said {
+func (t *Turns) IsCold(now time.Time, life catalog.Life, listed bool) bool {
+	if w, said := t.words[life]; said {
 		return now.Before(w.warm)
 	}
 	return listed
--- a/core/gateway/warmup/warmup_test.go
+++ b/core/gateway/warmup/warmup_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/warmup"
 )
 
@@ -19,14 +20,15 @@
 func TestWhatATargetSaysGoesBeforeItsEntry(t *testing.T) {
 	g := NewWithT(t)
 	turns := warmup.New(0)
-	g.Expect(turns.IsCold(begin, "a", true)).To(BeTrue(), "its entry is all that is known")
-	turns.Told(begin, "a", 0)
-	g.Expect(turns.IsCold(begin, "a", true)).To(BeTrue(), "it does not say that it is cold; the entry does")
-	turns.Told(begin, "a", 2*time.Second)
-	g.Expect(turns.IsCold(at(1999*time.Millisecond), "a", false)).To(BeTrue())
-	g.Expect(turns.IsCold(at(2*time.Second), "a", true)).To(BeFalse())
-	turns.Told(at(time.Second), "a", 0)
-	g.Expect(turns.IsCold(at(time.Second), "a", true)).To(BeFalse(), "its entry is older")
+	target := catalog.Life{ID: "a"}
+	g.Expect(turns.IsCold(begin, target, true)).To(BeTrue(), "its entry is all that is known")
+	turns.Told(begin, target, 0)
+	g.Expect(turns.IsCold(begin, target, true)).To(BeTrue(), "it does not say that it is cold; the entry does")
+	turns.Told(begin, target, 2*time.Second)
+	g.Expect(turns.IsCold(at(1999*time.Millisecond), target, false)).To(BeTrue())
+	g.Expect(turns.IsCold(at(2*time.Second), target, true)).To(BeFalse())
+	turns.Told(at(time.Second), target, 0)
+	g.Expect(turns.IsCold(at(time.Second), target, true)).To(BeFalse(), "its entry is older")
 }
 
 func TestATurnComesByTheShareOfAllThatColdTargetsBear(t *testing.T) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/internal/lifecycle"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
@@ -136,9 +137,9 @@
 // forgets quarantined requests that have not come for long.
 func (g *Gateway) retain(context.Context) {
 	g.fatal.Tick()
-	known := map[string]bool{}
+	known := map[catalog.Life]bool{}
 	for _, t := range g.discovery.Snapshot().Connectable() {
-		known[t.ID] = true
+		known[t.Life()] = true
 	}
-	g.pool.Retain(func(id string) bool { return known[id] })
+	g.pool.Retain(func(life catalog.Life) bool { return known[life] })
 }
--- a/internal/gateway/discovery/calls.go
+++ b/internal/gateway/discovery/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
@@ -56,15 +57,37 @@
 	if whole || from == 0 {
 		list, err := f.options.Source.Targets(ctx)
 		return func(c *catalog.Catalog) catalog.Changed {
-			return catalog.Changed{Targets: c.Replace(list.Revision, list.Items)}
+			return catalog.Changed{Targets: c.Replace(list.Revision, ownTargets(list.Items))}
 		}, err
 	}
 	changes, err := f.options.Source.WatchTargets(ctx, from, f.waitFor(f.fresh.Targets()))
 	return func(c *catalog.Catalog) catalog.Changed {
-		return catalog.Changed{Targets: c.Advance(changes.Revision, changes.Items)}
+		return catalog.Changed{Targets: c.Advance(changes.Revision, ownChanges(changes.Items, catalog.TellBirths(c.Targets())))}
 	}, err
 }
 
+// ownTargets are those that wrote their entries themselves: where targets tell when they
+// started, an entry that does not is another writer's and names no target.
+func ownTargets(targets []catalog.Target) []catalog.Target {
+	if !catalog.TellBirths(targets) {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), func(t catalog.Target) bool { return t.Born == 0 })
+}
+
+// ownChanges has targets gone whose entry another writer has overwritten, where targets
+// tell when they started.
+func ownChanges(changes []catalog.Change, tellBirths bool) []catalog.Change {
+	if !tellBirths {
+		return changes
+	}
+	changes = slices.Clone(changes)
+	for i := range changes {
+		changes[i].Gone = changes[i].Gone || changes[i].Target.Born == 0
+	}
+	return changes
+}
+
 // callEvacuations makes one call for the evacuations. They don't lapse in an outage, so
 // that they are read at once after it.
 func (f *Follower) callEvacuations(ctx context.Context, whole bool) error {
--- /dev/null
+++ b/internal/gateway/discovery/lives_test.go
@@ -0,0 +1,64 @@
+package discovery_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+)
+
+// setLife writes a target's entry as one of its lives does.
+func (s *fakeStore) setLife(id string, born int64, address string, leaving bool) {
+	s.change(func() {
+		target := catalog.Target{ID: id, Service: "shop", Address: address, Born: born, Leaving: leaving}
+		s.targets[id] = target
+		s.changes = append(s.changes, catalog.Change{Revision: s.revision, Target: target})
+	})
+}
+
+// believes says whether a gateway sends requests to a target at an address, and to no other
+// of its id.
+func (g *gateway) believes(id, address string) bool {
+	var found []string
+	for _, t := range g.Snapshot().Targets("shop") {
+		if t.ID == id {
+			found = append(found, t.Address)
+		}
+	}
+	return len(found) == 1 && found[0] == address
+}
+
+// A target that left starts again under its id, three times in a second, while word of its
+// earlier lives still comes; and an entry without the time of a start is another writer's.
+func TestAFleetFollowsTheLivesOfATarget(t *testing.T) {
+	measure(t, 12, 2, func(g *WithT, fleet *bigFleet) {
+		store := fleet.store
+		for i := range 300 {
+			store.setLife(fmt.Sprint("t", i), 1, "10.0.0.1:80", false)
+		}
+		expect := func(want bool, address string) {
+			t.Helper()
+			time.Sleep(2 * time.Second)
+			for _, gw := range fleet.gateways {
+				g.Expect(gw.believes("t1", address)).To(Equal(want), "%s: %s", gw.Addr(), address)
+			}
+		}
+		expect(true, "10.0.0.1:80")
+		store.setLife("t1", 1, "10.0.0.1:80", true)
+		expect(false, "10.0.0.1:80")
+		for born := int64(2); born < 5; born++ {
+			store.setLife("t1", born, fmt.Sprintf("10.0.0.%d:80", born), false)
+			time.Sleep(300 * time.Millisecond)
+		}
+		store.setLife("t1", 2, "10.0.0.2:80", true) // late
+		expect(true, "10.0.0.4:80")
+		store.setLife("t1", 0, "10.0.0.9:80", false)
+		expect(false, "10.0.0.4:80")
+		expect(false, "10.0.0.9:80")
+		store.setLife("t1", 4, "10.0.0.4:80", false)
+		expect(true, "10.0.0.4:80")
+	})
+}
--- a/internal/gateway/discovery/publish.go
+++ b/internal/gateway/discovery/publish.go
@@ -108,16 +108,16 @@
 	f.options.Log.Info("targets changed", "in", in, "out", out, "revision", f.catalog.Position().Targets, "from", from)
 }
 
-// lacking lists the ids of the targets in all that some lacks.
+// lacking lists the ids of the targets in all that some lacks, or has in another life.
 func lacking(some, all map[string][]catalog.Target) []string {
 	var ids []string
 	for service, targets := range all {
-		held := make(map[string]bool, len(some[service]))
+		held := make(map[catalog.Life]bool, len(some[service]))
 		for _, t := range some[service] {
-			held[t.ID] = true
+			held[t.Life()] = true
 		}
 		for _, t := range targets {
-			if !held[t.ID] {
+			if !held[t.Life()] {
 				ids = append(ids, t.ID)
 			}
 		}
--- a/internal/gateway/discovery/rollout_test.go
+++ b/internal/gateway/discovery/rollout_test.go
@@ -78,10 +78,9 @@
 		defer a.store.mu.Unlock()
 		return discovery.List[catalog.Rollout]{Revision: a.store.revision, Items: a.store.allRollouts()}, nil
 	}
-	source.GlanceRollouts = func(ctx context.Context) ([]catalog.Rollout, error) {
+	source.GlanceRollouts = func(ctx context.Context) (discovery.List[catalog.Rollout], error) {
 		a.store.glances.Add(1)
-		list, err := source.Rollouts(ctx)
-		return list.Items, err
+		return source.Rollouts(ctx)
 	}
 	source.WatchRollouts = func(ctx context.Context, from uint64, wait time.Duration) (discovery.Changes[catalog.RolloutChange], error) {
 		if err := a.await(ctx, from, wait); err != nil {
--- a/internal/gateway/discovery/source.go
+++ b/internal/gateway/discovery/source.go
@@ -80,11 +80,11 @@
 	Evacuations      func(ctx context.Context) (List[catalog.Evacuation], error)
 	WatchEvacuations func(ctx context.Context, from uint64, wait time.Duration) (Changes[catalog.EvacuationChange], error)
 	// GlanceEvacuations are those of some seconds ago.
-	GlanceEvacuations func(ctx context.Context) ([]catalog.Evacuation, error)
+	GlanceEvacuations func(ctx context.Context) (List[catalog.Evacuation], error)
 	// Rollouts, WatchRollouts and GlanceRollouts are nil where no rollout is ever ordered.
 	Rollouts       func(ctx context.Context) (List[catalog.Rollout], error)
 	WatchRollouts  func(ctx context.Context, from uint64, wait time.Duration) (Changes[catalog.RolloutChange], error)
-	GlanceRollouts func(ctx context.Context) ([]catalog.Rollout, error)
+	GlanceRollouts func(ctx context.Context) (List[catalog.Rollout], error)
 	// RecordRollout records the progress of a rollout (its State and what follows it) on
 	// condition that the object's revision is still that of the rollout. The error says
 	// why an end is not RecordDone.
--- a/internal/gateway/discovery/start.go
+++ b/internal/gateway/discovery/start.go
@@ -66,10 +66,10 @@
 // guess completes a glance with one at the evacuations and one at the rollouts, where these
 // are followed; ok is false if it must not be served by.
 func (f *Follower) guess(ctx context.Context, seen Glance) (guess catalog.Guess, ok bool) {
-	var err error
-	guess = catalog.Guess{Version: seen.Config.Version, Body: seen.Config.Body, Targets: seen.Targets}
+	guess = catalog.Guess{Version: seen.Config.Version, Body: seen.Config.Body, Targets: ownTargets(seen.Targets)}
 	if f.options.Source.followsEvacuations() {
-		if guess.Evacuations, err = f.options.Source.GlanceEvacuations(ctx); err != nil {
+		evacuations, err := f.options.Source.GlanceEvacuations(ctx)
+		if guess.Evacuations = evacuations.Items; err != nil {
 			// It serves all the same: they are known before anything is due of it.
 			f.options.Metrics.StoreCall(callGlance, callFailed)
 			f.options.Log.Info("no glance at the evacuations", "error", err.Error())
@@ -77,7 +77,8 @@
 	}
 	if f.options.Source.followsRollouts() {
 		// Without them a version that is only on trial would be taken for one in service.
-		if guess.Rollouts, err = f.options.Source.GlanceRollouts(ctx); err != nil {
+		rollouts, err := f.options.Source.GlanceRollouts(ctx)
+		if guess.Rollouts = rollouts.Items; err != nil {
 			f.options.Metrics.StoreCall(callGlance, callFailed)
 			f.options.Log.Info("no glance at the rollouts; it does not serve by what it saw", "error", err.Error())
 			return guess, false
--- a/internal/gateway/forward/balancer.go
+++ b/internal/gateway/forward/balancer.go
@@ -63,7 +63,7 @@
 			return result.answer, nil
 		}
 		past.add(result)
-		req.avoid = append(req.avoid, chosen.target.ID)
+		req.avoid = append(req.avoid, chosen.target.Life())
 		if ctx.Err() != nil || !b.retries(req, svc, result.failure) {
 			return b.giveUp(req, svc, past, result.failure)
 		}
--- a/internal/gateway/forward/hedge.go
+++ b/internal/gateway/forward/hedge.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
 	"github.com/sprucecrank/sprucecrank/core/gateway/retry"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
@@ -128,7 +129,7 @@
 	if !retry.HedgeNow(r.svc.isContended(now), overdue) || !r.svc.canSpendHedge() || b.verdictOn(r.req).IsSuspect() {
 		return nil
 	}
-	avoid := append([]string{r.first.target.ID}, r.req.avoid...)
+	avoid := append([]catalog.Life{r.first.target.Life()}, r.req.avoid...)
 	found := b.probeRound(ctx, r.req, r.svc, avoid, locality.OtherRegion)
 	if found == nil {
 		return nil
--- a/internal/gateway/forward/probe.go
+++ b/internal/gateway/forward/probe.go
@@ -31,15 +31,15 @@
 
 // probeRound probes some targets and returns the one that should answer soonest;
 // nil if none answered in time. within is how far it looks, if there are any nearer.
-func (b *balancer) probeRound(ctx context.Context, req *request, svc *service, avoid []string, within locality.Tier) *candidate {
+func (b *balancer) probeRound(ctx context.Context, req *request, svc *service, avoid []catalog.Life, within locality.Tier) *candidate {
 	return b.probeAmong(ctx, req, svc, search{targets: b.targets(req), avoid: avoid, within: within})
 }
 
 // search is what a round of probes goes by.
 type search struct {
-	// targets are those that take the request, avoid the ids of some that do not.
+	// targets are those that take the request, avoid some that do not.
 	targets []catalog.Target
-	avoid   []string
+	avoid   []catalog.Life
 	// within is how far targets are probed, if there are any nearer.
 	within locality.Tier
 }
@@ -72,16 +72,16 @@
 // order draws the order in which some targets are probed for a request: first sends,
 // repeats, hedges and requests on trial alike, so that none gets past what its route
 // allows.
-func (b *balancer) order(req *request, svc *service, targets []catalog.Target, avoid []string) *placement.Order {
+func (b *balancer) order(req *request, svc *service, targets []catalog.Target, avoid []catalog.Life) *placement.Order {
 	now := b.options.Clock()
 	filter := placement.Filter{
 		Tier: b.places.tier, Region: b.places.region, Trip: b.places.measured, Avoid: avoid,
-		Ejected: func(id string) bool { return svc.isEjected(now, id) },
+		Ejected: func(life catalog.Life) bool { return svc.isEjected(now, life) },
 		Cold:    func(targets []catalog.Target) int { return svc.countCold(now, targets) },
 	}
 	if !b.options.Explore() {
 		idle := b.options.Pool.Idle()
-		filter.Connected = func(id string) bool { return idle[id] > 0 }
+		filter.Connected = func(life catalog.Life) bool { return idle[life] > 0 }
 	}
 	order := placement.NewOrder(b.places.allowed(req.route, targets), filter, rand.Shuffle)
 	svc.reached(now, order.Reach())
@@ -149,7 +149,7 @@
 	conn, health, ok := b.askHealth(ctx, req, target)
 	if !ok {
 		if ctx.Err() == nil {
-			svc.probeFailed(b.options.Clock(), target.ID)
+			svc.probeFailed(b.options.Clock(), target.Life())
 		}
 		return nil
 	}
@@ -245,7 +245,7 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		svc.probeFailed(b.options.Clock(), target.ID)
+		svc.probeFailed(b.options.Clock(), target.Life())
 	}
 	return nil
 }
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/deadline"
 	"github.com/sprucecrank/sprucecrank/core/gateway/fingerprint"
 	"github.com/sprucecrank/sprucecrank/core/gateway/refusal"
@@ -34,8 +35,8 @@
 	deadline deadline.Deadline
 	end      context.CancelFunc // ends what is done for it
 	sends    atomic.Int32
-	// avoid are the ids of the targets to which the request was sent already.
-	avoid []string
+	// avoid are the targets to which the request was sent already.
+	avoid []catalog.Life
 	// waits counts the rounds of probes in which no target would do.
 	waits int
 	// probed counts the targets that answered its probes, idle those that were.
--- a/internal/gateway/forward/service.go
+++ b/internal/gateway/forward/service.go
@@ -80,8 +80,8 @@
 	ejections  *ejection.Tracker
 	contention *placement.Contention
 	turns      *warmup.Turns
-	active     map[string]int // sends under way, by the target's id
-	evidence   *evidence      // guarded by its own lock
+	active     map[catalog.Life]int // sends under way
+	evidence   *evidence            // guarded by its own lock
 	reach      reach
 }
 
@@ -91,7 +91,7 @@
 		budget:   budget.New(r.Window, r.Ratio, budgetAllowance),
 		estimate: estimate.New(), ejections: ejection.New(), contention: placement.NewContention(),
 		turns:  warmup.New(rand.Float64()),
-		active: map[string]int{},
+		active: map[catalog.Life]int{},
 	}
 }
 
@@ -144,7 +144,7 @@
 	s.evidence.begin(t.Version)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.active[t.ID]++
+	s.active[t.Life()]++
 }
 
 // endSend notes how a send to a target ended.
@@ -152,8 +152,11 @@
 	s.evidence.end(t.Version)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.active[t.ID]--
-	s.ejections.Ended(now, t.ID, o)
+	life := t.Life()
+	if s.active[life]--; s.active[life] == 0 {
+		delete(s.active, life)
+	}
+	s.ejections.Ended(now, life, o)
 	if o != outcome.Abandoned {
 		s.estimate.Sent(o == outcome.Shed)
 	}
@@ -167,10 +170,10 @@
 }
 
 // probeFailed notes that a target could not be connected to or did not answer.
-func (s *service) probeFailed(now time.Time, id string) {
+func (s *service) probeFailed(now time.Time, life catalog.Life) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ejections.ProbeFailed(now, id)
+	s.ejections.ProbeFailed(now, life)
 }
 
 // probeAnswered learns whether a target that answered reported its load.
@@ -224,10 +227,10 @@
 	return s.estimate.Predict(route, report)
 }
 
-func (s *service) isEjected(now time.Time, id string) bool {
+func (s *service) isEjected(now time.Time, life catalog.Life) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ejections.Ejected(now, id)
+	return s.ejections.Ejected(now, life)
 }
 
 func (s *service) isContended(now time.Time) bool {
@@ -249,8 +252,8 @@
 	return s.contention.Yields(now, priority)
 }
 
-func (s *service) activeAt(id string) int {
+func (s *service) activeAt(life catalog.Life) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.active[id]
+	return s.active[life]
 }
--- a/internal/gateway/forward/stream_test.go
+++ b/internal/gateway/forward/stream_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/verdict"
@@ -73,7 +74,7 @@
 			}
 			g.Eventually(room.Held, eventual).Should(BeZero())
 			g.Expect(room.Peak()).To(BeNumerically("<", 64<<10))
-			g.Expect(f.options.Pool.Idle()["s1"]).To(Equal(1), "its connection serves again")
+			g.Expect(f.options.Pool.Idle()[catalog.Life{ID: "s1"}]).To(Equal(1), "its connection serves again")
 		})
 	}
 }
--- a/internal/gateway/forward/warmup.go
+++ b/internal/gateway/forward/warmup.go
@@ -34,7 +34,7 @@
 func (s *service) isCold(now time.Time, t catalog.Target) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.turns.IsCold(now, t.ID, t.Cold)
+	return s.turns.IsCold(now, t.Life(), t.Cold)
 }
 
 // countCold is how many of the targets are cold.
@@ -42,7 +42,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range targets {
-		if s.turns.IsCold(now, t.ID, t.Cold) {
+		if s.turns.IsCold(now, t.Life(), t.Cold) {
 			n++
 		}
 	}
@@ -54,8 +54,8 @@
 func (s *service) toldWarmup(now time.Time, t catalog.Target, remaining time.Duration) (cold bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.turns.Told(now, t.ID, remaining)
-	return s.turns.IsCold(now, t.ID, t.Cold)
+	s.turns.Told(now, t.Life(), remaining)
+	return s.turns.IsCold(now, t.Life(), t.Cold)
 }
 
 func (s *service) hasTurn(now time.Time, share warmup.Share) bool {
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -79,7 +79,7 @@
 type Pool struct {
 	options Options
 	mu      sync.Mutex
-	idle    map[string][]*Conn // by the target's id, latest used last
+	idle    map[catalog.Life][]*Conn // latest used last
 }
 
 // New makes an empty pool.
@@ -102,7 +102,7 @@
 	if o.Opened == nil {
 		o.Opened = func() {}
 	}
-	return &Pool{options: o, idle: map[string][]*Conn{}}
+	return &Pool{options: o, idle: map[catalog.Life][]*Conn{}}
 }
 
 // Conn is one connection to one start of a target. One exchange at a time may
@@ -129,7 +129,7 @@
 // Get takes an idle connection to a target, or makes a new one.
 func (p *Pool) Get(ctx context.Context, target catalog.Target) (*Conn, *verdict.Error) {
 	for {
-		conn := p.takeIdle(target.ID)
+		conn := p.takeIdle(target.Life())
 		if conn == nil {
 			return p.open(ctx, target)
 		}
@@ -140,15 +140,15 @@
 	}
 }
 
-func (p *Pool) takeIdle(id string) *Conn {
+func (p *Pool) takeIdle(life catalog.Life) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[id]
+	conns := p.idle[life]
 	if len(conns) == 0 {
 		return nil
 	}
 	conn := conns[len(conns)-1]
-	p.idle[id] = conns[:len(conns)-1]
+	p.idle[life] = conns[:len(conns)-1]
 	return conn
 }
 
@@ -177,7 +177,8 @@
 	c.idleSince = p.options.Clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.idle[c.target.ID] = append(p.idle[c.target.ID], c)
+	life := c.target.Life()
+	p.idle[life] = append(p.idle[life], c)
 }
 
 // Close ends the connection. How that goes says nothing: it is not used again.
@@ -212,37 +213,37 @@
 
 // Retain closes the idle connections that have been idle for too long and
 // those to targets that keep does not name.
-func (p *Pool) Retain(keep func(id string) bool) {
+func (p *Pool) Retain(keep func(life catalog.Life) bool) {
 	now := p.options.Clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, conns := range p.idle {
+	for life, conns := range p.idle {
 		kept := conns[:0]
 		for _, conn := range conns {
-			if keep(id) && now.Sub(conn.idleSince) <= conn.idleLimit {
+			if keep(life) && now.Sub(conn.idleSince) <= conn.idleLimit {
 				kept = append(kept, conn)
 				continue
 			}
 			conn.Close()
 		}
 		clear(conns[len(kept):])
-		p.idle[id] = kept
+		p.idle[life] = kept
 		if len(kept) == 0 {
-			delete(p.idle, id)
+			delete(p.idle, life)
 		}
 	}
 }
 
-// Idle counts the idle connections by the target's id.
-func (p *Pool) Idle() map[string]int {
+// Idle counts the idle connections.
+func (p *Pool) Idle() map[catalog.Life]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	counts := make(map[string]int, len(p.idle))
-	for id, conns := range p.idle {
-		counts[id] = len(conns)
+	counts := make(map[catalog.Life]int, len(p.idle))
+	for life, conns := range p.idle {
+		counts[life] = len(conns)
 	}
 	return counts
 }
 
 // Close ends all idle connections.
-func (p *Pool) Close() { p.Retain(func(string) bool { return false }) }
+func (p *Pool) Close() { p.Retain(func(catalog.Life) bool { return false }) }
