Suspended time counts: one clock, and requests whose deadline passed in a sleep

Cause: Go's steady clock and timers stand still while a machine is suspended. Knowledge, deadlines and kept connections looked younger by that time; a request went on waiting, or was sent, after its client had gone.

When the machine wakes, requests whose time has passed are answered at once, idle connections are closed, and everything that waits looks anew; before each send the deadline and, for a version on trial, the freshness of what is known are looked at again.

A step of the time of day moves nothing, as before; the Date of answers goes by the time of day.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/internal/boottime"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/delivery"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/discovery"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
@@ -72,6 +73,7 @@
 	fatal     *fatal.Register  // requests that end targets
 	metrics   *metrics.Metrics // nil without an address to serve them on
 	stopping  atomic.Bool
+	assembled atomic.Bool
 	listeners listeners
 }
 
@@ -80,10 +82,10 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
+	g := &Gateway{options: o, log: o.Log.With("gateway", s.ID)}
 	if o.Clock == nil {
-		o.Clock = time.Now
+		g.options.Clock = g.bootClock()
 	}
-	g := &Gateway{options: o, log: o.Log.With("gateway", s.ID)}
 	g.put(s)
 	if err := g.listeners.open(s); err != nil {
 		return nil, trace.Wrap(err)
@@ -96,6 +98,29 @@
 	return g, nil
 }
 
+// bootClock is the clock that everything here goes by: it counts the time for which the
+// machine is suspended.
+func (g *Gateway) bootClock() func() time.Time {
+	clock, err := boottime.New()
+	if err != nil {
+		g.log.Warn("suspended time is not counted", "error", err.Error())
+	}
+	clock.OnWake(g.woke)
+	return clock.Now
+}
+
+// woke works in that the machine was suspended: requests whose time has passed are
+// answered, and connections that may have been given up on meanwhile are not trusted.
+func (g *Gateway) woke(slept time.Duration) {
+	g.log.Warn("machine was suspended", "slept_s", slept.Seconds())
+	if !g.assembled.Load() {
+		return
+	}
+	g.pool.Close()
+	g.forward.Wake()
+	g.discovery.Wake()
+}
+
 func (g *Gateway) assemble(s Settings) error {
 	if g.listeners.metrics != nil {
 		var err error
@@ -122,6 +147,7 @@
 	if s.Rollout != nil {
 		g.delivery = delivery.New(g.deliveryOptions(self, *s.Rollout))
 	}
+	g.assembled.Store(true)
 	return nil
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -82,7 +82,7 @@
 func (g *Gateway) addClients(ctx context.Context, group *run.Group, stop func()) {
 	clients := pipeline.New(pipeline.Options{
 		Handler: g.forward, Safe: g.forward.Repeatable, Limits: g.forward.Limits,
-		Stopping: g.stopping.Load, Log: g.log, Clock: g.options.Clock,
+		Stopping: g.stopping.Load, Log: g.log,
 	})
 	drained := make(chan struct{})
 	group.Add(func() error {
--- a/internal/gateway/discovery/discovery.go
+++ b/internal/gateway/discovery/discovery.go
@@ -190,7 +190,7 @@
 	}
 	f.nextSeed = int(o.Draw() * float64(len(o.Seeds())))
 	f.view.SetTiers(f.tier)
-	o.Fatal.OnNews(f.wakeUp)
+	o.Fatal.OnNews(f.Wake)
 	if o.Source.followsEvacuations() {
 		f.fresh.FollowEvacuations()
 	}
@@ -287,8 +287,9 @@
 	return f.fresh.Reads(f.options.Clock())
 }
 
-// wakeUp wakes those that wait for a change.
-func (f *Follower) wakeUp() {
+// Wake has everything that waits look anew: it should be called when the machine was
+// suspended, which the timers don't count.
+func (f *Follower) Wake() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.wake()
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -100,6 +100,7 @@
 	options  Options
 	balancer *balancer
 	active   atomic.Int64
+	underWay underWay
 }
 
 // New makes a handler.
@@ -128,7 +129,7 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Handler{options: o, balancer: newBalancer(o)}
+	return &Handler{options: o, balancer: newBalancer(o), underWay: underWay{requests: map[*request]struct{}{}}}
 }
 
 // Active is how many requests are under way.
@@ -182,7 +183,7 @@
 	if failure := readBody(req); failure != nil {
 		return nil, failure
 	}
-	return h.balancer.run(req.bounded(req.in.Context()), req)
+	return h.balancer.run(h.bound(req), req)
 }
 
 // awaitReady waits a little for a process that has just begun.
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -100,7 +100,7 @@
 // failureOf is why a context ended while no send was under way.
 func failureOf(ctx context.Context) *verdict.Error {
 	if context.Cause(ctx) == context.DeadlineExceeded {
-		return verdict.New(verdict.NotRun, verdict.ReasonTooLate, "the deadline passed before a target was found")
+		return tooLate()
 	}
 	return verdict.New(verdict.NotRun, verdict.ReasonClientGone, "the client went away")
 }
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -33,7 +32,8 @@
 	coldRate float64
 	began    time.Time
 	deadline deadline.Deadline
-	end      context.CancelFunc // ends what is done for it
+	end      func() // ends what is done for it, and expire does since its deadline has passed
+	expire   func()
 	sends    atomic.Int32
 	// avoid are the targets to which the request was sent already.
 	avoid []catalog.Life
@@ -110,14 +110,6 @@
 	return allowed
 }
 
-// bounded makes the context of what is done for a request: it ends with its deadline,
-// or with the request.
-func (r *request) bounded(parent context.Context) context.Context {
-	ctx, cancel := context.WithDeadline(parent, r.deadline.Request())
-	r.end = cancel
-	return ctx
-}
-
 // countProbe notes what a probe found; nil is no answer.
 func (r *request) countProbe(found *candidate) {
 	if found == nil {
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -31,7 +31,7 @@
 
 // send makes one send, and learns from how it ended once its answer has.
 func (b *balancer) send(ctx context.Context, req *request, svc *service, chosen *candidate) sent {
-	if failure := b.quarantined(req); failure != nil {
+	if failure := b.forbidden(req, chosen); failure != nil {
 		b.release(chosen)
 		return sent{outcome: outcome.Abandoned, failure: failure}
 	}
@@ -45,6 +45,17 @@
 	return result
 }
 
+// forbidden is why a send that was decided on is not made after all; nil if it is.
+func (b *balancer) forbidden(req *request, chosen *candidate) *verdict.Error {
+	if failure := b.overdue(req); failure != nil {
+		return failure
+	}
+	if chosen.trial > 0 && !b.options.Current() {
+		return verdict.New(verdict.NotRun, verdict.ReasonShed, "the version on trial may have been rolled back")
+	}
+	return b.quarantined(req)
+}
+
 func exchange(ctx context.Context, conn *upstream.Conn, r upstream.Request) sent {
 	answer, failure := conn.Exchange(ctx, r)
 	if failure != nil {
--- a/internal/gateway/upstream/exchange.go
+++ b/internal/gateway/upstream/exchange.go
@@ -214,7 +214,7 @@
 		v = verdict.NotRun
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return verdict.New(v, verdict.ReasonDeadline, "the target did not answer before the deadline").WithCause(cause)
 	case ctx.Err() != nil:
 		return verdict.New(v, verdict.ReasonClientGone, "the request was cancelled").WithCause(cause)
