--- a/e2e/gateway/soak_test.go
+++ b/e2e/gateway/soak_test.go
@@ -160,6 +160,8 @@
 		time.Sleep(lasts)
 		w.store.Recover()
 	}},
+	{"target starts again under its id", false, (*world).startAgain},
+	{"entry overwritten", false, (*world).overwrite},
 	{"request that ends its targets", false, (*world).sendFatal},
 	{"hall evacuated", true, (*world).evacuate},
 	{"hall cold at once", true, func(w *world, random *rand.Rand, lasts time.Duration) {
@@ -247,7 +249,7 @@
 	}
 	b.leaving.Store(true)
 	if random.IntN(2) == 0 {
-		w.store.Put(storetest.Servers, b.id, storetest.ServerEntryIn(b.hall, b.service, b.proxy.Address(), "draining"))
+		b.register("draining")
 		return
 	}
 	w.store.Remove(storetest.Servers, b.id)
--- a/e2e/gateway/soak_world_test.go
+++ b/e2e/gateway/soak_world_test.go
@@ -58,6 +58,19 @@
 	server    *http.Server
 	address   string
 	proxy     *faultproxy.Proxy
+	born      int64 // when this life of it began, in ms
+}
+
+// entry is what the target says of itself in the store.
+func (b *soakTarget) entry(state string) storetest.Object {
+	entry := storetest.ServerEntryIn(b.hall, b.service, b.proxy.Address(), state)
+	entry["born"] = b.born
+	return entry
+}
+
+// register writes the target's entry.
+func (b *soakTarget) register(state string) {
+	b.world.store.Put(storetest.Servers, b.id, b.entry(state))
 }
 
 func (b *soakTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -291,24 +304,30 @@
 func (w *world) addTarget(service, address string) *soakTarget {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.started++
+	return w.startTarget(fmt.Sprint("i-", w.started), service, fmt.Sprint("hall-", w.started/2%2), address)
+}
+
+// startTarget begins a life of a target; the lock is held. It returns nil where somebody
+// else has the address now.
+func (w *world) startTarget(id, service, hall, address string) *soakTarget {
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil // somebody else has the address now
+		return nil
 	}
-	w.started++
 	b := &soakTarget{
-		id: fmt.Sprint("i-", w.started), service: service, hall: fmt.Sprint("hall-", w.started/2%2),
-		records: w.records, address: listener.Addr().String(), world: w,
+		id: id, service: service, hall: hall, records: w.records, address: listener.Addr().String(), world: w,
+		born: time.Now().UnixMilli(),
 	}
 	b.server = &http.Server{Handler: b}
 	go func() { _ = b.server.Serve(listener) }()
 	w.t.Cleanup(func() { _ = b.server.Close() })
 	b.proxy = w.proxy(b.address)
 	w.targets = append(w.targets, b)
-	w.store.Put(storetest.Servers, b.id, storetest.ServerEntryIn(b.hall, service, b.proxy.Address(), "ready"))
+	b.register("ready")
 	return b
 }
 
