--- a/core/gateway/quarantine/ledger.go
+++ b/core/gateway/quarantine/ledger.go
@@ -127,7 +127,7 @@
 func (l *Ledger) Merge(now time.Time, words []Word) bool {
 	changed := false
 	for _, w := range words {
-		if w.Seen < lapseAfter && len(w.Ends) > 0 {
+		if w.isSound() && w.Seen < lapseAfter {
 			changed = l.merge(now, w) || changed
 		}
 	}
@@ -138,6 +138,17 @@
 	return changed
 }
 
+// isSound says whether a word can be taken in: none from the future, which would never
+// lapse, and no more than a gateway tells.
+func (w Word) isSound() bool {
+	if w.Content == "" || w.Seen < 0 || len(w.Ends) == 0 || len(w.Ends) > maxEnds {
+		return false
+	}
+	return !slices.ContainsFunc(w.Ends, func(e End) bool {
+		return e.Target == "" || e.Ago < 0 || e.Excuse < None || e.Excuse > Cleared
+	})
+}
+
 func (l *Ledger) merge(now time.Time, w Word) bool {
 	kept := l.record(w.Content, w.Service)
 	changed := false
--- a/core/gateway/quarantine/quarantine_test.go
+++ b/core/gateway/quarantine/quarantine_test.go
@@ -320,6 +320,33 @@
 	NewWithT(t).Expect(isNews).To(BeFalse())
 }
 
+// Words come from other gateways, and from an object in the store that others may write.
+func TestAWordThatCannotBeIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	good := func() quarantine.Word {
+		return quarantine.Word{Content: "fatal", Service: "shop", Ends: []quarantine.End{{ID: 1, Target: "i-1", Caller: "c1"}}}
+	}
+	for _, change := range []func(w *quarantine.Word){
+		func(w *quarantine.Word) { w.Content = "" },
+		func(w *quarantine.Word) { w.Seen = -time.Hour },
+		func(w *quarantine.Word) { w.Seen = quarantine.LapseAfter() },
+		func(w *quarantine.Word) { w.Ends = nil },
+		func(w *quarantine.Word) { w.Ends = make([]quarantine.End, 1000) },
+		func(w *quarantine.Word) { w.Ends[0].Target = "" },
+		func(w *quarantine.Word) { w.Ends[0].Ago = -time.Hour },
+		func(w *quarantine.Word) { w.Ends[0].Excuse = 7 },
+		func(w *quarantine.Word) { w.Ends[0].Excuse = -1 },
+	} {
+		w := good()
+		change(&w)
+		ledger := quarantine.New(1)
+		g.Expect(ledger.Merge(start, []quarantine.Word{w})).To(BeFalse(), "%+v", w)
+		g.Expect(ledger.Size()).To(BeZero())
+	}
+	ledger := quarantine.New(1)
+	g.Expect(ledger.Merge(start, []quarantine.Word{good()})).To(BeTrue())
+}
+
 func ExampleLedger() {
 	ledger := quarantine.New(1)
 	fatal := request("order", "10.0.0.1")
--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -7,7 +7,7 @@
 // Clock goes by Go's steady clock, which costs none, and asks the system only when the time
 // of day has moved against it (which it does by as much as the machine slept, or when it is
 // stepped), and once a second. Where the system has no such clock, suspended time is not
-// counted, as before; New says so.
+// counted; New says so.
 //
 // # Usage
 //
