--- a/internal/gateway/discovery/discovery_test.go
+++ b/internal/gateway/discovery/discovery_test.go
@@ -248,6 +248,7 @@
 	listener net.Listener
 	stop     context.CancelFunc
 	fatal    *fatal.Register // nil where a test does not look at it
+	slept    atomic.Int64    // for how long its machine was suspended
 	mu       sync.Mutex
 	conns    []net.Conn
 }
--- a/internal/gateway/discovery/saved.go
+++ b/internal/gateway/discovery/saved.go
@@ -24,6 +24,10 @@
 	// callSaved and callSave are the calls' names in metrics and log lines.
 	callSaved = "saved"
 	callSave  = "save"
+	// savedWatch is how long a watch of the saved object waits. Nothing is confirmed by it,
+	// so that it need not answer often: some 3 calls in 28 s, where one that waits as long as the
+	// others made 19. It is shorter than the history that stores keep, some 20 s.
+	savedWatch = 15 * time.Second
 	// saveAgainAfter is how old the saved object may grow while its requests go on coming:
 	// some writes before they would lapse by it.
 	saveAgainAfter = 3 * time.Minute
@@ -83,15 +87,14 @@
 // callSaved makes one call and returns the revision of the store from which the next one
 // watches; at is 0 for the first.
 func (f *Follower) callSaved(ctx context.Context, at uint64) (next uint64, err error) {
-	timing := f.options.Timing
-	ctx, cancel := context.WithTimeout(ctx, timing.Watch+timing.WatchSlack)
+	ctx, cancel := context.WithTimeout(ctx, savedWatch+f.options.Timing.WatchSlack)
 	defer cancel()
 	var changes Newest[SavedObject]
 	if at == 0 {
 		changes, err = f.options.Source.Saved(ctx)
 	} else {
-		wait := minWaitShare + (1-minWaitShare)*rand.Float64()
-		changes, err = f.options.Source.WatchSaved(ctx, at, time.Duration(wait*float64(timing.Watch)))
+		share := minWaitShare + (1-minWaitShare)*rand.Float64()
+		changes, err = f.options.Source.WatchSaved(ctx, at, time.Duration(share*float64(savedWatch)))
 	}
 	if err != nil && !errors.Is(err, ErrGone) {
 		f.options.Metrics.StoreCall(callSaved, callFailed)
--- /dev/null
+++ b/internal/gateway/discovery/wake_test.go
@@ -0,0 +1,40 @@
+package discovery_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// sleep suspends a gateway's machine: its clock counts the time, its timers don't.
+func (g *gateway) sleep(d time.Duration) {
+	g.slept.Add(int64(d))
+	g.Wake()
+}
+
+// A gateway whose machine slept, twice in a row, knows at once how old its knowledge is, does
+// not go on as the reader by what it knew, and has all confirmed anew soon; a change is in
+// force everywhere meanwhile.
+func TestAGatewayThatSleptHasItsKnowledgeConfirmedAnew(t *testing.T) {
+	for _, slept := range []time.Duration{100 * time.Millisecond, 3 * time.Second, time.Minute} {
+		for _, reads := range []bool{true, false} {
+			measure(t, 12, 2, func(g *WithT, fleet *bigFleet) {
+				i := slices.IndexFunc(fleet.gateways, func(gw *gateway) bool { return gw.Reads() == reads })
+				sleeper := fleet.gateways[i]
+				for range 2 {
+					sleeper.sleep(slept)
+					g.Expect(sleeper.Age()).To(BeNumerically(">=", slept), "it knows how old that is")
+				}
+				g.Expect(sleeper.Reads()).To(Equal(reads && slept < time.Second), "a watch that began before may be cut")
+				fleet.store.setConfig(2)
+				took := fleet.untilAll(fleet.gateways, 2)
+				g.Expect(took).To(BeNumerically("<", fleetTiming.LastAfter), "reads %v, slept %v", reads, slept)
+				time.Sleep(3 * time.Second)
+				g.Expect(sleeper.Age()).To(BeNumerically("<", fleetTiming.SilentAfter))
+				fleet.t.Logf("in force everywhere after %v", took)
+			})
+		}
+	}
+}
