Quarantine: whatever service a request goes to

Cause: a request under which targets ended was looked up only for the service to which its first end belonged. One whose route is split, or moved to another service, went on ending targets of the other one.

Change: the verdict goes by the request alone. While any request is known its fingerprint is taken for all, some microseconds (more with a long body).

Measured: the test fails before (11 targets ended of two services) and holds now (3).

--- a/core/gateway/quarantine/quarantine.go
+++ b/core/gateway/quarantine/quarantine.go
@@ -76,7 +76,8 @@
 
 // Request is a request as the Ledger knows it.
 type Request struct {
-	Print   fingerprint.Fingerprint
+	Print fingerprint.Fingerprint
+	// Service is that which it was sent to, for operators: no rule goes by it.
 	Service string
 }
 
--- a/core/gateway/quarantine/quarantine_test.go
+++ b/core/gateway/quarantine/quarantine_test.go
@@ -48,6 +48,7 @@
 	g := NewWithT(t)
 	s := newScene()
 	fatal := request("fatal", "c1")
+	g.Expect(s.ledger.Verdicts().IsEmpty()).To(BeTrue())
 	for i, suspect := range []bool{false, true} {
 		s.ends(fmt.Sprint("i-", i), fatal)
 		g.Expect(s.isQuarantined(fatal)).To(BeFalse())
@@ -56,8 +57,10 @@
 	s.ends("i-2", fatal)
 	g.Expect(s.isQuarantined(fatal)).To(BeTrue())
 	g.Expect(s.ledger.Verdicts().Of(fatal.Print).Targets()).To(Equal([]string{"i-0", "i-1", "i-2"}))
-	g.Expect(s.ledger.Verdicts().Concerns("shop")).To(BeTrue())
-	g.Expect(s.ledger.Verdicts().Concerns("farm")).To(BeFalse())
+	g.Expect(s.ledger.Verdicts().IsEmpty()).To(BeFalse())
+	elsewhere := fatal
+	elsewhere.Service = "farm"
+	g.Expect(s.isQuarantined(elsewhere)).To(BeTrue())
 	for _, other := range []quarantine.Request{request("fatal", "c2"), request("another", "c1")} {
 		g.Expect(s.isQuarantined(other)).To(BeFalse())
 	}
--- a/core/gateway/quarantine/verdicts.go
+++ b/core/gateway/quarantine/verdicts.go
@@ -13,8 +13,8 @@
 // Verdicts say which requests are quarantined, and which are suspect. The zero value has
 // none. They don't change, so that they may be read by many.
 type Verdicts struct {
-	services map[string]bool
-	of       map[fingerprint.Fingerprint]Verdict
+	knows bool
+	of    map[fingerprint.Fingerprint]Verdict
 }
 
 // Verdict is what becomes of a request.
@@ -35,12 +35,13 @@
 // whose end another request was to blame for.
 func (v Verdict) Targets() []string { return v.targets }
 
-// Service is that of the targets.
+// Service is that of the first target that ended, as far as is known.
 func (v Verdict) Service() string { return v.service }
 
-// Concerns says whether anything is known of requests for a service; where nothing is, no
-// fingerprint need be taken.
-func (v *Verdicts) Concerns(service string) bool { return v.services[service] }
+// IsEmpty says that nothing is known of any request, so that no fingerprint need be taken.
+// It does not go by service: a route may send a request to several, or be moved to another,
+// whose targets would end as well.
+func (v *Verdicts) IsEmpty() bool { return !v.knows }
 
 // Of is the verdict on a request.
 func (v *Verdicts) Of(print fingerprint.Fingerprint) Verdict {
@@ -76,10 +77,7 @@
 
 // judge works the verdicts out anew.
 func (l *Ledger) judge() {
-	v := &Verdicts{services: map[string]bool{}}
-	for _, r := range l.records {
-		v.services[r.service] = true
-	}
+	v := &Verdicts{knows: len(l.records) > 0}
 	suspects := l.suspects()
 	v.of = judgeEach(suspects, nil)
 	if taken := l.takenFromAll(v.of); len(taken) > 0 { // they excuse others as well
--- a/internal/gateway/discovery/fatal_test.go
+++ b/internal/gateway/discovery/fatal_test.go
@@ -18,7 +18,7 @@
 // refuses says whether a gateway has the fatal request quarantined.
 func (g *gateway) refuses() bool {
 	print := func() fingerprint.Fingerprint { return fatalRequest.Print }
-	return g.fatal.Verdict(fatalRequest.Service, print).IsQuarantined()
+	return g.fatal.Verdict(print).IsQuarantined()
 }
 
 // untilAllRefuse is how long it takes until some gateways have the request quarantined.
--- a/internal/gateway/fatal/fatal.go
+++ b/internal/gateway/fatal/fatal.go
@@ -10,7 +10,7 @@
 //
 //	register := fatal.New(fatal.Options{Log: log})
 //	register.NoteEnd(request, "i-1")
-//	if register.Verdict("shop", fingerprint).IsQuarantined() {
+//	if register.Verdict(fingerprint).IsQuarantined() {
 //		// refuse the request
 //	}
 package fatal
@@ -69,11 +69,11 @@
 // gateways should hear of. It must be set before the register is used by others.
 func (r *Register) OnNews(notify func()) { r.notify = notify }
 
-// Verdict is that on a request for a service. Its fingerprint is taken only where anything
-// is known of the service's requests.
-func (r *Register) Verdict(service string, print func() fingerprint.Fingerprint) quarantine.Verdict {
+// Verdict is that on a request. Its fingerprint is taken only where anything is known: that
+// reads its body once more.
+func (r *Register) Verdict(print func() fingerprint.Fingerprint) quarantine.Verdict {
 	verdicts := r.verdicts.Load()
-	if !verdicts.Concerns(service) {
+	if verdicts.IsEmpty() {
 		return quarantine.Verdict{}
 	}
 	return verdicts.Of(print())
@@ -88,13 +88,12 @@
 }
 
 // NoteAnswer notes that a target has run a request and lives.
-func (r *Register) NoteAnswer(service string, print func() fingerprint.Fingerprint) {
-	if !r.verdicts.Load().Concerns(service) {
+func (r *Register) NoteAnswer(print func() fingerprint.Fingerprint) {
+	if r.verdicts.Load().IsEmpty() {
 		return
 	}
-	r.note(func(now time.Time) bool {
-		return r.ledger.NoteAnswer(now, quarantine.Request{Print: print(), Service: service})
-	})
+	request := quarantine.Request{Print: print()}
+	r.note(func(now time.Time) bool { return r.ledger.NoteAnswer(now, request) })
 }
 
 // NoteRefused notes that a quarantined request came again.
--- a/internal/gateway/forward/fatal.go
+++ b/internal/gateway/forward/fatal.go
@@ -14,7 +14,7 @@
 // break off an answer now and then. Nor does one count that may not have begun.
 func (b *balancer) learnFatal(req *request, target catalog.Target, result sent) (targetEnded bool) {
 	if result.outcome == outcome.Served {
-		b.options.Fatal.NoteAnswer(req.service, req.fingerprint)
+		b.options.Fatal.NoteAnswer(req.fingerprint)
 		return false
 	}
 	if result.outcome != outcome.Broken || !b.options.Pool.Refuses(context.Background(), target) {
@@ -34,7 +34,7 @@
 
 // verdictOn says whether a request may be sent, and sent a second time.
 func (b *balancer) verdictOn(req *request) quarantine.Verdict {
-	return b.options.Fatal.Verdict(req.service, req.fingerprint)
+	return b.options.Fatal.Verdict(req.fingerprint)
 }
 
 // quarantined is the refusal of a request under which targets end; nil for all others. It
--- a/internal/gateway/forward/fatal_test.go
+++ b/internal/gateway/forward/fatal_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,6 +113,38 @@
 	}
 }
 
+// A route may send a request to several services, or be moved to another one: what ended a
+// target of one service ends those of the next as well.
+func TestAFatalRequestIsRefusedWhateverServiceItGoesTo(t *testing.T) {
+	g := NewWithT(t)
+	shop := newFragile(t, 8)
+	var farm []*standin
+	for i := range 8 {
+		s := newStandin(t, fmt.Sprint("f", i), "farm", "a", nil)
+		s.do = endsAtFatal(s)
+		farm = append(farm, s)
+	}
+	f := newFixture(t, append(slices.Clone(shop), farm...)...)
+	var toFarm atomic.Bool
+	f.options.Draw = func() float64 {
+		if toFarm.Load() {
+			return 0.9
+		}
+		return 0
+	}
+	f.start()
+	var last result
+	for i := range 10 {
+		toFarm.Store(i%2 == 0)
+		last = f.put(splitPath, "caller", fatalBody)
+		g.Expect(last.err).NotTo(HaveOccurred())
+	}
+	g.Expect(runsOf(shop)).To(BeNumerically(">", 0))
+	g.Expect(runsOf(farm)).To(BeNumerically(">", 0))
+	g.Expect(runsOf(shop) + runsOf(farm)).To(Equal(3))
+	g.Expect(last.status).To(Equal(http.StatusServiceUnavailable))
+}
+
 // printOf is the fingerprint of a request that the fixture's put makes.
 func (f *fixture) printOf(t testing.TB, logged *logLines, path, caller, body string) fingerprint.Fingerprint {
 	t.Helper()
