--- a/internal/gateway/discovery/discovery.go
+++ b/internal/gateway/discovery/discovery.go
@@ -29,6 +29,7 @@
 //	links.go      connections to them; protocol.go: what gateways say to each other
 //	publish.go    the snapshot of the data path, and the log lines of changes
 //	assign.go     which targets the snapshot leaves to the versions on trial
+//	fatal.go      what gateways tell each other of requests that end targets
 //	saved.go      what is saved in the store of requests that end targets
 //	rollout.go    what is told of rollouts to whom decides on them
 //
--- a/internal/gateway/discovery/exchange.go
+++ b/internal/gateway/discovery/exchange.go
@@ -8,7 +8,6 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/freshness"
-	"github.com/sprucecrank/sprucecrank/core/gateway/quarantine"
 	"github.com/sprucecrank/sprucecrank/core/gateway/reader"
 	"github.com/sprucecrank/sprucecrank/core/member"
 )
@@ -69,7 +68,7 @@
 	f.meet(now, reply.Members, f.view.Heard)
 	f.fresh.NoteReader(now.Add(-reply.ReaderAge), reply.Reader)
 	f.hear(now, reply.Tries)
-	f.hearFatal(reply.Fatal, peer.ID)
+	f.hearFatal(f.decodeWords(reply.Fatal, peer.ID), peer.ID)
 	f.compare(now, peer, reply)
 	return nil
 }
@@ -136,12 +135,3 @@
 		f.wake() // others have to hear of it, and the reading may no longer fall to this one
 	}
 }
-
-// hearFatal takes in what another gateway knows of requests that end targets; the lock is
-// held. The time that word was on its way is not counted: what it tells of happened at a
-// moment, which is compared with others to a second.
-func (f *Follower) hearFatal(words []quarantine.Word, from string) {
-	if f.options.Fatal.Merge(words, from) {
-		f.wake() // others have to hear of it
-	}
-}
--- a/internal/gateway/discovery/neighbour.go
+++ b/internal/gateway/discovery/neighbour.go
@@ -135,7 +135,7 @@
 	now := f.options.Clock()
 	args := f.standing(now)
 	args.Wait, args.Digest = wait, !f.asksInFull(n.peer)
-	args.AsksFatal, args.FatalAt = true, n.heardFatal
+	args.AsksFatal, args.FatalAt = true, formatPosition(n.heardFatal)
 	if args.Digest && args.At.Lacks(n.at) {
 		args.At = n.at // what is missing here is asked for already
 	}
@@ -167,7 +167,7 @@
 		args.News, args.Base = f.newsFor(n), n.at
 		n.at, n.confirmed = args.At, now.Add(-min(args.Age, longAgo))
 		n.toldTries, n.toldLeaving = f.tries.Version(), args.From.Leaving
-		args.Fatal, n.toldFatal = f.options.Fatal.Since(n.toldFatal)
+		args.Fatal, n.toldFatal = f.fatalSince(n.toldFatal)
 	}
 	changed = f.changed
 	f.mu.Unlock()
@@ -196,7 +196,7 @@
 	if first := n.confirmed.IsZero(); first && n.peer.ID != "" {
 		f.options.Log.Info("news come from", "peer", n.peer.ID, "address", n.peer.Peer, "hall", n.peer.Hall, "age_s", f.loggedAge())
 	}
-	n.at, n.heardFatal = reply.Delta.To, reply.FatalAt
+	n.at, n.heardFatal = reply.Delta.To, parsePosition(reply.FatalAt)
 	n.confirmed = now.Add(-min(reply.Age, longAgo))
 	if !f.fresh.Fresh(now) && reply.Age >= f.options.Timing.SilentAfter {
 		n.until = earlier(n.until, now.Add(staleFor))
--- a/internal/gateway/discovery/protocol.go
+++ b/internal/gateway/discovery/protocol.go
@@ -5,7 +5,6 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/peers"
-	"github.com/sprucecrank/sprucecrank/core/gateway/quarantine"
 	"github.com/sprucecrank/sprucecrank/core/gateway/reader"
 	"github.com/sprucecrank/sprucecrank/core/member"
 )
@@ -49,13 +48,13 @@
 	FollowsEvacuations bool
 	// FollowsRollouts is the same for the rollouts.
 	FollowsRollouts bool
-	// AsksFatal asks for what the called gateway knows of requests that end targets and
-	// the caller has not heard: FatalAt is how far it has.
+	// AsksFatal asks for what the called gateway knows of requests that end targets and the
+	// caller has not heard: FatalAt is how far it has (formatPosition).
 	AsksFatal bool
-	FatalAt   quarantine.Position
+	FatalAt   string
 	// Fatal is what the caller knows of such requests and has not told the called gateway
-	// before.
-	Fatal []quarantine.Word
+	// before (encodeWords).
+	Fatal []byte
 }
 
 // UpdateReply is what the caller lacks, or how far the answering gateway is.
@@ -86,6 +85,6 @@
 	Tries []reader.Try
 	// Fatal is what the caller asked for of requests that end targets, and FatalAt how far
 	// it has then heard.
-	Fatal   []quarantine.Word
-	FatalAt quarantine.Position
+	Fatal   []byte
+	FatalAt string
 }
--- a/internal/gateway/discovery/serve.go
+++ b/internal/gateway/discovery/serve.go
@@ -75,7 +75,7 @@
 	reply.Age, reply.Origin = f.fresh.Age(now), f.fresh.Origin()
 	reply.Tries = f.tries.Told(now)
 	if args.AsksFatal {
-		reply.Fatal, reply.FatalAt = f.options.Fatal.Since(args.FatalAt)
+		f.addFatal(args, reply)
 	}
 	if id, age := f.fresh.Reader(now); age < f.options.Timing.SilentAfter {
 		reply.Reader, reply.ReaderAge = id, age
@@ -117,7 +117,7 @@
 	f.asked = now
 	f.meet(now, args.Members, f.view.Called)
 	f.hear(now, args.Tries)
-	f.hearFatal(args.Fatal, args.From.ID)
+	f.hearFatal(f.decodeWords(args.Fatal, args.From.ID), args.From.ID)
 	if args.From.ID == "" {
 		return
 	}
@@ -181,6 +181,6 @@
 	ahead := args.lacks(f.catalog.Position())
 	confirms := f.fresh.Confirms(now, older(args.Age, now.Sub(asked)))
 	tries := f.tries.Lacking(now, args.Tries)
-	fatal := args.AsksFatal && f.options.Fatal.Position() != args.FatalAt
+	fatal := args.AsksFatal && f.options.Fatal.Position() != parsePosition(args.FatalAt)
 	return ahead || confirms || tries || fatal || f.view.Self().Leaving
 }
