rpclink: the short calls between gateways, out of delivery

Cause: quotas need the same connection that rollouts' reports use: made when needed, closed when an answer does not come in time. Change: delivery's peer becomes a package; method and messages are the caller's. Its tests pass as they stand. Conclusion: one copy, no behaviour changed.

--- a/internal/gateway/delivery/delivery.go
+++ b/internal/gateway/delivery/delivery.go
@@ -18,7 +18,6 @@
 //	decide.go    the duty of deciding; touch.go: taking over from another gateway
 //	record.go    the writes, and how they end
 //	report.go    the duty of reporting; due.go: when a report is due
-//	peer.go      the connection to the gateway that decides
 //	serve.go     taking reports; protocol.go: what gateways say to each other
 //	log.go       log lines
 //
@@ -45,6 +44,7 @@
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/discovery"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/rpclink"
 )
 
 const (
@@ -55,6 +55,10 @@
 	// the look before, and is taken to be so much older: a sixth of the 1.5 s that are a
 	// margin before its deadline. Chosen, for few wake-ups where nothing is ordered.
 	idleEvery = 250 * time.Millisecond
+	// answerWithin bounds how long a report may take from the making of the connection to its
+	// answer. Chosen: many times what it usually takes, a small part of the time in which a bad
+	// version must be stopped.
+	answerWithin = 300 * time.Millisecond
 )
 
 // Options configure a Delivery.
@@ -93,7 +97,7 @@
 type Delivery struct {
 	options Options
 	writes  *rate.Limiter
-	peer    peer
+	peer    *rpclink.Link // to the gateway that decides; the duty of reporting uses it
 
 	mu      sync.Mutex
 	courses map[string]*course // by service
@@ -118,7 +122,7 @@
 		o.Dial = (&net.Dialer{}).DialContext
 	}
 	return &Delivery{
-		options: o, writes: rate.NewLimiter(rate.Every(writeEvery), writesAtOnce), peer: peer{dial: o.Dial},
+		options: o, writes: rate.NewLimiter(rate.Every(writeEvery), writesAtOnce), peer: rpclink.New(o.Dial, answerWithin),
 		courses: map[string]*course{}, ages: rollout.NewAges(),
 	}
 }
--- a/internal/gateway/delivery/report.go
+++ b/internal/gateway/delivery/report.go
@@ -36,13 +36,13 @@
 
 // report is the duty of reporting to the gateway that decides.
 func (d *Delivery) report(ctx context.Context) error {
-	defer d.peer.close()
+	defer d.peer.Close()
 	r := &reporter{sent: map[string]sent{}}
 	for {
 		changed := d.options.Changed()
 		running := d.running()
 		if len(running) == 0 {
-			d.peer.close()
+			d.peer.Close()
 			clear(r.sent)
 		}
 		for to, reports := range d.due(r, running) {
@@ -117,7 +117,9 @@
 	if to.address == d.options.Self.Peer {
 		return d.answer(args), nil
 	}
-	return d.peer.call(ctx, to.address, args)
+	var reply ReportReply
+	err := d.peer.Call(ctx, to.address, methodReport, args, &reply)
+	return reply, err
 }
 
 // noteFailed notes that an address did not answer: the pause grows with each time, and the
--- /dev/null
+++ b/internal/gateway/rpclink/rpclink.go
@@ -0,0 +1,85 @@
+// Package rpclink is a connection to another gateway for short calls by net/rpc: made when
+// it is needed, kept for the next call, closed when an answer does not come in time.
+//
+// It owns the connection. It repeats nothing. A Link is for one goroutine.
+//
+// # Usage
+//
+//	link := rpclink.New(dial, 300*time.Millisecond)
+//	err := link.Call(ctx, "10.0.0.7:7000", "Delivery.Report", args, &reply)
+//	link.Close()
+package rpclink
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"time"
+)
+
+// ErrNoAnswer says that the other gateway did not answer in time.
+var ErrNoAnswer = errors.New("the gateway did not answer in time")
+
+// Link is a connection to whichever gateway was called last.
+type Link struct {
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	within  time.Duration
+	address string
+	client  *rpc.Client
+}
+
+// New makes a link without a connection; within bounds each call, from the making of the
+// connection to the answer.
+func New(dial func(ctx context.Context, network, address string) (net.Conn, error), within time.Duration) *Link {
+	return &Link{dial: dial, within: within}
+}
+
+// Call calls a method at an address. reply may be looked at only where there is no error. An
+// error that the other side answered leaves the connection as it is.
+func (l *Link) Call(ctx context.Context, address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, l.within)
+	defer cancel()
+	if err := l.connect(ctx, address); err != nil {
+		if ctx.Err() != nil {
+			return ErrNoAnswer
+		}
+		return err
+	}
+	call := l.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	var err error
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-ctx.Done():
+		l.Close() // the reply may still be written to
+		return ErrNoAnswer
+	}
+	var answered rpc.ServerError
+	if err != nil && !errors.As(err, &answered) {
+		l.Close()
+	}
+	return err
+}
+
+// connect makes the connection to an address, if it is not there.
+func (l *Link) connect(ctx context.Context, address string) error {
+	if l.client != nil && l.address == address {
+		return nil
+	}
+	l.Close()
+	conn, err := l.dial(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	l.address, l.client = address, rpc.NewClient(conn)
+	return nil
+}
+
+// Close ends the connection.
+func (l *Link) Close() {
+	if l.client != nil {
+		_ = l.client.Close() // nothing is left to be said on it
+	}
+	l.client = nil
+}
