Keys and quotas on the data path, and from the platform's configuration

Cause: a key went to the target, and nobody asked whose it was. Change: a request is known by its key before a target is looked for (401, or 503 where the gateway may be behind); the workspace's name replaces the key on the way to the target; a key is asked for again before each send and in each round of a wait; a quota is asked once, and given back by what did not run. Boundaries name the platform's new words.

--- a/core/gateway/routing/routing.go
+++ b/core/gateway/routing/routing.go
@@ -3,7 +3,7 @@
 // may be treated. A Table never changes once made.
 //
 // It owns the rule by which a route is found and a service is picked. It relies on
-// nothing else, does no I/O and draws no random numbers. The fields of Config and of what it is made of are open, since the
+// core/gateway/workspace for the keys of a version, does no I/O and draws no random numbers. The fields of Config and of what it is made of are open, since the
 // adapter fills them in; a Table is read through methods.
 //
 // # Usage
@@ -17,6 +17,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/workspace"
 )
 
 // Share is one part of a route's traffic.
@@ -46,6 +48,8 @@
 	Priority int
 	// Regions are those whose targets may have the requests; nil for all, empty for none.
 	Regions []string
+	// Public says that requests need no key, where the configuration has workspaces.
+	Public bool
 }
 
 // Allows says whether targets of a region may have the route's requests. A region that
@@ -54,6 +58,20 @@
 	return r.Regions == nil || known && slices.Contains(r.Regions, region)
 }
 
+// CommonRegions are the regions that two lists allow, of which an empty one allows all: nil
+// for all, an empty list for none. The lists are not changed.
+func CommonRegions(a, b []string) []string {
+	switch {
+	case len(a)+len(b) == 0:
+		return nil
+	case len(a) == 0:
+		return b
+	case len(b) == 0:
+		return a
+	}
+	return slices.DeleteFunc(slices.Clone(a), func(region string) bool { return !slices.Contains(b, region) })
+}
+
 // Service describes the targets of one service as a whole.
 type Service struct {
 	Name string
@@ -82,6 +100,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Workspaces are those whose keys are asked for; nil where no key is, empty where
+	// there is none that would do.
+	Workspaces []workspace.Config
 }
 
 // Table answers which route a request takes.
@@ -91,6 +112,8 @@
 	byHost   map[string][]*Route
 	services map[string]*Service
 	regions  []string
+	// workspaces is nil where no keys are asked for.
+	workspaces *workspace.Directory
 }
 
 // New makes the table of a configuration.
@@ -109,6 +132,9 @@
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	if c.Workspaces != nil {
+		t.workspaces = workspace.New(c.Workspaces)
+	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
@@ -127,6 +153,9 @@
 	return s, ok
 }
 
+// Workspaces are those whose keys are asked for; nil where no key is.
+func (t *Table) Workspaces() *workspace.Directory { return t.workspaces }
+
 // Regions are those that any route names, in order.
 func (t *Table) Regions() []string { return t.regions }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/quota"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
 )
@@ -71,6 +72,7 @@
 	answers   *upstream.Room // for what is held of answers
 	forward   *forward.Handler
 	fatal     *fatal.Register  // requests that end targets
+	quota     *quota.Register  // requests of workspaces that have limits
 	metrics   *metrics.Metrics // nil without an address to serve them on
 	stopping  atomic.Bool
 	assembled atomic.Bool
@@ -138,9 +140,13 @@
 	})
 	g.answers = upstream.NewRoom(answerRoom(s))
 	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Room: g.answers, Opened: g.metrics.Opened})
+	g.quota = quota.New(quota.Options{
+		Self: self, Homes: g.discovery.First, Gateways: g.discovery.Gateways, HasLimits: g.hasLimits, Tolerance: s.QuotaTolerance,
+		Clock: o.Clock, Metrics: g.metrics, Log: g.log,
+	})
 	g.forward = forward.New(forward.Options{
 		Names: o.Wire.Headers, Places: g.places.Load, Snapshot: g.discovery.Snapshot, Current: g.discovery.Current,
-		Gateways: g.discovery.Gateways, Fatal: g.fatal,
+		Gateways: g.discovery.Gateways, Fatal: g.fatal, Quota: g.quota, TrustsKeys: g.trustsKeys,
 		Ready: g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
 		Retry: forward.Retry{Window: seconds(s.RetryWindow), Ratio: s.RetryRatio},
 	})
@@ -174,9 +180,25 @@
 	if len(unknown) > 0 {
 		g.log.Warn("configuration names unknown regions", "version", table.Version(), "regions", unknown)
 	}
+	if directory := table.Workspaces(); directory != nil && len(directory.Shared()) > 0 {
+		g.log.Warn("keys name nobody since several workspaces give them", "version", table.Version(), "workspaces", directory.Shared())
+	}
 	return table, nil
 }
 
+// hasLimits says whether any workspace has a limit.
+func (g *Gateway) hasLimits() bool {
+	table := g.discovery.Snapshot().Table()
+	return table != nil && table.Workspaces().HasLimits()
+}
+
+// trustsKeys says whether keys that are believed to be in force may be relied on. Where the
+// settings say so, those that a gateway has not heard of for long count as revoked.
+func (g *Gateway) trustsKeys() bool {
+	s := g.settings.Load()
+	return !s.RevokeUnconfirmed || g.discovery.Age() <= seconds(s.RevokeWithin)
+}
+
 // state is what the metrics show of this moment.
 func (g *Gateway) state() metrics.State {
 	state := metrics.State{
--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -33,10 +33,11 @@
 
 // services are what other gateways may call besides the exchange.
 func (g *Gateway) services() []discovery.Service {
-	if g.delivery == nil {
-		return nil
+	services := []discovery.Service{g.quota.Service()}
+	if g.delivery != nil {
+		services = append(services, g.delivery.Service())
 	}
-	return []discovery.Service{g.delivery.Service()}
+	return services
 }
 
 // rollouts are what the metrics show of the rollouts that are known.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -55,6 +55,7 @@
 // addDuties adds what works in the background until the group ends.
 func (g *Gateway) addDuties(ctx context.Context, group *run.Group, end func()) {
 	duties := append(g.discovery.Duties(), pause.Every(retainEvery, g.retain))
+	duties = append(duties, g.quota.Duties()...)
 	if g.delivery != nil {
 		duties = append(duties, g.delivery.Duties()...)
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -49,6 +49,14 @@
 	// in seconds; 0 or left out where no hall is ever evacuated, which saves calls to
 	// the store.
 	EvacuateWithin float64 `json:"evacuate_within_s,omitempty"`
+	// RevokeUnconfirmed has keys of workspaces refused while the configuration has not been
+	// confirmed for RevokeWithin seconds: they may have been revoked. Without it they stay in
+	// force as they were last known.
+	RevokeUnconfirmed bool    `json:"revoke_unconfirmed,omitempty"`
+	RevokeWithin      float64 `json:"revoke_within_s,omitempty"`
+	// QuotaTolerance is how many requests more than its limit allows a workspace may have
+	// admitted in any window, whatever fails.
+	QuotaTolerance float64 `json:"quota_tolerance,omitempty"`
 	// Rollout bounds rollouts; left out where none is ever ordered, which saves calls to
 	// the store.
 	Rollout *RolloutSettings `json:"rollout,omitempty"`
@@ -187,6 +195,12 @@
 	if s.EvacuateWithin < 0 {
 		return fmt.Errorf("settings field evacuate_within_s is %v; give seconds above 0, or leave it out where no hall is evacuated", s.EvacuateWithin)
 	}
+	if s.RevokeWithin < 0 || s.RevokeUnconfirmed && s.RevokeWithin == 0 {
+		return fmt.Errorf("settings field revoke_within_s is %v; give seconds above 0 where revoke_unconfirmed is true", s.RevokeWithin)
+	}
+	if s.QuotaTolerance < 0 {
+		return fmt.Errorf("settings field quota_tolerance is %v; give a number of requests, 0 or more", s.QuotaTolerance)
+	}
 	if s.MemoryMB < 0 {
 		return fmt.Errorf("settings field memory_mb is %v; give megabytes, or 0 for no bound", s.MemoryMB)
 	}
--- a/internal/boundaries/boundaries_test.go
+++ b/internal/boundaries/boundaries_test.go
@@ -142,6 +142,7 @@
 	"Attempt-Id", "Deadline-Ms\"", "Expected-Instance", "Instance-Id", "Server-Load", "Server-Signature", "Not-Executed",
 	"config/main", "trafficSplit", "pathPrefix", "targetLatencyS", "healthCheckPath", "warmupRemainingS",
 	"configApplyS", "gracePeriodS", "retryBudgetRatio", "listenAddresses", "SPRUCECRANK_NODE_FILE", "waitMs",
+	"Tenant-Name", "apiKeys", "ratePerS", "burstSize", "revokeWhenPartitioned", "quotaTolerance",
 }
 
 func TestThePlatformsNamesStandInTheAdapterOnly(t *testing.T) {
--- a/internal/gateway/forward/answer.go
+++ b/internal/gateway/forward/answer.go
@@ -48,6 +48,9 @@
 	if pause := f.RetryAfter(); pause > 0 {
 		out.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
 	}
+	if f.Status() == http.StatusUnauthorized {
+		out.Set("WWW-Authenticate", h.options.Names.KeyScheme)
+	}
 	out.Set("Content-Length", "0")
 	w.WriteHeader(f.Status())
 	h.report(req, f.Status(), f)
--- a/internal/gateway/forward/balancer.go
+++ b/internal/gateway/forward/balancer.go
@@ -94,10 +94,19 @@
 	})
 }
 
+// refused ends a request that was never looked a target for, with when to come back.
+func (b *balancer) refused(req *request, failure *verdict.Error) *verdict.Error {
+	later := max(failure.RetryAfter(), refusal.RetryAfter(req.deadline.Client().Sub(b.options.Clock()), b.options.Draw()))
+	return refusal.Final(refusal.Ending{Failure: failure, RetryAfter: later})
+}
+
 // retryAfter is when the client of a refused request should come back, by its cause.
 func (b *balancer) retryAfter(req *request, svc *service, failure *verdict.Error) time.Duration {
-	if failure.Reason() == verdict.ReasonQuarantined {
+	switch failure.Reason() {
+	case verdict.ReasonQuarantined:
 		return quarantine.LapseAfter()
+	case verdict.ReasonUnauthorized:
+		return 0 // the key will be no better later
 	}
 	if failure.Reason() == verdict.ReasonShed && svc.room(b.options.Clock()).IsOpen() {
 		return refusal.AtOnce(b.options.Draw())
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -10,7 +10,8 @@
 // or a second send beside a slow one: core/gateway/retry. How a send ended and
 // what that means: core/gateway/outcome. Who is left alone: core/gateway/ejection.
 // How a request ends that is given up: core/gateway/refusal. Which requests are sent to
-// nobody since targets end under them: core/gateway/quarantine.
+// nobody since targets end under them: core/gateway/quarantine. Whose a request is:
+// core/gateway/workspace, and whether its quota allows it: core/gateway/quota.
 //
 // It relies on a snapshot of what the process believes (internal/gateway/discovery
 // makes it) and on connections to targets (internal/gateway/upstream). It goes on
@@ -34,6 +35,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/quota"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
 	"github.com/sprucecrank/sprucecrank/verdict"
@@ -67,6 +69,11 @@
 	// Fatal knows which requests end the targets that run them; nil for what this handler
 	// sees alone.
 	Fatal *fatal.Register
+	// Quota admits requests of workspaces that have limits; nil admits all.
+	Quota *quota.Register
+	// TrustsKeys says whether keys may be relied on that are believed to be in force; nil
+	// for always.
+	TrustsKeys func() bool
 	// Metrics may be nil.
 	Metrics *metrics.Metrics
 	Clock   func() time.Time
@@ -120,6 +127,9 @@
 	if o.Fatal == nil {
 		o.Fatal = fatal.New(fatal.Options{Clock: o.Clock, Log: o.Log})
 	}
+	if o.TrustsKeys == nil {
+		o.TrustsKeys = func() bool { return true }
+	}
 	if o.Gateways == nil {
 		o.Gateways = func() int { return 1 }
 	}
@@ -183,7 +193,15 @@
 	if failure := readBody(req); failure != nil {
 		return nil, failure
 	}
-	return h.balancer.run(h.bound(req), req)
+	ctx := h.bound(req)
+	if failure := h.admit(ctx, req); failure != nil {
+		return nil, h.balancer.refused(req, failure)
+	}
+	answer, failure := h.balancer.run(ctx, req)
+	if failure != nil && failure.Verdict() == verdict.NotRun {
+		req.credit.Return()
+	}
+	return answer, failure
 }
 
 // awaitReady waits a little for a process that has just begun.
--- a/internal/gateway/forward/log.go
+++ b/internal/gateway/forward/log.go
@@ -118,7 +118,7 @@
 }
 
 // maxAttributes is how many a line has at most.
-const maxAttributes = 17
+const maxAttributes = 18
 
 // attributes are those of a line that tell what was done for a request.
 func (r *request) attributes(status int, held time.Duration) []slog.Attr {
@@ -130,6 +130,9 @@
 	if r.route != nil {
 		list = append(list, slog.String("route", r.route.Name), slog.Float64("objective_ms", milliseconds(r.route.Objective)))
 	}
+	if name := r.workspaceName(); name != "" {
+		list = append(list, slog.String("workspace", name))
+	}
 	if r.waits > 0 {
 		list = append(list, slog.Int("waits", r.waits))
 	}
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -17,7 +17,7 @@
 	}
 	deadlines := placement.NewDeadlines(req.began, req.route.Objective, svc.usual(req.route))
 	for {
-		if failure := b.quarantined(req); failure != nil {
+		if failure := b.barred(req); failure != nil {
 			return nil, failure
 		}
 		within := b.within(req, svc)
@@ -59,7 +59,7 @@
 	allowed := len(b.places.allowed(req.route, known))
 	state := placement.State{
 		Now: now, Deadlines: deadlines, Targets: allowed, Barred: len(known) - allowed, Evacuated: believed.Evacuated(req.service),
-		Within: within, Yield: svc.yields(now, req.route.Priority),
+		Within: within, Yield: svc.yields(now, req.priority()),
 	}
 	if best != nil {
 		state.Best = &best.Candidate
@@ -70,7 +70,7 @@
 		decision = placement.Decide(state)
 	}
 	if decision.Contended() {
-		svc.waited(now, req.route.Priority)
+		svc.waited(now, req.priority())
 	}
 	switch decision.Action() {
 	case placement.Take, placement.RefuseNoTarget, placement.RefuseEvacuated, placement.RefuseRegion:
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -15,6 +15,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/refusal"
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/quota"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -47,6 +48,10 @@
 	// exploresLimit says that it may take a slot that is better left free.
 	exploresLimit bool
 	sendLog       sendLog
+	// caller is whose request it is, by the newest configuration that was asked.
+	caller atomic.Pointer[caller]
+	// credit is what its workspace's quota gave for it; nil where it has none.
+	credit *quota.Credit
 	// fingerprint tells it from others; it is worked out when first asked for.
 	fingerprint func() fingerprint.Fingerprint
 }
@@ -66,7 +71,7 @@
 	}
 	return fingerprint.Of(fingerprint.Request{
 		Method: r.in.Method, Host: r.in.Host, URI: r.in.RequestURI, Body: r.body, Address: address,
-		Credentials: []string{r.in.Header.Get("Authorization"), r.in.Header.Get("Cookie")},
+		Credentials: []string{r.in.Header.Get(headerKey), r.in.Header.Get("Cookie")},
 	})
 }
 
@@ -85,6 +90,9 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonNoService, "no route in force covers this host and path")
 	}
 	req.route = route
+	if failure := h.balancer.identify(req, table); failure != nil {
+		return failure
+	}
 	req.service = route.Pick(h.options.Draw())
 	req.onTrial = h.drawTrial(req.service)
 	if service, ok := table.Service(req.service); ok {
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -53,6 +53,14 @@
 	if chosen.trial > 0 && !b.options.Current() {
 		return verdict.New(verdict.NotRun, verdict.ReasonShed, "the version on trial may have been rolled back")
 	}
+	return b.barred(req)
+}
+
+// barred is why a request may be sent to nobody any more; nil if it may.
+func (b *balancer) barred(req *request) *verdict.Error {
+	if failure := b.revoked(req); failure != nil {
+		return failure
+	}
 	return b.quarantined(req)
 }
 
@@ -73,6 +81,13 @@
 	headers.RemoveHopByHop(h)
 	h.Del("Content-Length")
 	h.Del("Expect")
+	if who := req.caller.Load(); who.hidden {
+		h.Del(headerKey)
+		h.Del(names.Workspace)
+		if who.workspace != nil {
+			h.Set(names.Workspace, who.workspace.Name())
+		}
+	}
 	left := max((req.deadline.Request().Sub(now) - chosen.Trip).Milliseconds(), 1)
 	h.Set(names.Deadline, strconv.FormatInt(left, 10))
 	h.Set(names.ExpectInstance, chosen.target.ID)
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -32,6 +32,10 @@
 	Warmup string
 	// NotRun marks an answer of a target that did not run the request.
 	NotRun string
+	// Workspace tells a target whose request it gets.
+	Workspace string
+	// KeyScheme is what stands before a key in the Authorization header.
+	KeyScheme string
 }
 
 // Defaults are the product's own names.
@@ -44,6 +48,8 @@
 		Load:           "Target-Load",
 		Warmup:         "Target-Warmup-Ms",
 		NotRun:         "Target-Verdict",
+		Workspace:      "Sprucecrank-Workspace",
+		KeyScheme:      "Bearer",
 	}
 }
 
