Soak: workspaces, keys that come and go, a limit that is passed

Cause: the soak knew no keys. Change: a route that needs one, clients that show keys of three workspaces, old ones and made-up ones, beside all other faults; a fault that takes a key away. Checked from what targets and clients see: whose a request is said to be, that no target sees a key, that nothing runs under a key long taken away, that no window holds more than the limit's bound.

--- a/e2e/gateway/soak_test.go
+++ b/e2e/gateway/soak_test.go
@@ -61,6 +61,9 @@
 	for n := range pipeliningClients {
 		clients.Go(func() { w.pipelining(ctx, seed, n) })
 	}
+	for n := range keyedClients {
+		clients.Go(func() { w.keyed(ctx, seed, n) })
+	}
 	defer clients.Wait()
 	defer stop()
 	played := w.play(*soakFor)
@@ -108,6 +111,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}},
+	{"key taken away", true, (*world).revoke},
 	{"target leaves", true, (*world).leave},
 	{"target comes", true, func(w *world, random *rand.Rand, _ time.Duration) {
 		w.addTarget([]string{soakService, otherService}[random.IntN(2)], "")
@@ -518,6 +522,7 @@
 		}
 	}
 	w.checkFatal()
+	w.checkQuota()
 	w.t.Logf("%d requests, second sends %v, %d lives of gateways, version %d", len(w.records.outcomes), second, w.lives.Load(), w.version.Load())
 }
 
--- a/e2e/gateway/soak_world_test.go
+++ b/e2e/gateway/soak_world_test.go
@@ -113,6 +113,7 @@
 		return
 	}
 	b.records.arrived(id, b, r, body, true)
+	b.world.keys.ran(b.world, id, r)
 	if name := fatalName(r); name != "" {
 		b.endBy(name)
 		return
@@ -245,6 +246,7 @@
 	began    time.Time
 	healed   time.Duration // when all faults were over, since began
 	fatals   fatals
+	keys     *keys
 	after    sync.WaitGroup // what goes on beyond the event that began it
 }
 
@@ -260,6 +262,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), began: time.Now(),
 		records: &records{arrivals: map[string][]arrival{}, outcomes: map[string]outcome{}, cold: map[string][]time.Duration{}},
 		fatals:  fatals{runs: map[string][]fatalRun{}},
+		keys:    newKeys(),
 	}
 	var address string
 	w.store, address = storetest.New(t)
@@ -272,7 +275,7 @@
 	for i := range gateways {
 		g := &soakGateway{process: newProcess(t, fmt.Sprint("gateway-", i), address, &[]string{}), index: i}
 		g.clients, g.peers, g.store = w.proxy(g.addresses["listen"]), w.proxy(g.addresses["peer_listen"]), w.proxy(address)
-		g.extra = storetest.Object{"peer_advertise": g.peers.Address(), "hall": fmt.Sprint("hall-", i%2), "watch_trust_s": 3, "restore_within_s": 2.3, "evacuate_within_s": 5}
+		g.extra = storetest.Object{"peer_advertise": g.peers.Address(), "hall": fmt.Sprint("hall-", i%2), "watch_trust_s": 3, "restore_within_s": 2.3, "evacuate_within_s": 5, "quota_tolerance": 20}
 		seeds = append(seeds, g.peers.Address())
 		w.gateways = append(w.gateways, g)
 	}
@@ -359,12 +362,13 @@
 
 // configure puts a configuration in force whose routes tell its version.
 func (w *world) configure(version int64) {
-	rules := []storetest.Object{w.rule("/read/", "safe", soakService), w.rule("/book/", "unsafe", soakService), w.rule("/far/", "safe", otherService)}
+	rules := []storetest.Object{w.rule("/read/", "safe", soakService), w.rule("/book/", "unsafe", soakService), w.rule("/far/", "safe", otherService), w.rule(keyedPath, "safe", soakService)}
+	rules[len(rules)-1]["public"] = false
 	for v := max(version-oldestRoute+1, 1); v <= version; v++ {
 		rules = append(rules, w.rule(versionPath(v), "safe", soakService))
 	}
 	w.store.Put(storetest.Config, "main", storetest.Object{
-		"version": version, "limits": storetest.Object{"maxBodyBytes": 1 << 20},
+		"version": version, "tenants": w.keys.workspaces(), "limits": storetest.Object{"maxBodyBytes": 1 << 20},
 		"listeners": []storetest.Object{{"hostname": "shop.example", "rules": rules}},
 		"clusters": []storetest.Object{
 			{"name": soakService, "healthCheckPath": "/health", "maxConnections": 200, "warmupPerS": soakColdRate},
@@ -376,7 +380,7 @@
 
 func (w *world) rule(prefix, kind, service string) storetest.Object {
 	return storetest.Object{
-		"name": prefix, "kind": kind, "targetLatencyS": 0.5, "priority": 1,
+		"name": prefix, "kind": kind, "targetLatencyS": 0.5, "priority": 1, "public": true,
 		"matchCriteria": storetest.Object{"pathPrefix": prefix},
 		"action":        storetest.Object{"service": service, "timeoutS": 3, "maxAttempts": soakAttempts},
 	}
