--- a/internal/gateway/forward/caller_test.go
+++ b/internal/gateway/forward/caller_test.go
@@ -247,7 +247,7 @@
 	g := NewWithT(t)
 	s := newStandin(t, "s1", "shop", "a", ok)
 	k := newKeyed(t, 7, []workspace.Config{
-		{Name: "harbour", Keys: []string{"k-1"}, Limit: quota.Limit{Rate: 0.001, Burst: 8}},
+		{Name: "harbour", Keys: []string{"k-1"}, Limit: quota.Limit{Rate: 0.001, Burst: 40}},
 		{Name: "mill", Keys: []string{"k-2"}},
 	}, s)
 	k.options.Quota = limited(t)
@@ -262,7 +262,7 @@
 	g.Expect(last.status).To(Equal(http.StatusTooManyRequests))
 	g.Expect(last.header.Get("Retry-After")).NotTo(BeEmpty())
 	g.Expect(served).To(BeNumerically(">", 0))
-	g.Expect(served).To(BeNumerically("<=", 8))
+	g.Expect(served).To(BeNumerically("<=", 40))
 	g.Expect(int(s.runs.Load())).To(Equal(served))
 	g.Expect(k.get(readPath, "Authorization", "Bearer k-2").status).To(Equal(http.StatusOK))
 }
@@ -272,7 +272,7 @@
 	g := NewWithT(t)
 	s := newStandin(t, "s1", "shop", "a", refuse)
 	k := newKeyed(t, 7, []workspace.Config{
-		{Name: "harbour", Keys: []string{"k-1"}, Limit: quota.Limit{Rate: 0.001, Burst: 4}},
+		{Name: "harbour", Keys: []string{"k-1"}, Limit: quota.Limit{Rate: 0.001, Burst: 20}},
 	}, s)
 	k.options.Quota = limited(t)
 	k.start()
