Workspaces in metrics, explain and refusals

Cause: a customer that gets 429 asks why, and an operator who is behind a burst. Change: counts by workspace, the 16 busiest and one sum for the others; explain names the workspace; the refusal says which limit of which version, and which part of it this side of a cut gives out. Tests with it.

--- a/core/gateway/quota/borrower.go
+++ b/core/gateway/quota/borrower.go
@@ -35,6 +35,7 @@
 	// refused are requests that were refused since the home was last asked.
 	refused    int
 	pauseUntil time.Time
+	permille   int
 }
 
 // Use says what is to be done with a request, and takes the credit for it if there is any.
@@ -74,10 +75,14 @@
 	goOn = min(g.Count, waiting)
 	b.add(now, g.Count-goOn)
 	if g.Pause > 0 {
-		b.pauseUntil = now.Add(g.Pause)
+		b.pauseUntil, b.permille = now.Add(g.Pause), g.Permille
 	}
 	return goOn
 }
 
+// Permille is the part of the limit that the home gave out when there was too little last, in
+// thousandths.
+func (b *Borrower) Permille() int { return b.permille }
+
 // PauseLeft is for how long there is nothing to be had.
 func (b *Borrower) PauseLeft(now time.Time) time.Duration { return max(b.pauseUntil.Sub(now), 0) }
--- a/core/gateway/quota/ledger.go
+++ b/core/gateway/quota/ledger.go
@@ -101,7 +101,7 @@
 	grant.Count = max(0, min(w.Count, int(b.level)))
 	b.level -= float64(grant.Count)
 	if grant.Count < w.Count {
-		grant.Pause = b.pause(l.members.fleet)
+		grant.Pause, grant.Permille = b.pause(l.members.fleet), int(math.Round(1000*b.share))
 	}
 	return grant, true
 }
--- a/core/gateway/quota/quota.go
+++ b/core/gateway/quota/quota.go
@@ -81,8 +81,10 @@
 // Grant is the credit that is given.
 type Grant struct {
 	Count int
-	// Pause is for how long there is nothing more to be had, if there was too little.
-	Pause time.Duration
+	// Pause is for how long there is nothing more to be had, if there was too little, and
+	// Permille the part of the limit that the home then gave out, in thousandths.
+	Pause    time.Duration
+	Permille int
 }
 
 // Home names the one of some gateways that is the home of a workspace; false if there are
--- a/core/gateway/workspace/workspace_test.go
+++ b/core/gateway/workspace/workspace_test.go
@@ -121,3 +121,24 @@
 		workspace.New(configs)
 	}
 }
+
+func TestATallyNamesTheBusiestAndSumsTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	tally := workspace.NewTally()
+	for i := range 12_000 {
+		tally.Add(fmt.Sprint("workspace-", i), workspace.Served)
+	}
+	for range 5 {
+		tally.Add("workspace-7", workspace.OverQuota)
+		tally.Add("workspace-8", workspace.Served)
+	}
+	tally.Add("workspace-8", workspace.Failed)
+	counts := tally.Busiest(2)
+	g.Expect(counts).To(HaveLen(3))
+	g.Expect(counts[0].Workspace).To(Equal("workspace-8"))
+	g.Expect(counts[0].Ended(workspace.Served)).To(Equal(uint64(6)))
+	g.Expect(counts[0].Ended(workspace.Failed)).To(Equal(uint64(1)))
+	g.Expect(counts[1].Ended(workspace.OverQuota)).To(Equal(uint64(5)))
+	g.Expect(counts[2].Workspace).To(BeEmpty())
+	g.Expect(counts[2].Ended(workspace.Served)).To(Equal(uint64(11_998)))
+}
--- a/internal/cli/explaincmd/explaincmd.go
+++ b/internal/cli/explaincmd/explaincmd.go
@@ -116,8 +116,8 @@
 	table := tabwriter.NewWriter(o.factory.IO.Out, 0, 0, 2, ' ', 0)
 	for i, line := range told.Lines {
 		began := line.Time.Add(-time.Duration(line.HeldMS * float64(time.Millisecond)))
-		_, _ = fmt.Fprintf(table, "%s\t%s takes request %s\troute %s, service %s, configuration %d\n",
-			began.Format(time.StampMilli), line.Gateway, told.Request, line.Route, line.Service, line.Config)
+		_, _ = fmt.Fprintf(table, "%s\t%s takes request %s\troute %s, service %s, configuration %d%s\n",
+			began.Format(time.StampMilli), line.Gateway, told.Request, line.Route, line.Service, line.Config, whose(line))
 		for _, send := range line.Sends {
 			what := "sent to"
 			if send.Hedge {
@@ -132,6 +132,14 @@
 	return table.Flush()
 }
 
+// whose names the workspace of a request that has one.
+func whose(line timeline.Line) string {
+	if line.Workspace == "" {
+		return ""
+	}
+	return ", workspace " + line.Workspace
+}
+
 // where is the hall of a send's target and, in a fleet that spans regions, its region
 // and how far that is.
 func where(send forward.Send) string {
--- a/internal/cli/timeline/timeline.go
+++ b/internal/cli/timeline/timeline.go
@@ -41,6 +41,7 @@
 	Config       uint64         `json:"config"`
 	Service      string         `json:"service"`
 	Route        string         `json:"route"`
+	Workspace    string         `json:"workspace,omitzero"`
 	Waits        int            `json:"waits"`
 	Probed       int            `json:"probed,omitzero"`
 	Idle         int            `json:"idle,omitzero"`
--- a/internal/gateway/forward/caller.go
+++ b/internal/gateway/forward/caller.go
@@ -86,6 +86,20 @@
 	return ""
 }
 
+// count counts a request of a workspace by how it ended.
+func (h *Handler) count(req *request, f *verdict.Error) {
+	name := req.workspaceName()
+	switch {
+	case name == "":
+	case f == nil:
+		h.options.Metrics.Workspace(name, workspace.Served)
+	case f.Reason() == verdict.ReasonQuota:
+		h.options.Metrics.Workspace(name, workspace.OverQuota)
+	default:
+		h.options.Metrics.Workspace(name, workspace.Failed)
+	}
+}
+
 // admit says whether the quota of the request's workspace allows it.
 func (h *Handler) admit(ctx context.Context, req *request) *verdict.Error {
 	who := req.caller.Load()
--- a/internal/gateway/forward/log.go
+++ b/internal/gateway/forward/log.go
@@ -101,6 +101,7 @@
 		reason = string(f.Reason())
 	}
 	h.options.Metrics.Request(req.service, status, reason, held)
+	h.count(req, f)
 	if !h.options.Log.Enabled(context.Background(), slog.LevelInfo) {
 		return
 	}
--- a/internal/gateway/metrics/metrics.go
+++ b/internal/gateway/metrics/metrics.go
@@ -24,6 +24,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/workspace"
 	"github.com/sprucecrank/sprucecrank/internal/telemetry"
 )
 
@@ -45,6 +46,7 @@
 	// rolloutWrites and rolloutReports are those of rollout.go.
 	rolloutWrites  metric.Int64Counter
 	rolloutReports metric.Int64Counter
+	workspaces     *workspace.Tally
 }
 
 // State is what a gateway shows of itself when its metrics are read.
@@ -80,13 +82,16 @@
 		return nil, err
 	}
 	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter(telemetry.Scope)
-	m := &Metrics{registry: registry}
+	m := &Metrics{registry: registry, workspaces: workspace.NewTally()}
 	if err := m.makeCounters(meter); err != nil {
 		return nil, err
 	}
 	if err := observeRollouts(meter, state); err != nil {
 		return nil, err
 	}
+	if err := observeWorkspaces(meter, m.workspaces); err != nil {
+		return nil, err
+	}
 	return m, observe(meter, state)
 }
 
--- /dev/null
+++ b/internal/gateway/metrics/workspaces.go
@@ -0,0 +1,46 @@
+package metrics
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/workspace"
+)
+
+// shownWorkspaces is how many workspaces are shown apart. Chosen: a scrape stays some
+// kilobytes, however many workspaces there are.
+const shownWorkspaces = 16
+
+// outcomes are the ways in which requests of a workspace end, as metrics name them.
+var outcomes = map[workspace.Outcome]string{
+	workspace.Served: "served", workspace.OverQuota: "over-quota", workspace.Failed: "failed",
+}
+
+// observeWorkspaces shows how requests of the busiest workspaces ended, and of all others in
+// one sum without a name.
+func observeWorkspaces(meter metric.Meter, tally *workspace.Tally) error {
+	requests, err := meter.Int64ObservableGauge("sprucecrank.gateway.workspace.requests",
+		metric.WithDescription("Requests since the start by workspace, the busiest and one sum for the others, and how they ended."))
+	if err != nil {
+		return err
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for _, count := range tally.Busiest(shownWorkspaces) {
+			for outcome, name := range outcomes {
+				o.ObserveInt64(requests, int64(count.Ended(outcome)), metric.WithAttributes(
+					attribute.String("workspace", count.Workspace), attribute.String("outcome", name)))
+			}
+		}
+		return nil
+	}, requests)
+	return err
+}
+
+// Workspace counts a request of a workspace by how it ended.
+func (m *Metrics) Workspace(name string, o workspace.Outcome) {
+	if m != nil {
+		m.workspaces.Add(name, o)
+	}
+}
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -31,6 +31,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"sync"
@@ -144,7 +145,7 @@
 	case quota.Go:
 		return credit, nil
 	case quota.Refuse:
-		return nil, r.refusal(w.Name())
+		return nil, r.refusal(w, version)
 	}
 	granted, err := r.ask(ctx, newAsk(w, version))
 	switch {
@@ -152,7 +153,7 @@
 		r.options.Metrics.QuotaAsked(resultFailed)
 		return nil, notKnown(err)
 	case !granted:
-		return nil, r.refusal(w.Name())
+		return nil, r.refusal(w, version)
 	}
 	return credit, nil
 }
@@ -175,11 +176,13 @@
 }
 
 // refusal is that of a request beyond the limit of its workspace.
-func (r *Register) refusal(name string) *verdict.Error {
+func (r *Register) refusal(w *workspace.Workspace, version uint64) *verdict.Error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	left := r.borrower(name).PauseLeft(r.options.Clock())
-	return verdict.New(verdict.NotRun, verdict.ReasonQuota, "the workspace has used up its quota").WithRetryAfter(left)
+	b, limit := r.borrower(w.Name()), w.Limit()
+	detail := fmt.Sprintf("the workspace %s has used up its quota: %d thousandths of %g a second and %g at once, by version %d",
+		w.Name(), b.Permille(), limit.Rate, limit.Burst, version)
+	return verdict.New(verdict.NotRun, verdict.ReasonQuota, detail).WithRetryAfter(b.PauseLeft(r.options.Clock()))
 }
 
 func notKnown(cause error) *verdict.Error {
