A store that comes back from an older copy takes nothing back

Cause: what is believed was ordered by the store's revision alone. A store that comes back from a copy gives revisions out again, so that a watch went on in another history, and a list of the copy put targets back that had gone and dropped those that the copy lacked. Change: a revision counts within a life of the store (the header that its answers carry), and one number orders both, so that all that is kept by revision follows: catalog, positions between gateways, watches, saved quarantine, conditional writes, which are not made on condition of an earlier life. Of the first list of a life only what becomes of known objects is taken in; after 2.5 times restore_within_s all is read again. Word of an earlier life confirms nothing. Tests: catalog by hand and over interleavings of two gateways, a follower before the store's stand-in, which can return now; the soak does it among its faults.

--- a/core/gateway/catalog/catalog.go
+++ b/core/gateway/catalog/catalog.go
@@ -46,7 +46,7 @@
 	Gone       bool
 }
 
-// Position is how far the knowledge of a gateway has come.
+// Position is how far the knowledge of a gateway has come. Revisions are those of Revision.
 type Position struct {
 	// Config is the configuration's version.
 	Config uint64
@@ -65,6 +65,11 @@
 	RolloutsChanged uint64
 }
 
+// OfEarlierLife says whether a position is of an earlier life of the store than another.
+func (p Position) OfEarlierLife(other Position) bool {
+	return StoreLife(p.ConfigRevision) < StoreLife(other.ConfigRevision) || StoreLife(p.Targets) < StoreLife(other.Targets)
+}
+
 // Lacks says whether there is anything at another position that is missing at this one.
 func (p Position) Lacks(other Position) bool {
 	return other.Config > p.Config || other.Changed > p.Targets ||
@@ -186,13 +191,23 @@
 	c.configRevision = max(c.configRevision, revision)
 }
 
-// Replace takes in all targets as they stood at a revision, if that is not
+// Replace takes in all targets as the store held them at a revision, if that is not
 // older than what is held. A target that has begun to leave comes back only in another life.
+// Of a store that has come back from an older copy it takes in only what becomes of the
+// targets that are known; the next list of that life is taken in whole.
 func (c *Catalog) Replace(revision uint64, targets []Target) bool {
+	believed := c.believedTargets(targets)
+	if c.targets.rewound(revision) {
+		believed = c.targets.reconcile(believed)
+	}
+	return c.replaceTargets(revision, believed)
+}
+
+func (c *Catalog) replaceTargets(revision uint64, believed map[string]Target) bool {
 	if revision < c.targets.known {
 		return false
 	}
-	changed := c.targets.replace(revision, c.believedTargets(targets))
+	changed := c.targets.replace(revision, believed)
 	c.lives.trim(c.targets.entries)
 	return changed
 }
@@ -208,10 +223,15 @@
 	return changed
 }
 
-// ReplaceEvacuations takes in all evacuations as they stood at a revision, if that is
-// not older than what is held.
+// ReplaceEvacuations takes in all evacuations as the store held them at a revision, if that
+// is not older than what is held. Of one that has come back from an older copy it takes in
+// nothing that is not known.
 func (c *Catalog) ReplaceEvacuations(revision uint64, evacuations []Evacuation) bool {
-	return c.evacuations.replace(revision, byHall(evacuations))
+	entries := byHall(evacuations)
+	if c.evacuations.rewound(revision) {
+		entries = c.evacuations.reconcile(entries)
+	}
+	return c.evacuations.replace(revision, entries)
 }
 
 // AdvanceEvacuations takes in the changes of evacuations up to a revision.
@@ -318,15 +338,15 @@
 		for _, change := range d.Changes {
 			targets = append(targets, change.Target)
 		}
-		changed.Targets = d.To.Targets > c.targets.known && c.Replace(d.To.Targets, targets)
+		changed.Targets = d.To.Targets > c.targets.known && c.replaceTargets(d.To.Targets, c.believedTargets(targets))
 	} else if c.targets.known > 0 {
 		changed.Targets = c.Advance(d.To.Targets, d.Changes)
 	}
 	if d.HasEvacuations {
-		changed.Evacuations = d.To.Evacuations > c.evacuations.known && c.ReplaceEvacuations(d.To.Evacuations, d.Evacuations)
+		changed.Evacuations = d.To.Evacuations > c.evacuations.known && c.evacuations.replace(d.To.Evacuations, byHall(d.Evacuations))
 	}
 	if d.HasRollouts {
-		changed.Rollouts = d.To.Rollouts > c.rollouts.known && c.ReplaceRollouts(d.To.Rollouts, d.Rollouts)
+		changed.Rollouts = d.To.Rollouts > c.rollouts.known && c.rollouts.replace(d.To.Rollouts, byService(d.Rollouts))
 	}
 	c.CatchUp(d.To)
 	return changed
--- a/core/gateway/catalog/rollout.go
+++ b/core/gateway/catalog/rollout.go
@@ -77,10 +77,28 @@
 	return r, ok
 }
 
-// ReplaceRollouts takes in all rollouts as they stood at a revision, if that is not
-// older than what is held.
+// ReplaceRollouts takes in all rollouts as the store held them at a revision, if that is not
+// older than what is held. Of one that has come back from an older copy it takes in nothing
+// that is not known, and how far a rollout had come stays as it was.
 func (c *Catalog) ReplaceRollouts(revision uint64, rollouts []Rollout) bool {
-	return c.rollouts.replace(revision, byService(rollouts))
+	entries := byService(rollouts)
+	if c.rollouts.rewound(revision) {
+		entries = c.rollouts.reconcile(entries)
+		for service, r := range entries {
+			entries[service] = r.notBefore(c.rollouts.entries[service])
+		}
+	}
+	return c.rollouts.replace(revision, entries)
+}
+
+// notBefore is the rollout as it stood at another time, if that is the same order and had
+// come further; what a write is conditional on stays its own.
+func (r Rollout) notBefore(other Rollout) Rollout {
+	if r.Version != other.Version || r.Within != other.Within || other.Elapsed < r.Elapsed {
+		return r
+	}
+	other.Revision = r.Revision
+	return other
 }
 
 // AdvanceRollouts takes in the changes of rollouts up to a revision.
--- a/core/gateway/catalog/table.go
+++ b/core/gateway/catalog/table.go
@@ -118,6 +118,24 @@
 	t.changed = max(t.changed, changed)
 }
 
+// rewound says whether a revision is of a later life of the store than what is known.
+func (t *table[E]) rewound(revision uint64) bool {
+	return t.known > 0 && StoreLife(revision) > StoreLife(t.known)
+}
+
+// reconcile makes of what a store holds that has come back from an older copy what is to be
+// believed for now. What the copy lacks stays, since it is written again, if it is still true;
+// what the copy has back, and is not known here, waits until all is read again.
+func (t *table[E]) reconcile(copied map[string]E) map[string]E {
+	out := maps.Clone(t.entries)
+	for id, entry := range copied {
+		if _, known := out[id]; known {
+			out[id] = entry
+		}
+	}
+	return out
+}
+
 func (t *table[E]) note(c entryChange[E]) { t.log = append(t.log, c) }
 
 func (t *table[E]) trim() {
--- a/e2e/gateway/soak_test.go
+++ b/e2e/gateway/soak_test.go
@@ -171,6 +171,7 @@
 	{"hall cold at once", true, func(w *world, random *rand.Rand, lasts time.Duration) {
 		w.chill([]string{"hall-0", "hall-1"}[random.IntN(2)], lasts)
 	}},
+	{"store comes back older", false, (*world).rewind},
 	{"store forgets", false, func(w *world, _ *rand.Rand, _ time.Duration) { w.store.Forget() }},
 }
 
--- a/internal/gateway/discovery/calls.go
+++ b/internal/gateway/discovery/calls.go
@@ -54,7 +54,7 @@
 // the catalog takes it in.
 func (f *Follower) targetsUpdate(ctx context.Context, whole bool) (change, error) {
 	from := f.position().Targets
-	if whole || from == 0 {
+	if whole || from == 0 || f.mustReread(&f.rereads.targets) {
 		list, err := f.options.Source.Targets(ctx)
 		return func(c *catalog.Catalog) catalog.Changed {
 			return catalog.Changed{Targets: c.Replace(list.Revision, ownTargets(list.Items))}
@@ -103,7 +103,7 @@
 // the catalog takes it in.
 func (f *Follower) evacuationsUpdate(ctx context.Context, whole bool) (change, error) {
 	from := f.position().Evacuations
-	if whole || from == 0 {
+	if whole || from == 0 || f.mustReread(&f.rereads.evacuations) {
 		list, err := f.options.Source.Evacuations(ctx)
 		return func(c *catalog.Catalog) catalog.Changed {
 			return catalog.Changed{Evacuations: c.ReplaceEvacuations(list.Revision, list.Items)}
@@ -130,7 +130,7 @@
 // catalog takes it in.
 func (f *Follower) rolloutsUpdate(ctx context.Context, whole bool) (change, error) {
 	from := f.position().Rollouts
-	if whole || from == 0 {
+	if whole || from == 0 || f.mustReread(&f.rereads.rollouts) {
 		list, err := f.options.Source.Rollouts(ctx)
 		return func(c *catalog.Catalog) catalog.Changed {
 			return catalog.Changed{Rollouts: c.ReplaceRollouts(list.Revision, list.Items)}
--- a/internal/gateway/discovery/discovery.go
+++ b/internal/gateway/discovery/discovery.go
@@ -28,6 +28,7 @@
 //	serve.go      answering other gateways
 //	links.go      connections to them; protocol.go: what gateways say to each other
 //	publish.go    the snapshot of the data path, and the log lines of changes
+//	rewind.go     a store that comes back from an older copy
 //	assign.go     which targets the snapshot leaves to the versions on trial
 //	fatal.go      what gateways tell each other of requests that end targets
 //	saved.go      what is saved in the store of requests that end targets
@@ -163,6 +164,8 @@
 	draw  float64
 	// tried is this gateway's latest try to read the store on behalf of others.
 	tried reader.Try
+	// rereads are when all must be read again since the store came back older.
+	rereads rereads
 	// saved is what the store holds of requests that end targets.
 	saved saved
 	// asked is when another gateway last asked this one for updates.
--- a/internal/gateway/discovery/exchange.go
+++ b/internal/gateway/discovery/exchange.go
@@ -99,10 +99,12 @@
 		f.noteOffer(now, offer{peer: peer, at: theirs})
 		return
 	}
-	if reply.Age == freshness.Never || !f.canConfirm(theirs) {
+	position := f.catalog.Position()
+	if reply.Age == freshness.Never || !f.canConfirm(theirs) || theirs.OfEarlierLife(position) {
 		return
 	}
 	f.catalog.CatchUp(theirs)
+	f.noteLife(now, position)
 	f.publishWaiting(peer.Peer)
 	f.confirm(now.Add(-reply.Age), reply.Origin)
 }
--- a/internal/gateway/discovery/publish.go
+++ b/internal/gateway/discovery/publish.go
@@ -36,6 +36,7 @@
 	if changed.Any() || f.withheld {
 		f.publish(from)
 	}
+	f.noteLife(f.options.Clock(), before)
 	if f.catalog.Position() != before {
 		f.wake()
 	}
