Quota: no wake-ups where no workspace has a limit

Cause: the duty that knows the homes looked four times a second in every fleet. Change: once a second without limits, and at once when the first request of a workspace with one comes. Tests of the package pass.

--- a/internal/gateway/quota/homes.go
+++ b/internal/gateway/quota/homes.go
@@ -9,7 +9,6 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/quota"
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/rpclink"
-	"github.com/sprucecrank/sprucecrank/internal/pause"
 )
 
 const (
@@ -19,6 +18,9 @@
 	// lookEvery is the pause between two looks at which these are. Chosen: much less than the
 	// time for which a gateway counts that fell silent.
 	lookEvery = 250 * time.Millisecond
+	// idleEvery is that pause where no workspace has a limit, for few wake-ups. The first
+	// request of one that has ends it. Chosen.
+	idleEvery = time.Second
 )
 
 // Duties are what a gateway does for quotas, each until its context ends.
@@ -28,14 +30,36 @@
 
 // keepLinks is the duty of knowing the homes.
 func (r *Register) keepLinks(ctx context.Context) error {
-	for ok := true; ok; ok = pause.For(ctx, lookEvery) {
+	for {
 		var homes []member.Box
+		wait := idleEvery
 		if r.options.HasLimits() {
-			homes = r.options.Homes(homesCount)
+			homes, wait = r.options.Homes(homesCount), lookEvery
 		}
 		r.link(ctx, homes)
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-r.needed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// need has the duty look at once for the homes, if none is known.
+func (r *Register) need() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.homes) > 0 {
+		return
+	}
+	select {
+	case r.needed <- struct{}{}:
+	default: // it will
 	}
-	return nil
 }
 
 // link makes links to new homes and ends those to gateways that are none any more.
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -88,6 +88,8 @@
 	// that answer.
 	links map[uint32]*link
 	homes []uint32
+	// needed has the homes looked for at once.
+	needed chan struct{}
 	// left is when the latest home last answered to which this gateway does not turn any more.
 	left time.Time
 	// isHome says that this gateway may be the home of a workspace.
@@ -108,7 +110,7 @@
 	self := quota.ID(o.Self.ID)
 	return &Register{
 		options: o, self: self, ledger: quota.NewLedger(self, o.Clock(), o.Tolerance),
-		borrowers: map[string]*quota.Borrower{}, links: map[uint32]*link{},
+		borrowers: map[string]*quota.Borrower{}, links: map[uint32]*link{}, needed: make(chan struct{}, 1),
 	}
 }
 
@@ -147,6 +149,7 @@
 	case quota.Refuse:
 		return nil, r.refusal(w, version)
 	}
+	r.need()
 	granted, err := r.ask(ctx, newAsk(w, version))
 	switch {
 	case err != nil:
