--- a/core/gateway/catalog/catalog.go
+++ b/core/gateway/catalog/catalog.go
@@ -34,18 +34,6 @@
 	Gone     bool
 }
 
-// Evacuation is an operator's request that nothing more be sent to the targets of a
-// hall.
-type Evacuation struct{ Hall string }
-
-// EvacuationChange is one evacuation at one revision of the store; it is gone once the
-// hall is taken back.
-type EvacuationChange struct {
-	Revision   uint64
-	Evacuation Evacuation
-	Gone       bool
-}
-
 // Position is how far the knowledge of a gateway has come. Revisions are those of Revision.
 type Position struct {
 	// Config is the configuration's version.
@@ -153,15 +141,6 @@
 // Targets lists the targets by id.
 func (c *Catalog) Targets() []Target { return c.targets.list() }
 
-// Evacuations lists the evacuations by hall.
-func (c *Catalog) Evacuations() []Evacuation { return c.evacuations.list() }
-
-// IsEvacuated says whether a hall is evacuated.
-func (c *Catalog) IsEvacuated(hall string) bool {
-	_, evacuated := c.evacuations.entries[hall]
-	return evacuated
-}
-
 // Guess takes in what the store held some time ago, in place of knowing nothing. The
 // position stays that of a catalog without targets and evacuations, so that all that
 // others know is still missing.
@@ -223,36 +202,6 @@
 	return changed
 }
 
-// ReplaceEvacuations takes in all evacuations as the store held them at a revision, if that
-// is not older than what is held. Of one that has come back from an older copy it takes in
-// nothing that is not known.
-func (c *Catalog) ReplaceEvacuations(revision uint64, evacuations []Evacuation) bool {
-	entries := byHall(evacuations)
-	if c.evacuations.rewound(revision) {
-		entries = c.evacuations.reconcile(entries)
-	}
-	return c.evacuations.replace(revision, entries)
-}
-
-// AdvanceEvacuations takes in the changes of evacuations up to a revision.
-func (c *Catalog) AdvanceEvacuations(revision uint64, changes []EvacuationChange) bool {
-	made := make([]entryChange[Evacuation], 0, len(changes))
-	for _, change := range changes {
-		made = append(made, entryChange[Evacuation]{
-			revision: change.Revision, id: change.Evacuation.Hall, entry: change.Evacuation, gone: change.Gone,
-		})
-	}
-	return c.evacuations.advance(revision, made, func(e Evacuation) (Evacuation, bool) { return e, true })
-}
-
-func byHall(evacuations []Evacuation) map[string]Evacuation {
-	out := make(map[string]Evacuation, len(evacuations))
-	for _, e := range evacuations {
-		out[e.Hall] = e
-	}
-	return out
-}
-
 // CatchUp notes that another gateway knows nothing that is missing here, so that what
 // is believed is as far as its position.
 func (c *Catalog) CatchUp(theirs Position) {
@@ -317,17 +266,6 @@
 	}
 }
 
-// addEvacuations adds what a gateway lacks that knows the evacuations up to a revision.
-func (c *Catalog) addEvacuations(d *Delta, from uint64) {
-	if from >= c.evacuations.known {
-		d.To.Evacuations = from
-		return
-	}
-	if from < c.evacuations.changed {
-		d.HasEvacuations, d.Evacuations = true, c.Evacuations()
-	}
-}
-
 // Merge takes in a delta and says what changed.
 func (c *Catalog) Merge(d Delta) (changed Changed) {
 	if d.Config != nil {
