--- a/core/gateway/quota/borrower.go
+++ b/core/gateway/quota/borrower.go
@@ -36,10 +36,12 @@
 	refused    int
 	pauseUntil time.Time
 	permille   int
+	used       time.Time
 }
 
 // Use says what is to be done with a request, and takes the credit for it if there is any.
 func (b *Borrower) Use(now time.Time) Answer {
+	b.used = now
 	for len(b.credit) > 0 && !now.Before(b.credit[0]) {
 		b.credit = b.credit[1:]
 	}
@@ -55,6 +57,9 @@
 	}
 }
 
+// IsIdle says whether nothing is lost by forgetting the borrower: nobody has used it for long.
+func (b *Borrower) IsIdle(now time.Time) bool { return now.Sub(b.used) > forgetAfter }
+
 // Return gives back the credit of a request that did not run and never will.
 func (b *Borrower) Return(now time.Time) { b.add(now, 1) }
 
--- a/core/gateway/quota/ledger.go
+++ b/core/gateway/quota/ledger.go
@@ -30,7 +30,8 @@
 	// steadyAfter is how long no gateway came or went until a new bucket counts as never
 	// having stood elsewhere. Chosen: limits hold for windows of some seconds.
 	steadyAfter = 5 * time.Second
-	// forgetAfter is how long a bucket is kept that nobody asks. Chosen: it is full by then.
+	// forgetAfter is how long a bucket is kept that nobody asks, and a borrower that nobody
+	// uses. Chosen: the one is full by then, and the other has nothing.
 	forgetAfter = time.Minute
 	// leastBurst is the depth of the smallest bucket, be it of a small part of the fleet: one
 	// request must fit, once it has been earned.
--- a/core/gateway/quota/ledger_test.go
+++ b/core/gateway/quota/ledger_test.go
@@ -179,6 +179,8 @@
 	g.Expect(b.PauseLeft(at(1))).To(Equal(600 * time.Millisecond))
 	g.Expect(b.Wanted(1)).To(Equal(6))
 	g.Expect(b.Use(at(1.6))).To(Equal(quota.Ask))
+	g.Expect(b.IsIdle(at(61))).To(BeFalse())
+	g.Expect(b.IsIdle(at(62))).To(BeTrue())
 }
 
 func TestAnEvenShareOfALargeFleetCounts(t *testing.T) {
--- a/internal/gateway/forward/caller.go
+++ b/internal/gateway/forward/caller.go
@@ -105,5 +105,8 @@
 	who := req.caller.Load()
 	credit, failure := h.options.Quota.Admit(ctx, who.workspace, who.table.Version())
 	req.credit = credit
+	if failure != nil && ctx.Err() != nil {
+		return failureOf(ctx)
+	}
 	return failure
 }
--- a/internal/gateway/quota/homes.go
+++ b/internal/gateway/quota/homes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -68,6 +69,7 @@
 	defer r.mu.Unlock()
 	now := r.options.Clock()
 	r.ledger.Tick(now)
+	maps.DeleteFunc(r.borrowers, func(_ string, b *quota.Borrower) bool { return b.IsIdle(now) })
 	there := map[uint32]member.Box{}
 	for _, box := range homes {
 		there[quota.ID(box.ID)] = box
