Forward: a public route serves also callers whose keys can't be trusted for now

Cause: from reading: a caller that showed a known key on a route that needs none got 503 while keys count as revoked.

--- a/internal/gateway/forward/caller.go
+++ b/internal/gateway/forward/caller.go
@@ -41,7 +41,7 @@
 		return notReady("the key is not known, but the configuration may be out of date")
 	case !known:
 		return unauthorized(shown)
-	case !b.options.TrustsKeys():
+	case !req.route.Public && !b.options.TrustsKeys():
 		return notReady("the key may have been revoked, and the configuration is out of date")
 	}
 	who.workspace = found
--- a/internal/gateway/forward/caller_test.go
+++ b/internal/gateway/forward/caller_test.go
@@ -159,6 +159,7 @@
 	g.Expect(k.get(readPath, "Authorization", "Bearer k-1").status).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(s.runs.Load()).To(BeZero())
 	g.Expect(k.get(openPath).status).To(Equal(http.StatusOK))
+	g.Expect(k.get(openPath, "Authorization", "Bearer k-1").status).To(Equal(http.StatusOK))
 	trusted.Store(true)
 	g.Expect(k.get(readPath, "Authorization", "Bearer k-1").status).To(Equal(http.StatusOK))
 }
