--- a/internal/gateway/quota/homes.go
+++ b/internal/gateway/quota/homes.go
@@ -157,7 +157,7 @@
 // turnAway notes that this gateway does not turn to a home any more, where that may go on
 // without it; the lock is held.
 func (r *Register) turnAway(l *link) {
-	if !l.over && l.heard.After(r.left) {
+	if !l.refused && l.heard.After(r.left) {
 		r.left = l.heard
 	}
 }
@@ -176,7 +176,7 @@
 // noteAnswered notes whether a home answered; the lock is held.
 func (r *Register) noteAnswered(l *link, err error) {
 	failed := err != nil && !errors.Is(err, errUnsettled)
-	l.over = failed && !errors.Is(err, rpclink.ErrNoAnswer)
+	l.refused = failed && !errors.Is(err, rpclink.ErrNoAnswer)
 	if !failed {
 		l.heard = r.options.Clock()
 	}
--- a/internal/gateway/quota/link.go
+++ b/internal/gateway/quota/link.go
@@ -67,10 +67,10 @@
 	hurry chan struct{}
 	// ended is closed once nobody takes questions any more.
 	ended chan struct{}
-	// failed says that the home did not answer last time, ended that nobody listens there, and
-	// heard is when it last answered. The register's lock guards them.
-	failed, over bool
-	heard        time.Time
+	// failed says that the home did not answer last time, refused that nobody listens there any
+	// more, and heard is when it last answered. The register's lock guards them.
+	failed, refused bool
+	heard           time.Time
 }
 
 // newLink makes the link to a home and starts its work, which goes on until ctx ends.
