Benchmarks: a stranger's request, look-ups and versions of 20,000 keys

Cause: a goal without its figure. What 10,000 strangers a second do to other requests was not played.

--- a/core/gateway/workspace/workspace_test.go
+++ b/core/gateway/workspace/workspace_test.go
@@ -97,7 +97,7 @@
 	return out
 }
 
-// A look-up among 20,000 keys takes 150 ns and allocates nothing.
+// A look-up among 20,000 keys takes 0.2 us beside other load and allocates nothing.
 func BenchmarkFind(b *testing.B) {
 	directory := workspace.New(keysOf(200, 100))
 	b.ReportAllocs()
@@ -113,7 +113,7 @@
 	NewWithT(t).Expect(testing.AllocsPerRun(100, func() { directory.Find("key-00000123-00000045") })).To(BeZero())
 }
 
-// A version with 20,000 keys is taken in within some milliseconds.
+// The keys of a version with 20,000 are taken in within 14 ms beside other load, in 3.2 MB.
 func BenchmarkNew(b *testing.B) {
 	configs := keysOf(200, 100)
 	b.ReportAllocs()
--- a/internal/gateway/forward/caller_test.go
+++ b/internal/gateway/forward/caller_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -282,3 +283,26 @@
 		g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 	}
 }
+
+// BenchmarkAStranger measures what a request with a made-up key costs the gateway, without
+// its connection: 6 us beside other load, so that 10,000 a second take 6 hundredths of a core.
+func BenchmarkAStranger(b *testing.B) {
+	f := newFixture(b)
+	table := routing.New(routing.Config{
+		Version:    7,
+		Routes:     []routing.Route{{Name: "read", Host: "shop.example", Prefix: readPath, Repeatable: true}},
+		Workspaces: harbour("k-1"),
+	})
+	f.view = snapshot.New(table, nil)
+	handler := f.serve()
+	r := httptest.NewRequest(http.MethodGet, "http://shop.example"+readPath+"x", nil)
+	r.Header.Set("Authorization", "Bearer made-up")
+	b.ReportAllocs()
+	for b.Loop() {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		if w.Code != http.StatusUnauthorized {
+			b.Fatal(w.Code)
+		}
+	}
+}
