Quota: a fleet that is found to be large gets its whole limits

Above 192 gateways a half counts, but all do while they have just started and take the fleet for small; the greatest fleet of 30 s was then twice what counted. Change: what a home counts stands for as many gateways as each is one of, by its own guess at the size. The test failed first: 7 requests in .3 s where 30 are due.

--- a/core/gateway/quota/ledger.go
+++ b/core/gateway/quota/ledger.go
@@ -68,7 +68,10 @@
 // Hear notes that a gateway is there, and whom it takes for homes.
 func (l *Ledger) Hear(now time.Time, s Standing) { l.members.hear(now, s) }
 
-// Fleet is how many gateways counted lately; its size is 0 while that is not known.
+// SetFleet says about how many gateways there are.
+func (l *Ledger) SetFleet(size int) { l.members.setFraction(fractionOf(size)) }
+
+// Fleet is how many gateways there were lately; its size is 0 while that is not known.
 func (l *Ledger) Fleet(now time.Time) Fleet { return l.members.Fleet(now) }
 
 // Tick forgets gateways that fell silent and buckets that nobody asks. It should be called
--- a/core/gateway/quota/ledger_test.go
+++ b/core/gateway/quota/ledger_test.go
@@ -195,3 +195,26 @@
 		g.Expect(float64(counts)/20000).To(BeNumerically("~", want, 0.02), "%d gateways", size)
 	}
 }
+
+// Gateways that have just started take the fleet for small, so that all of them count; later
+// an even share does. That is no smaller fleet.
+func TestAFleetThatIsFoundToBeLargeGetsItsWholeLimit(t *testing.T) {
+	g := NewWithT(t)
+	const size = 400
+	l := quota.NewLedger(self, began, 0)
+	hear := func(seconds float64, believed int) {
+		for i := range size {
+			id := quota.ID(fmt.Sprint("gateway-", i))
+			l.Hear(at(seconds), quota.Standing{From: id, Homes: []uint32{self}, Counts: quota.Counts(id, believed)})
+		}
+	}
+	hear(1, 20)
+	for s := 2.0; s < 9; s++ {
+		l.SetFleet(size)
+		hear(s, size)
+		l.Tick(at(s))
+		take(l, s, 0)
+	}
+	take(l, 8.1, 1000)
+	g.Expect(take(l, 8.4, 1000).Count).To(BeNumerically("~", 30, 3))
+}
--- a/core/gateway/quota/members.go
+++ b/core/gateway/quota/members.go
@@ -69,6 +69,8 @@
 	started time.Time
 	members map[uint32]*member
 	groups  map[string]*group
+	// fraction says that one gateway of so many counts; a power of two.
+	fraction int
 	// changed is when a member last came, went or took to other homes.
 	changed time.Time
 	// fleet is the greatest size lately, known at a moment; 0 if none was ever told.
@@ -77,13 +79,13 @@
 }
 
 func newMembers(self uint32, started time.Time) *Members {
-	return &Members{self: self, started: started, members: map[uint32]*member{}, groups: map[string]*group{}}
+	return &Members{self: self, started: started, fraction: 1, members: map[uint32]*member{}, groups: map[string]*group{}}
 }
 
 // hear notes that a gateway is there.
 func (m *Members) hear(now time.Time, s Standing) {
 	m.noteFleet(now, s.Fleet)
-	if !s.Counts {
+	if !s.Counts || !isOneOf(s.From, m.fraction) {
 		return
 	}
 	key := groupKey(s.Homes)
@@ -104,6 +106,21 @@
 	m.noteCount(now)
 }
 
+// setFraction says that one gateway of so many counts; the others are left out from now on,
+// and what is counted stands for as many more.
+func (m *Members) setFraction(fraction int) {
+	if fraction == m.fraction {
+		return
+	}
+	m.fraction = fraction
+	for id, member := range m.members {
+		if !isOneOf(id, fraction) {
+			m.leave(m.changed, member.group) // none came or went
+			delete(m.members, id)
+		}
+	}
+}
+
 func (m *Members) join(now time.Time, key string, homes []uint32) {
 	m.changed = now
 	if m.groups[key] == nil {
@@ -159,7 +176,7 @@
 // noteCount takes the members for the fleet, once there was time to hear of it.
 func (m *Members) noteCount(now time.Time) {
 	if m.fleet > 0 || now.Sub(m.started) >= settleTime {
-		m.noteFleet(now, Fleet{Size: len(m.members)})
+		m.noteFleet(now, Fleet{Size: len(m.members) * m.fraction})
 	}
 }
 
@@ -180,7 +197,7 @@
 			attached += g.weight(now)
 		}
 	}
-	return min(attached/float64(m.fleet), 1), true
+	return min(attached*float64(m.fraction)/float64(m.fleet), 1), true
 }
 
 // counted is about how many gateways of a large fleet count. Chosen: parts are measured to
@@ -191,11 +208,17 @@
 // about a size: all of a small one, of a larger one half, a quarter and so on, always the
 // same ones, so that a wrong guess at the size adds or leaves out none but whole halves.
 func Counts(gateway uint32, fleet int) bool {
+	return isOneOf(gateway, fractionOf(fleet))
+}
+
+// fractionOf is of how many gateways one counts in a fleet of about a size.
+func fractionOf(fleet int) int {
+	fraction := 1
 	for ; fleet > counted; fleet /= 2 {
-		if gateway&1 != 0 {
-			return false
-		}
-		gateway >>= 1
+		fraction *= 2
 	}
-	return true
+	return fraction
 }
+
+// isOneOf says whether a gateway is the one of so many that counts.
+func isOneOf(gateway uint32, fraction int) bool { return gateway&uint32(fraction-1) == 0 }
--- a/core/gateway/quota/quota.go
+++ b/core/gateway/quota/quota.go
@@ -62,7 +62,7 @@
 	Left time.Duration
 }
 
-// Fleet is how many gateways counted, some time ago.
+// Fleet is how many gateways there were, some time ago, by those that count.
 type Fleet struct {
 	Size int
 	Age  time.Duration
--- a/internal/gateway/quota/homes.go
+++ b/internal/gateway/quota/homes.go
@@ -68,6 +68,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.options.Clock()
+	r.ledger.SetFleet(r.options.Gateways())
 	r.ledger.Tick(now)
 	maps.DeleteFunc(r.borrowers, func(_ string, b *quota.Borrower) bool { return b.IsIdle(now) })
 	there := map[uint32]member.Box{}
