--- a/e2e/gateway/process_test.go
+++ b/e2e/gateway/process_test.go
@@ -59,6 +59,11 @@
 	ended atomic.Bool
 	// limit is what it names as its limit; nil for none. Arrivals are noted meanwhile.
 	limit atomic.Pointer[namedLimit]
+	// refusing has it turn all requests away and ask for back-off; nil for not.
+	refusing atomic.Pointer[refusing]
+	// leaving says that it leaves, in all its answers, and toldLeaving how many of them did.
+	leaving     atomic.Bool
+	sentLeaving atomic.Int64
 }
 
 func newTargetServer(t *testing.T, id string, runs *sync.Map, work time.Duration) *targetServer {
@@ -80,6 +85,10 @@
 	if limit != nil && (limit.inProbes || r.URL.Path != "/health") {
 		w.Header().Set("Server-Limit", limit.text)
 	}
+	if b.leaving.Load() {
+		w.Header().Set("Server-Leaving", "1")
+		b.sentLeaving.Add(1)
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", b.id)
 		return
@@ -94,6 +103,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if refusing := b.refusing.Load(); refusing != nil {
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Retry-After", refusing.turnAway(time.Now()))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	count, _ := b.runs.LoadOrStore(id, &atomic.Int32{})
 	count.(*atomic.Int32).Add(1)
--- a/internal/standin/targetsim/targetsim.go
+++ b/internal/standin/targetsim/targetsim.go
@@ -35,6 +35,9 @@
 	HeaderLines = "X-Lines"
 )
 
+// usualBackOffS is for how long a target that sheds asks to be sent nothing, in seconds.
+const usualBackOffS = 1
+
 // Options configure a Target.
 type Options struct {
 	Slots int
@@ -60,6 +63,9 @@
 	Hang bool `json:"hang"`
 	// ShedAll refuses everything as not run.
 	ShedAll bool `json:"shed_all"`
+	// BackOffS refuses everything, also probes, as not run, and asks to be sent nothing for so many
+	// seconds.
+	BackOffS float64 `json:"back_off_s"`
 	// ShedLies runs the request and says that it did not.
 	ShedLies bool `json:"shed_lies"`
 	// CutAfterRun runs the request and breaks the connection unanswered.
@@ -83,6 +89,7 @@
 	runs     map[string]int // by Idempotency-Key, else by mark
 	lastRun  time.Time
 	total    int
+	refused  int
 	probes   int
 	probed   time.Duration
 }
@@ -108,6 +115,7 @@
 type Counts struct {
 	Runs     map[string]int `json:"runs"`
 	Total    int            `json:"total"`
+	Shed     int            `json:"shed"`
 	InFlight int64          `json:"in_flight"`
 	Peak     int64          `json:"peak"`
 	Probes   int            `json:"probes"`
@@ -124,7 +132,7 @@
 		runs[id] = n
 	}
 	return Counts{
-		Runs: runs, Total: t.total, InFlight: t.inFlight.Load(), Peak: t.peak.Load(),
+		Runs: runs, Total: t.total, Shed: t.refused, InFlight: t.inFlight.Load(), Peak: t.peak.Load(),
 		Probes: t.probes, ProbeMS: float64(t.probed.Microseconds()) / 1000, LastRun: t.lastRun,
 	}
 }
@@ -168,8 +176,11 @@
 	t.probes++
 	t.probed += time.Since(began)
 	t.mu.Unlock()
-	if t.faults.Load().FailFast {
+	switch f := t.faults.Load(); {
+	case f.FailFast:
 		return c.NoContent(http.StatusInternalServerError)
+	case f.BackOffS > 0:
+		return t.shed(c, f.BackOffS)
 	}
 	return c.NoContent(http.StatusNoContent)
 }
@@ -185,8 +196,10 @@
 	t.sign(c)
 	f := *t.faults.Load()
 	switch {
+	case f.BackOffS > 0:
+		return t.shed(c, f.BackOffS)
 	case f.ShedAll:
-		return t.shed(c)
+		return t.shed(c, usualBackOffS)
 	case f.FailFast:
 		return c.String(http.StatusInternalServerError, "failed\n")
 	case f.Hang:
@@ -198,23 +211,27 @@
 		return err
 	}
 	if !t.enter(c.Request().Context()) {
-		return t.shed(c)
+		return t.shed(c, usualBackOffS)
 	}
 	defer t.leave()
 	t.ran(c.Request())
 	pause.For(c.Request().Context(), t.slowed(t.work(c.Request())))
 	switch {
 	case f.ShedLies:
-		return t.shed(c)
+		return t.shed(c, usualBackOffS)
 	case f.CutAfterRun:
 		panic(http.ErrAbortHandler)
 	}
 	return t.answer(c, f, len(body))
 }
 
-func (t *Target) shed(c echo.Context) error {
+// shed refuses a request as not run, and asks to be sent nothing for some seconds.
+func (t *Target) shed(c echo.Context, backOffS float64) error {
+	t.mu.Lock()
+	t.refused++
+	t.mu.Unlock()
 	c.Response().Header().Set("Target-Verdict", "not-run")
-	c.Response().Header().Set("Retry-After", "1")
+	c.Response().Header().Set("Retry-After", strconv.FormatFloat(backOffS, 'f', -1, 64))
 	return c.String(http.StatusServiceUnavailable, "shed\n")
 }
 
