Box: a target that asks for back-off gets neither requests nor probes until then

Callers' requests went to targets that had asked to be sent nothing: a box set a target that shed aside for 20 ms, whatever it asked for, knew whole seconds alone, and probed it on.

Cause: Retry-After was read for the box's own clients only, never by what decides about targets. Members.Heard and its kin are Observe.

Open: a box that takes over as home does not know of a back-off until it is asked itself.

--- a/core/box/health/health.go
+++ b/core/box/health/health.go
@@ -42,6 +42,7 @@
 	firstEjection   = 100 * time.Millisecond
 	longestEjection = 5 * time.Second
 	shedPause       = 20 * time.Millisecond
+	longestBackOff  = time.Hour // then one request finds out
 	smoothing       = 0.3
 	suspectRatio    = 4.0
 	suspectForgives = 500 * time.Millisecond
@@ -56,7 +57,8 @@
 	ejectedFor   time.Duration
 	unreached    bool // no connection could be made the last time
 	shedUntil    time.Time
-	ratio        float64 // smoothed duration over the usual duration
+	backOffUntil time.Time // by its own word
+	ratio        float64   // smoothed duration over the usual duration
 	slowAt       time.Time
 }
 
@@ -116,6 +118,16 @@
 	t.ramp = 1
 }
 
+// BackOff notes that the target asks to be sent nothing for a time. Of several the latest end holds.
+func (t *Tracker) BackOff(now time.Time, d time.Duration) {
+	if until := now.Add(min(d, longestBackOff)); until.After(t.backOffUntil) {
+		t.backOffUntil = until
+	}
+}
+
+// BacksOff says whether the target has asked to be sent nothing now.
+func (t *Tracker) BacksOff(now time.Time) bool { return now.Before(t.backOffUntil) }
+
 // Ejected says whether the target is ejected now.
 func (t *Tracker) Ejected(now time.Time) bool { return now.Before(t.ejectedUntil) }
 
@@ -137,7 +149,7 @@
 // Limit is how many requests the target may be trusted with now.
 func (t *Tracker) Limit(now time.Time) int {
 	switch {
-	case t.Ejected(now), now.Before(t.shedUntil):
+	case t.Ejected(now), now.Before(t.shedUntil), t.BacksOff(now):
 		return 0
 	case t.failures >= failuresInRow, t.Suspect(now):
 		return 1
--- a/core/box/ledger/boxes.go
+++ b/core/box/ledger/boxes.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Heard notes that a box lives.
-func (l *Ledger) Heard(now time.Time, box string) { l.heard[box] = now }
+// Observe notes that a box lives.
+func (l *Ledger) Observe(now time.Time, box string) { l.heard[box] = now }
 
 // Reconcile takes in all that a box says it holds of this service: promises
 // that it does not name are dropped once they are older than settle, since then
--- a/core/box/ledger/ledger.go
+++ b/core/box/ledger/ledger.go
@@ -89,6 +89,8 @@
 	Start uint64
 	// Leaving is the target's own word that it takes no new work.
 	Leaving bool
+	// BackOff is for how long the target asks to be sent nothing; 0 for not.
+	BackOff time.Duration
 }
 
 // Held is a promise that a box says it holds.
@@ -235,6 +237,7 @@
 func (l *Ledger) learn(now time.Time, g *grant, o Outcome) {
 	g.target.saw(o)
 	g.target.tracker.Observe(now, o.Result, o.Took, l.usual(g.kind, g.usual))
+	g.target.tracker.BackOff(now, o.BackOff)
 	if o.Result == health.OK {
 		l.times(g.kind).add(now, o.Took)
 		l.mean = smooth(l.mean, o.Took.Seconds())
--- a/core/box/ledger/ledger_test.go
+++ b/core/box/ledger/ledger_test.go
@@ -88,6 +88,25 @@
 		Expect(d.State).To(Equal(ledger.Queued))
 	})
 
+	It("grants no slot of a target that asks for back-off until then", func() {
+		b := newBook(2, 1, 10)
+		first, d := b.ask(1, "a")
+		resting := d.Target
+		b.Return(b.now, first, ledger.Outcome{Result: health.Shed, BackOff: 400 * time.Millisecond})
+		b.Probed(b.now, resting, ledger.Outcome{Result: health.OK, BackOff: 100 * time.Millisecond})
+		for range 39 {
+			b.now = b.now.Add(10 * time.Millisecond)
+			id, d := b.ask(1, "a")
+			Expect(d.State).To(Equal(ledger.Granted))
+			Expect(d.Target).NotTo(Equal(resting))
+			b.ok(id)
+		}
+		b.now = b.now.Add(10 * time.Millisecond)
+		b.ask(1, "a")
+		_, d = b.ask(1, "a")
+		Expect(d.State).To(Equal(ledger.Granted), "both take requests again")
+	})
+
 	It("serves the greater weight first, and every tenth turn the longest wait", func() {
 		b := newBook(1, 1, 100)
 		holder, _ := b.ask(1, "a")
@@ -313,7 +332,7 @@
 					break
 				}
 			case 5:
-				b.Heard(b.now, "a")
+				b.Observe(b.now, "a")
 				b.Tick(b.now, time.Hour)
 			case 6:
 				b.Leave("t0", 0)
@@ -332,7 +351,7 @@
 		}
 		for range 100 {
 			b.now = b.now.Add(20 * time.Millisecond)
-			b.Heard(b.now, "a")
+			b.Observe(b.now, "a")
 			b.Tick(b.now, time.Hour)
 			take()
 		}
--- a/core/box/ledger/sim_home_test.go
+++ b/core/box/ledger/sim_home_test.go
@@ -47,7 +47,7 @@
 		return
 	}
 	for box := range h.s.c.boxes {
-		h.ledger.Heard(h.s.time(), strconv.Itoa(box))
+		h.ledger.Observe(h.s.time(), strconv.Itoa(box))
 	}
 	h.ledger.Tick(h.s.time(), time.Second)
 	h.deliver()
--- a/core/box/ledger/targets.go
+++ b/core/box/ledger/targets.go
@@ -72,5 +72,6 @@
 	if o.Result != health.OK {
 		t.tracker.Observe(now, o.Result, o.Took, 0)
 	}
+	t.tracker.BackOff(now, o.BackOff)
 	l.serve(now)
 }
--- a/core/box/ledger/view.go
+++ b/core/box/ledger/view.go
@@ -13,8 +13,19 @@
 	Start    uint64        `json:"start"`
 	Ratio    float64       `json:"ratio"`
 	Idle     time.Duration `json:"-"`
+	// BacksOff is whether the target has asked to be sent nothing now, be it leaving or not.
+	BacksOff bool `json:"-"`
 }
 
+// The states of a target, the first that holds.
+const (
+	StateLeaving    = "leaving"
+	StateBackingOff = "backing-off" // has asked to be sent nothing
+	StateEjected    = "ejected"
+	StateSuspect    = "suspect"
+	StateLive       = "live"
+)
+
 // View lists the targets in the order of the service definition.
 func (l *Ledger) View(now time.Time) []TargetView {
 	trust := l.trust(now)
@@ -25,7 +36,7 @@
 			Address: address, Hall: t.Hall, Slots: t.Slots,
 			Limit: t.limit(now, trust), InFlight: len(t.promised),
 			State: t.state(now), Start: t.start, Ratio: t.tracker.Ratio(),
-			Idle: now.Sub(t.visited),
+			Idle: now.Sub(t.visited), BacksOff: t.tracker.BacksOff(now),
 		})
 	}
 	return out
@@ -34,13 +45,15 @@
 func (t *target) state(now time.Time) string {
 	switch {
 	case t.leaving:
-		return "leaving"
+		return StateLeaving
+	case t.tracker.BacksOff(now):
+		return StateBackingOff
 	case t.tracker.Ejected(now):
-		return "ejected"
+		return StateEjected
 	case t.tracker.Suspect(now), t.overdue(now):
-		return "suspect"
+		return StateSuspect
 	default:
-		return "live"
+		return StateLive
 	}
 }
 
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// Heard takes in what a box says of itself, which clears any suspicion.
-func (v *View) Heard(now time.Time, b Box) {
+// Observe takes in what a box says of itself, which clears any suspicion.
+func (v *View) Observe(now time.Time, b Box) {
 	v.Learn(now, b)
 	if e, ok := v.boxes[b.ID]; ok {
 		e.heard = now
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -64,7 +64,7 @@
 		Expect(v.Usable(later, "box-0")).To(BeTrue())
 		v.Fail(later, "box-0")
 		Expect(v.Usable(later.Add(600*time.Millisecond), "box-0")).To(BeFalse())
-		v.Heard(later, member.Box{ID: "box-0", Start: 1})
+		v.Observe(later, member.Box{ID: "box-0", Start: 1})
 		Expect(v.Usable(later, "box-0")).To(BeTrue())
 	})
 
@@ -131,7 +131,7 @@
 	It("passes on only boxes that were heard from lately, and forgets those that nobody names", func() {
 		v := member.New(member.Box{ID: "self", Start: 1})
 		v.SetList(now, boxes(2))
-		v.Heard(now, member.Box{ID: "box-1", Start: 1})
+		v.Observe(now, member.Box{ID: "box-1", Start: 1})
 		Expect(v.Recent(now, 9)).To(HaveLen(1))
 		Expect(v.Recent(now.Add(6*time.Second), 9)).To(BeEmpty())
 		v.Prune(now.Add(31 * time.Second))
--- a/internal/box/entry/send.go
+++ b/internal/box/entry/send.go
@@ -18,6 +18,7 @@
 	"github.com/sprucecrank/sprucecrank/core/box/health"
 	"github.com/sprucecrank/sprucecrank/core/box/ledger"
 	"github.com/sprucecrank/sprucecrank/internal/box/telemetry"
+	"github.com/sprucecrank/sprucecrank/internal/headers"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -201,8 +202,8 @@
 
 func shedFailure(r *http.Response) *verdict.Error {
 	pause := shedPauseDefault
-	if s, err := strconv.Atoi(r.Header.Get("Retry-After")); err == nil && s > 0 {
-		pause = time.Duration(s) * time.Second
+	if d := backOff(r); d > 0 {
+		pause = d
 	}
 	return verdict.New(verdict.NotRun, verdict.ReasonShed, "the target refused the request for its load").WithRetryAfter(pause)
 }
@@ -211,7 +212,7 @@
 func outcome(r *http.Response, result health.Result, took time.Duration) ledger.Outcome {
 	o := ledger.Outcome{Result: result, Took: took}
 	if r != nil {
-		ReadTargetState(r.Header, &o)
+		ReadTargetState(r, &o)
 	}
 	return o
 }
@@ -242,9 +243,20 @@
 
 // ReadTargetState adds what a target's answer says of its start and of leaving. A
 // start that is left out or no number is 0: it tells no life from another.
-func ReadTargetState(h http.Header, o *ledger.Outcome) {
+func ReadTargetState(r *http.Response, o *ledger.Outcome) {
+	h := r.Header
 	if start, err := strconv.ParseUint(h.Get(HeaderTargetStart), 10, 64); err == nil {
 		o.Start = start
 	}
 	o.Leaving = h.Get(HeaderTargetState) == TargetLeaving
+	o.BackOff = backOff(r)
+}
+
+// backOff is for how long a target asks to be sent nothing. What can't be read asks for nothing.
+func backOff(r *http.Response) time.Duration {
+	d, err := headers.BackOff(r, time.Now())
+	if err != nil {
+		return 0
+	}
+	return d
 }
--- a/internal/box/follow/exchange.go
+++ b/internal/box/follow/exchange.go
@@ -63,7 +63,7 @@
 }
 
 func (f *Follower) takeNews(n peer.ExchangeArgs) {
-	f.options.Members.Heard(n.Self)
+	f.options.Members.Observe(n.Self)
 	for _, b := range n.Boxes {
 		f.options.Members.Learn(b)
 	}
--- a/internal/box/grant/members.go
+++ b/internal/box/grant/members.go
@@ -83,11 +83,11 @@
 	m.view.Fail(m.clock(), id)
 }
 
-// Heard takes in news of a box from itself.
-func (m *Members) Heard(b member.Box) {
+// Observe takes in news of a box from itself.
+func (m *Members) Observe(b member.Box) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.view.Heard(m.clock(), b)
+	m.view.Observe(m.clock(), b)
 }
 
 // Recent lists up to n boxes that were heard from lately.
--- a/internal/box/home/home.go
+++ b/internal/box/home/home.go
@@ -252,7 +252,7 @@
 	next = tickIdle
 	for _, name := range h.Names() {
 		h.with(name, func(now time.Time, l *ledger.Ledger) {
-			l.Heard(now, self)
+			l.Observe(now, self)
 			l.Tick(now, vanishedAfter)
 			if l.QueueLen() > 0 {
 				next = tickWaiting
--- a/internal/box/probe/probe.go
+++ b/internal/box/probe/probe.go
@@ -1,7 +1,7 @@
 // Package probe is the measuring duty of a box. It asks only targets that no
-// request has visited lately, or that look bad, and never spends more of a
-// target's time than the box's share of the budget: the greatest cost is
-// reserved before the probe is sent, and the probe is cut off at that cost.
+// request has visited lately, or that look bad, and none that asks for back-off. It
+// never spends more of a target's time than the box's share of the budget: the greatest
+// cost is reserved before the probe is sent, and the probe is cut off at that cost.
 //
 // It owns the box's share of each target's budget. It relies on homes to say which
 // targets need measuring.
@@ -135,7 +135,7 @@
 }
 
 func due(t ledger.TargetView) bool {
-	return t.InFlight == 0 && (t.State != "live" || t.Idle > idleFor)
+	return !t.BacksOff && t.InFlight == 0 && (t.State != ledger.StateLive || t.Idle > idleFor)
 }
 
 func (p *Prober) reserve(address string) bool {
@@ -191,7 +191,7 @@
 	if response.StatusCode >= http.StatusInternalServerError {
 		o.Result = health.Failed
 	}
-	entry.ReadTargetState(response.Header, &o)
+	entry.ReadTargetState(response, &o)
 	return o
 }
 
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -33,6 +33,8 @@
 	// Warmup is for how much longer a target is cold, in milliseconds, in its health
 	// answers.
 	Warmup string
+	// Leaving marks each answer of a target that drains and then ends, if its value is true.
+	Leaving string
 	// NotRun marks an answer of a target that did not run the request.
 	NotRun string
 	// Workspace tells a target whose request it gets.
@@ -51,6 +53,7 @@
 		Load:           "Target-Load",
 		Limit:          "Target-Limit",
 		Warmup:         "Target-Warmup-Ms",
+		Leaving:        "Target-Leaving",
 		NotRun:         "Target-Verdict",
 		Workspace:      "Sprucecrank-Workspace",
 		KeyScheme:      "Bearer",
