--- a/core/gateway/catalog/catalog.go
+++ b/core/gateway/catalog/catalog.go
@@ -1,7 +1,7 @@
 // Package catalog holds what a gateway believes of the configuration, of the targets,
 // of the halls that are evacuated and of the rollouts: the greatest version seen of
 // each, however it was learnt. Nothing ever goes back: an older configuration is not
-// taken in, a target that has begun to leave stays leaving for that life of it, and word of
+// taken in, a target that has begun to leave stays leaving for that life of it, and an update of
 // an earlier life of a target undoes nothing that is known of a later one (lives). Evacuations and
 // rollouts are as the store has them, since operators begin and end them as often as
 // they like.
@@ -202,6 +202,19 @@
 	return changed
 }
 
+// Drain takes in that a target said itself that it leaves, and says whether that changes what is
+// believed. Its entry may say so later, or never. The position stays, since the store holds nothing
+// new.
+func (c *Catalog) Drain(life Life) bool {
+	entry, ok := c.targets.entries[life.ID]
+	if !ok || entry.Leaving || entry.Life() != life {
+		return false
+	}
+	entry.Born, entry.Leaving = c.lives.note(life, true)
+	c.targets.entries[life.ID] = entry
+	return true
+}
+
 // CatchUp notes that another gateway knows nothing that is missing here, so that what
 // is believed is as far as its position.
 func (c *Catalog) CatchUp(theirs Position) {
@@ -224,7 +237,7 @@
 	return out
 }
 
-// believed is a target as it is believed; ok is false where the word is of an earlier life
+// believed is a target as it is believed; ok is false where the update is of an earlier life
 // and no later one is in service.
 func (c *Catalog) believed(t Target) (believed Target, ok bool) {
 	if c.lives.isOver(t.Life()) {
--- a/core/gateway/catalog/lives_test.go
+++ b/core/gateway/catalog/lives_test.go
@@ -17,8 +17,8 @@
 func TestALifeOfATargetFollowsTheOneBefore(t *testing.T) {
 	first, second := life(1, "10.0.0.1:80", false), life(2, "10.0.0.2:80", false)
 	for name, c := range map[string]struct {
-		words []catalog.Target
-		want  catalog.Target
+		updates []catalog.Target
+		want    catalog.Target
 	}{
 		"it starts again at another address":         {[]catalog.Target{first, second}, second},
 		"it starts again at the same address":        {[]catalog.Target{first, life(2, first.Address, false)}, life(2, first.Address, false)},
@@ -37,10 +37,10 @@
 			watched, listed, told := catalog.New(), catalog.New(), catalog.New()
 			watched.Replace(1, nil)
 			told.Replace(1, nil)
-			for i, word := range c.words {
+			for i, update := range c.updates {
 				revision := uint64(i + 2)
-				watched.Advance(revision, []catalog.Change{{Revision: revision, Target: word}})
-				listed.Replace(revision, []catalog.Target{word})
+				watched.Advance(revision, []catalog.Change{{Revision: revision, Target: update}})
+				listed.Replace(revision, []catalog.Target{update})
 				told.Merge(watched.Since(told.Position()))
 			}
 			for _, c2 := range []*catalog.Catalog{watched, listed, told} {
@@ -50,7 +50,7 @@
 	}
 }
 
-func TestLateWordOfALifeThatIsOverBringsNothingBack(t *testing.T) {
+func TestALateUpdateOfALifeThatIsOverBringsNothingBack(t *testing.T) {
 	g := NewWithT(t)
 	c := catalog.New()
 	c.Replace(1, nil)
@@ -80,3 +80,38 @@
 		g.Expect(bad.Check()).NotTo(Succeed(), "%+v", bad)
 	}
 }
+
+// A target that said itself that it leaves, and whose entry does not say so, or says so late.
+func TestATargetThatSaysThatItLeavesStaysLeavingForThatLife(t *testing.T) {
+	target := life(2, "10.0.0.1:80", false)
+	again := life(3, "10.0.0.1:80", false)
+	change := func(c *catalog.Catalog, revision uint64, t catalog.Target, gone bool) {
+		c.Advance(revision, []catalog.Change{{Revision: revision, Target: t, Gone: gone}})
+	}
+	for name, c := range map[string]struct {
+		said catalog.Life
+		then func(c *catalog.Catalog)
+		want []catalog.Target
+	}{
+		"nothing more is heard":        {target.Life(), func(*catalog.Catalog) {}, []catalog.Target{life(2, target.Address, true)}},
+		"its entry is written again":   {target.Life(), func(c *catalog.Catalog) { change(c, 3, target, false) }, []catalog.Target{life(2, target.Address, true)}},
+		"all entries are read again":   {target.Life(), func(c *catalog.Catalog) { c.Replace(3, []catalog.Target{target}) }, []catalog.Target{life(2, target.Address, true)}},
+		"its entry lapses and is back": {target.Life(), func(c *catalog.Catalog) { change(c, 3, target, true); change(c, 4, target, false) }, []catalog.Target{life(2, target.Address, true)}},
+		"it ends":                      {target.Life(), func(c *catalog.Catalog) { change(c, 3, target, true) }, nil},
+		"it starts again":              {target.Life(), func(c *catalog.Catalog) { change(c, 3, again, false) }, []catalog.Target{again}},
+		"late word of the life before": {life(1, "", false).Life(), func(*catalog.Catalog) {}, []catalog.Target{target}},
+		"of one that is not known":     {catalog.Life{ID: "i-9"}, func(*catalog.Catalog) {}, []catalog.Target{target}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			cat := catalog.New()
+			cat.Replace(2, []catalog.Target{target})
+			at := cat.Position()
+			g.Expect(cat.Drain(c.said)).To(Equal(c.said == target.Life()))
+			g.Expect(cat.Drain(c.said)).To(BeFalse(), "said once")
+			g.Expect(cat.Position()).To(Equal(at))
+			c.then(cat)
+			g.Expect(cat.Targets()).To(ConsistOf(c.want))
+		})
+	}
+}
--- a/core/gateway/catalog/revision.go
+++ b/core/gateway/catalog/revision.go
@@ -6,7 +6,7 @@
 
 // rereadBit is set in the revision of a list that is taken in whole though one of the same
 // revision was not; only in later lives than the first, whose revisions are as the store
-// gives them, as gateways of an earlier version tell them.
+// gives them, as gateways of an earlier version report them.
 const rereadBit = 1
 
 // Revision orders what a store held, by its life first and by the revision that it gave
@@ -31,7 +31,7 @@
 }
 
 // reread is the revision of a list that is read again at a revision that is known already. What
-// it adds, after a store came back older, those lack that were told of the one before: without
+// it adds, after a store came back older, those lack that know the one before: without
 // it three of four gateways sent requests to an evacuated hall for 30 s, until somebody wrote.
 func reread(revision uint64) uint64 {
 	if StoreLife(revision) == 0 {
--- a/core/gateway/catalog/revision_test.go
+++ b/core/gateway/catalog/revision_test.go
@@ -79,7 +79,7 @@
 // Two gateways hear of a store and of each other in any order while it comes back from older
 // copies. What one of them has seen leave is never taken into service again by it, and both
 // believe the same in the end.
-func TestInWhateverOrderOlderCopiesAreHeardOf(t *testing.T) {
+func TestInWhateverOrderOlderCopiesAreLearntOf(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := map[string]catalog.Target{}
 		life, revision := uint64(0), uint64(1)
@@ -149,7 +149,7 @@
 
 // The second list of a life may be of the same revision as the first, where nobody has written
 // meanwhile. Gateways that were told of the first must hear of what it adds.
-func TestWhatIsReadAgainIsToldToThoseThatWereAsFar(t *testing.T) {
+func TestWhatIsReadAgainIsSentToThoseThatWereAsFar(t *testing.T) {
 	g := NewWithT(t)
 	reader, other := catalog.New(), catalog.New()
 	reader.Replace(catalog.Revision(0, 100), []catalog.Target{shopTarget("a")})
--- a/core/gateway/catalog/target.go
+++ b/core/gateway/catalog/target.go
@@ -46,12 +46,12 @@
 	Born int64
 }
 
-// Life names the start that a target's entry tells of.
+// Life is the start that a target's entry names.
 func (t Target) Life() Life { return Life{ID: t.ID, Born: t.Born} }
 
-// TellBirths says whether targets tell when they started: most do, so that an entry which
+// ReportStarts says whether targets report when they started: most do, so that an entry which
 // does not is another writer's. One entry alone can't have all others taken for such.
-func TellBirths(targets []Target) bool {
+func ReportStarts(targets []Target) bool {
 	told := 0
 	for _, t := range targets {
 		if t.Born > 0 {
--- a/core/gateway/freshness/freshness.go
+++ b/core/gateway/freshness/freshness.go
@@ -31,11 +31,11 @@
 const Never = time.Duration(math.MaxInt64)
 
 // oldShare is the share of the fresh age from which knowledge is old enough to be
-// worth confirming at once. A word must then make it younger by gainShare of the time that
+// worth confirming at once. An update must then make it younger by gainShare of the time that
 // is left until it is no longer fresh, and by leastShare of the fresh age: half as old at
 // first, which took calls to the store from 995 to 741 on a recorded day, and less the
 // nearer the standbys are to reading (docs/INCIDENTS.md). jumpShare is by how much, as a
-// share of the fresh age, a word must make knowledge younger for those who wait to look
+// share of the fresh age, an update must make knowledge younger for those who wait to look
 // again: half of what is old, so that whoever could not confirm theirs can do so then.
 // Looking at that and when theirs grows old, and not at the end of a question alone, took
 // the greatest age in a calm fleet of 60 from 1.61 to 1.03 s of 1.5
@@ -220,7 +220,7 @@
 
 // Confirms says whether this gateway can confirm the knowledge of another one,
 // which was confirmed theirs ago: that has grown old, and its own is younger by enough.
-// What is no longer fresh here must be half as old: others may still have fresh word.
+// What is no longer fresh here must be half as old: others may still have fresh updates.
 func (t *Tracker) Confirms(now time.Time, theirs time.Duration) bool {
 	own := t.Age(now)
 	if !t.Fresh(now) {
@@ -229,7 +229,7 @@
 	return t.isOld(theirs) && theirs-own > t.worthyGain(theirs)
 }
 
-// worthyGain is by how much a word must make knowledge of an age younger to be worth
+// worthyGain is by how much an update must make knowledge of an age younger to be worth
 // telling. It falls as the age grows: ages grow alike, so that the difference of two stays,
 // and a gain that grew with the age would never be reached by waiting.
 func (t *Tracker) worthyGain(age time.Duration) time.Duration {
--- a/core/gateway/peers/neighbour.go
+++ b/core/gateway/peers/neighbour.go
@@ -42,7 +42,7 @@
 const linksBetweenRegions = 3
 
 // choices is how many gateways are drawn while some don't answer, of which the one is
-// taken that was heard from last: those on this side of a cut go on being heard. Of 21
+// taken that was seen last: those on this side of a cut go on being seen. Of 21
 // gateways of 60 that were cut off one way, 1 to 4 read the store in 40 fleets; with one
 // draw, and connections that may take three times as long, 1 to 7 in 30
 // (internal/gateway/discovery's tests, in virtual time). In a calm fleet it is one, so
@@ -92,7 +92,7 @@
 	return false
 }
 
-// laterHeard is the one of two that was heard from later.
+// laterHeard is the one of two that was seen later.
 func laterHeard(a, b *entry) *entry {
 	if b.heard.After(a.heard) {
 		return b
@@ -145,7 +145,7 @@
 	return true
 }
 
-// Lost draws one of the gateways that did not answer, and that nobody has heard from
+// Lost draws one of the gateways that did not answer, and that nobody has seen
 // since or that call this one all the same: it may be behind a cut that has healed.
 func (v *View) Lost(now time.Time) (member.Box, bool) {
 	lost := v.sorted(func(e *entry) bool { return e.lost && (e.called || !e.live(now)) })
--- a/core/gateway/peers/peers.go
+++ b/core/gateway/peers/peers.go
@@ -8,7 +8,7 @@
 // differ, and no promise depends on their being equal. Ranks come from rendezvous
 // hashing, so that one gateway that goes moves only what fell to it.
 //
-// Who is drawn from such views forms a random graph: word that each passes on to a few
+// Who is drawn from such views forms a random graph: updates that each passes on to a few
 // reaches all in a number of steps that grows with the fleet's logarithm, and a cut
 // leaves what is left of it connected (internal/gateway/discovery's tests measure
 // both).
@@ -20,7 +20,7 @@
 //
 //	view := peers.New(self, rand.IntN)
 //	view.SetTiers(places.Tier)          // where the fleet may span regions
-//	view.Heard(now, other)              // it answered this gateway
+//	view.Observe(now, other)            // it answered this gateway
 //	view.Called(now, other)             // it called this gateway
 //	view.Sighted(now, sightings)        // another gateway named these
 //	box, ok := view.Neighbour(now, peers.OwnHall, taken)
@@ -49,15 +49,12 @@
 	// more than these, as some may be gone.
 	rankedRoom = 6
 	// lostRoom is how many gateways are held that did not answer and that nobody has
-	// heard from since, so that those behind a cut are found again. Chosen: with one of
-	// them asked every two seconds (internal/gateway/discovery), each side knows the
-	// other within seconds.
+	// seen since, so that those behind a cut are found again.
 	lostRoom = 8
-	// heardFor is how long word from a gateway itself may be passed on. Chosen: some
-	// exchanges between two gateways.
+	// heardFor is how long a sighting of a gateway may be passed on.
 	heardFor = 5 * time.Second
-	// silentAfter is how long after it was last heard from, by anybody, a gateway is
-	// no longer asked or ranked. Chosen: twice the time for which word is passed on.
+	// silentAfter is how long after it was last seen, by anybody, a gateway is
+	// no longer asked or ranked.
 	silentAfter = 2 * heardFor
 	// firstSuspicion is how long a gateway is passed over that did not answer; the
 	// time doubles with each failure, up to longestSuspicion.
@@ -68,7 +65,7 @@
 type entry struct {
 	member.Box
 	score        uint64    // for reading the store; the greatest ranks first
-	heard        time.Time // last heard from itself, by anybody
+	heard        time.Time // last seen, by anybody
 	suspectUntil time.Time
 	suspectFor   time.Duration
 	lost         bool // it did not answer, and has not since
@@ -120,9 +117,9 @@
 	return e.Box, true
 }
 
-// Heard takes in what a gateway says of itself in an answer, which clears any suspicion.
+// Observe takes in what a gateway says of itself in an answer, which clears any suspicion.
 // It reports whether the gateway is back after it did not answer.
-func (v *View) Heard(now time.Time, b member.Box) (back bool) {
+func (v *View) Observe(now time.Time, b member.Box) (back bool) {
 	if b.ID == v.self.ID || b.ID == "" {
 		return false
 	}
@@ -139,7 +136,7 @@
 func (v *View) Called(now time.Time, b member.Box) (back bool) {
 	e, known := v.entries[b.ID]
 	if !known || !e.lost || b.Start > e.Start {
-		return v.Heard(now, b)
+		return v.Observe(now, b)
 	}
 	e.Box, e.heard, e.called = b, now, true
 	return false
@@ -157,7 +154,7 @@
 }
 
 // Size is about how many gateways there are, this one among them. All of a small fleet
-// are known. Of a larger one the scores of the first in rank tell: the k-th greatest of n
+// are known. Of a larger one the scores of the first in rank show: the k-th greatest of n
 // numbers drawn evenly from [0, 1) lies about k/n below 1. With six of them it is off by
 // half, in either direction, for a third of the fleets.
 func (v *View) Size(now time.Time) int {
@@ -250,7 +247,7 @@
 	return out
 }
 
-// ranked lists up to n gateways that word may be passed on of, first in rank first.
+// ranked lists up to n gateways that may be passed on, first in rank first.
 func (v *View) ranked(now time.Time, n int) []*entry {
 	all := v.sorted(func(e *entry) bool { return !e.Leaving && now.Sub(e.heard) < heardFor })
 	slices.SortStableFunc(all, func(a, b *entry) int { return cmp.Compare(b.score, a.score) })
--- a/core/gateway/peers/peers_test.go
+++ b/core/gateway/peers/peers_test.go
@@ -29,7 +29,7 @@
 func newView(n int) *peers.View {
 	v := peers.New(self, rand.New(rand.NewPCG(1, uint64(n))).IntN)
 	for i := range n {
-		v.Heard(begin, box(i))
+		v.Observe(begin, box(i))
 	}
 	return v
 }
@@ -52,7 +52,7 @@
 	for _, own := range boxes {
 		v := peers.New(own, rand.IntN)
 		for _, b := range boxes {
-			v.Heard(begin, b)
+			v.Observe(begin, b)
 		}
 		ranks[v.Rank(begin)] = own.ID
 		views = append(views, v)
@@ -68,9 +68,9 @@
 	g.Expect(peers.Before(first, ranks[1])).To(BeTrue())
 	last.Fail(begin, first)
 	g.Expect(last.Rank(begin)).To(Equal(2), "one before it does not answer")
-	g.Expect(last.Heard(begin, member.Box{ID: first})).To(BeTrue(), "it is back")
+	g.Expect(last.Observe(begin, member.Box{ID: first})).To(BeTrue(), "it is back")
 	g.Expect(last.Rank(begin)).To(Equal(3))
-	last.Heard(begin, member.Box{ID: first, Leaving: true})
+	last.Observe(begin, member.Box{ID: first, Leaving: true})
 	g.Expect(last.Rank(begin)).To(Equal(2))
 	g.Expect(last.Rank(at(10*time.Second))).To(Equal(0), "nobody has been heard from")
 	last.SetLeaving()
@@ -95,8 +95,8 @@
 	again.Start = 2
 	v.Sighted(at(700*time.Millisecond), []peers.Sighting{{Box: again}})
 	g.Expect(v.Usable(at(700*time.Millisecond), "box-0")).To(BeTrue(), "it has started again")
-	g.Expect(v.Heard(at(800*time.Millisecond), again)).To(BeTrue(), "and is back")
-	g.Expect(v.Heard(at(800*time.Millisecond), again)).To(BeFalse())
+	g.Expect(v.Observe(at(800*time.Millisecond), again)).To(BeTrue(), "and is back")
+	g.Expect(v.Observe(at(800*time.Millisecond), again)).To(BeFalse())
 }
 
 // Where the way to a gateway is cut and the way from it is not, it calls and never
@@ -111,7 +111,7 @@
 	g.Expect(v.Avoids(at(100*time.Millisecond), "box-0")).To(BeTrue(), "it is there, but it did not answer")
 	lost, ok := v.Lost(at(100 * time.Millisecond))
 	g.Expect(ok && lost.ID == "box-0").To(BeTrue(), "it may be found again")
-	g.Expect(v.Heard(at(200*time.Millisecond), box(0))).To(BeTrue(), "it has answered")
+	g.Expect(v.Observe(at(200*time.Millisecond), box(0))).To(BeTrue(), "it has answered")
 	g.Expect(v.Usable(at(200*time.Millisecond), "box-0")).To(BeTrue())
 	v.Fail(at(time.Second), "box-0")
 	again := box(0)
@@ -120,10 +120,10 @@
 	g.Expect(v.Usable(at(1100*time.Millisecond), "box-0")).To(BeTrue())
 }
 
-func TestOldWordOfAnEarlierStartChangesNothing(t *testing.T) {
+func TestAnOldUpdateOfAnEarlierStartChangesNothing(t *testing.T) {
 	g := NewWithT(t)
 	v := newView(0)
-	v.Heard(begin, member.Box{ID: "a", Peer: "new", Start: 2})
+	v.Observe(begin, member.Box{ID: "a", Peer: "new", Start: 2})
 	v.Sighted(begin, []peers.Sighting{{Box: member.Box{ID: "a", Peer: "old", Start: 1, Leaving: true}}})
 	found, ok := v.Find("a")
 	g.Expect(ok).To(BeTrue())
@@ -136,17 +136,17 @@
 	g.Expect(v.Len()).To(Equal(1), "not itself, nobody without a name, nobody unheard of")
 }
 
-func TestWordOfAGatewayThatIsGoneDiesOut(t *testing.T) {
+func TestSightingsOfAGatewayThatIsGoneDieOut(t *testing.T) {
 	g := NewWithT(t)
 	now := begin
 	a, b := peers.New(member.Box{ID: "a"}, rand.IntN), peers.New(member.Box{ID: "b"}, rand.IntN)
-	a.Heard(now, member.Box{ID: "gone"})
+	a.Observe(now, member.Box{ID: "gone"})
 	for range 60 { // a and b go on telling each other of it
 		now = now.Add(500 * time.Millisecond)
 		b.Sighted(now, a.Sightings(now, ""))
 		a.Sighted(now, b.Sightings(now, ""))
-		a.Heard(now, b.Self())
-		b.Heard(now, a.Self())
+		a.Observe(now, b.Self())
+		b.Observe(now, a.Self())
 	}
 	for _, v := range []*peers.View{a, b} {
 		g.Expect(v.Usable(now, "gone")).To(BeFalse())
@@ -231,13 +231,13 @@
 		others := slices.DeleteFunc(slices.Clone(hall), func(b member.Box) bool { return b.ID == own.ID })
 		random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 		for _, b := range others[:min(known, len(others))] {
-			v.Heard(begin, b)
+			v.Observe(begin, b)
 		}
 		for _, id := range failed {
 			v.Fail(begin, id)
 		}
 		for i := range 3 {
-			v.Heard(begin, member.Box{ID: fmt.Sprint("far-", i), Hall: "hall-1", Start: 1})
+			v.Observe(begin, member.Box{ID: fmt.Sprint("far-", i), Hall: "hall-1", Start: 1})
 		}
 		if !slices.Contains(failed, own.ID) && v.LinksHalls(begin) {
 			out = append(out, own.ID)
@@ -268,7 +268,7 @@
 	g.Expect(ok).To(BeFalse(), "others may still hear from them")
 	later := at(time.Minute)
 	for i := range 25 {
-		v.Heard(later, member.Box{ID: fmt.Sprint("new-", i), Hall: "hall-0"})
+		v.Observe(later, member.Box{ID: fmt.Sprint("new-", i), Hall: "hall-0"})
 	}
 	g.Expect(v.Len()).To(Equal(24+1+8), "24, one more that ranks first, and some of those that were lost")
 	found := map[string]bool{}
@@ -293,7 +293,7 @@
 	for i := range boxes {
 		boxes[i] = box(i)
 		views[boxes[i].ID] = peers.New(boxes[i], random.IntN)
-		views[boxes[i].ID].Heard(begin, boxes[0])
+		views[boxes[i].ID].Observe(begin, boxes[0])
 	}
 	gone := func(now time.Time, id string) bool { return now.After(at(20*time.Second)) && id < "box-15" }
 	for now := begin; now.Before(at(40 * time.Second)); now = now.Add(time.Second) {
@@ -308,9 +308,9 @@
 					continue
 				}
 				told, asked := views[other.ID].Sightings(now, b.Hall), v.Sightings(now, other.Hall)
-				v.Heard(now, other)
+				v.Observe(now, other)
 				v.Sighted(now, told[1:])
-				views[other.ID].Heard(now, b)
+				views[other.ID].Observe(now, b)
 				views[other.ID].Sighted(now, asked[1:])
 			}
 		}
@@ -337,7 +337,7 @@
 
 func ExampleView() {
 	view := peers.New(member.Box{ID: "gateway-1", Hall: "a"}, rand.IntN)
-	view.Heard(begin, member.Box{ID: "gateway-2", Hall: "a"})
+	view.Observe(begin, member.Box{ID: "gateway-2", Hall: "a"})
 	box, ok := view.Neighbour(begin, peers.OwnHall, func(string) bool { return false })
 	fmt.Println(box.ID, ok)
 	// Output: gateway-2 true
@@ -370,7 +370,7 @@
 			v := peers.New(self, rand.New(rand.NewPCG(1, 2)).IntN)
 			v.SetTiers(inRegions)
 			for _, i := range c.known {
-				v.Heard(begin, box(i))
+				v.Observe(begin, box(i))
 			}
 			drawn := map[string]bool{}
 			for range 50 {
@@ -397,7 +397,7 @@
 			v := peers.New(own, rand.IntN)
 			v.SetTiers(inRegions)
 			for j := range 20 {
-				v.Heard(begin, box(j))
+				v.Observe(begin, box(j))
 			}
 			for _, id := range failed {
 				v.Fail(begin, id)
@@ -422,7 +422,7 @@
 	own := peers.New(self, rand.New(rand.NewPCG(1, 20)).IntN)
 	own.SetTiers(locality.New(self.Hall, "north", map[string]string{"hall-0": "north"}).Tier)
 	for i := range 20 {
-		own.Heard(begin, box(i))
+		own.Observe(begin, box(i))
 	}
 	for range 20 {
 		for _, where := range []peers.Where{peers.OwnHall, peers.OtherHalls} {
@@ -439,7 +439,7 @@
 	v := peers.New(self, rand.New(rand.NewPCG(1, 3)).IntN)
 	v.SetTiers(inRegions)
 	for i := range 400 {
-		v.Heard(begin, box(i))
+		v.Observe(begin, box(i))
 	}
 	g.Expect(v.Len()).To(BeNumerically("<=", 3*24+6))
 	told := map[string]int{}
--- a/core/gateway/peers/sightings.go
+++ b/core/gateway/peers/sightings.go
@@ -20,14 +20,14 @@
 	toldRegions = 2
 )
 
-// Sighting is a gateway and how long ago it was last heard from by anybody.
+// Sighting is a gateway and how long ago it was last seen by anybody.
 type Sighting struct {
 	Box member.Box
 	Ago time.Duration
 }
 
-// Sightings is what is told to a gateway of a hall: this gateway first, then some of
-// those heard from lately. Only these are passed on, so that word of a gateway that is
+// Sightings is what is sent to a gateway of a hall: this gateway first, then some of
+// those seen lately. Only these are passed on, so that an update of a gateway that is
 // gone dies out.
 func (v *View) Sightings(now time.Time, hall string) []Sighting {
 	out := []Sighting{{Box: v.self}}
@@ -55,7 +55,7 @@
 	return out
 }
 
-// Ranked is what may be told of up to n gateways that rank first, this one among them if it
+// Ranked is what may be passed on of up to n gateways that rank first, this one among them if it
 // does.
 func (v *View) Ranked(now time.Time, n int) []Sighting {
 	out := make([]Sighting, 0, n+1)
@@ -82,7 +82,7 @@
 	return from[:n]
 }
 
-// Sighted takes in whom another gateway has heard of. Old word is dropped, and leaving
+// Sighted takes in whom another gateway has learnt of. An old update is dropped, and leaving
 // is never taken back for one start.
 func (v *View) Sighted(now time.Time, sightings []Sighting) {
 	for _, s := range sightings {
@@ -115,7 +115,7 @@
 }
 
 // trim forgets whom there is no room for: gateways that are silent, but for some that
-// were lost, and of those that are heard from ones drawn at random, but for the first in
+// were lost, and of those that are seen some drawn at random, but for the first in
 // rank.
 func (v *View) trim(now time.Time) {
 	if len(v.entries) <= room {
--- a/core/gateway/placement/decide.go
+++ b/core/gateway/placement/decide.go
@@ -62,10 +62,11 @@
 	Targets   int
 	Barred    int
 	Evacuated int
-	// Spent is how many of Targets have no credit by the limits that they name, and CreditIn
-	// when the first of them may have some.
-	Spent    int
-	CreditIn time.Duration
+	// Closed is how many of Targets take nothing for now by what they said of themselves, OpensIn
+	// when the first of them may take a request, and BackingOff how many asked for back-off.
+	Closed     int
+	OpensIn    time.Duration
+	BackingOff int
 	// Best is the best target that answered; nil if none did.
 	Best *Candidate
 	// Within is how far targets were probed, if there were any nearer: locality.OwnHall
@@ -94,17 +95,20 @@
 	RefuseNoTarget
 	// RefuseEvacuated: all targets of the service stand in halls that are evacuated.
 	RefuseEvacuated
-	// RefuseRegion: no target of the service stands in a region that the route allows.
+	// RefuseRegion: no target of the service stands in a region that the route and the workspace
+	// allow.
 	RefuseRegion
 	// RefuseSpent: no target of the service has credit by the limit that it names.
 	RefuseSpent
+	// RefuseBackOff: no target of the service takes requests, since they asked for back-off.
+	RefuseBackOff
 )
 
 // Decision is what Decide chose.
 type Decision struct {
 	action    Action
 	contended bool
-	creditIn  time.Duration
+	opensIn   time.Duration
 }
 
 // Action is what becomes of the request.
@@ -124,9 +128,12 @@
 	case RefuseEvacuated:
 		return verdict.New(verdict.NotRun, verdict.ReasonEvacuated, "all targets of the service stand in halls that are evacuated")
 	case RefuseRegion:
-		return verdict.New(verdict.NotRun, verdict.ReasonRegion, "no target of the service stands in a region that the route allows")
+		return verdict.New(verdict.NotRun, verdict.ReasonRegion, "no target of the service stands in a region that the route and the workspace allow")
 	case RefuseSpent:
-		return RefusalOfSpent(d.creditIn)
+		return RefusalOfSpent(d.opensIn)
+	case RefuseBackOff:
+		return verdict.New(verdict.NotRun, verdict.ReasonTargetsBackOff, "all targets have asked to be sent nothing for a while").
+			WithRetryAfter(d.opensIn)
 	case RefuseFull:
 		return verdict.New(verdict.NotRun, verdict.ReasonTooLate, "every target asked is too full to answer in time")
 	default:
@@ -175,8 +182,10 @@
 		return Decision{action: RefuseEvacuated}
 	case s.Targets == 0:
 		return Decision{action: RefuseNoTarget}
-	case s.Spent == s.Targets:
-		return Decision{action: RefuseSpent, creditIn: s.CreditIn}
+	case s.Closed == s.Targets && s.BackingOff > 0:
+		return s.whileBackingOff()
+	case s.Closed == s.Targets:
+		return Decision{action: RefuseSpent, opensIn: s.OpensIn}
 	case s.Deadlines.SearchEnded(s.Now):
 		return Decision{action: Fallback, contended: true}
 	default:
@@ -184,6 +193,15 @@
 	}
 }
 
+// whileBackingOff decides where no target takes requests, some of them since they asked for
+// back-off: a request waits for one that takes requests again while it may search.
+func (s State) whileBackingOff() Decision {
+	if s.Deadlines.SearchEnded(s.Now.Add(s.OpensIn)) {
+		return Decision{action: RefuseBackOff, opensIn: s.OpensIn, contended: true}
+	}
+	return Decision{action: Wait, contended: true}
+}
+
 // acceptable says whether the best candidate is good enough to be taken now.
 func (s State) acceptable() bool {
 	best := s.Best
--- a/core/gateway/placement/order.go
+++ b/core/gateway/placement/order.go
@@ -30,9 +30,10 @@
 	Trip   func(hall string) (d time.Duration, ok bool)
 	// Avoid are the targets that had the request already.
 	Avoid []catalog.Life
-	// Spent says whether a target has no credit by the limit that it names; nil where none names
-	// one. Such targets are not probed either.
-	Spent func(life catalog.Life) bool
+	// Closed says whether a target takes nothing for now by what it said of itself: it asked for
+	// back-off, or has no credit by the limit that it names; nil where all take requests. Closed
+	// targets are not probed either.
+	Closed func(life catalog.Life) bool
 	// Ejected says whether a target gets no requests now, and Cold counts the cold ones among
 	// some targets, which take next to none.
 	Ejected func(life catalog.Life) bool
@@ -86,7 +87,7 @@
 	for _, t := range targets {
 		switch {
 		case slices.Contains(f.Avoid, t.Life()):
-		case f.Spent != nil && f.Spent(t.Life()):
+		case f.Closed != nil && f.Closed(t.Life()):
 		case f.Ejected(t.Life()):
 			ejected = append(ejected, t)
 		default:
--- a/core/gateway/placement/placement_test.go
+++ b/core/gateway/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -62,7 +63,9 @@
 		targets   int
 		evacuated int
 		barred    int
-		spent     int
+		closed    int
+		backOff   int
+		opensIn   time.Duration
 		action    placement.Action
 		contended bool
 	}{
@@ -97,28 +100,34 @@
 		"the last slot that is worth taking":                  {best: lastWorth, within: far, at: early, action: placement.Take},
 		"the same, that others wait for":                      {best: lastWorth, within: far, at: early, yield: true, action: placement.Wait, contended: true},
 		"a full target that slows down, last round":           {best: fullReserved, within: far, at: late, action: placement.RefuseFull, contended: true},
-		"no answer":                           {within: far, at: early, action: placement.Wait, contended: true},
-		"no answer, only the own hall probed": {at: early, within: locality.OwnHall, action: placement.Wait, contended: true},
-		"no answer in the last round":         {within: far, at: late, action: placement.Fallback, contended: true},
-		"no target is known":                  {within: far, at: early, targets: -1, action: placement.RefuseNoTarget},
-		"none in a region that is allowed":    {at: early, targets: -1, barred: 3, evacuated: 2, action: placement.RefuseRegion},
-		"some in a region that is allowed":    {at: early, barred: 3, action: placement.Wait, contended: true},
-		"none has credit":                     {within: far, at: early, spent: 1, action: placement.RefuseSpent},
-		"none has credit, in the last round":  {within: far, at: late, spent: 1, action: placement.RefuseSpent},
-		"some have credit":                    {within: far, at: early, targets: 1, spent: 1, action: placement.Wait, contended: true},
-		"all halls are evacuated":             {within: far, at: early, targets: -1, evacuated: 2, action: placement.RefuseEvacuated},
+		"no answer":                                  {within: far, at: early, action: placement.Wait, contended: true},
+		"no answer, only the own hall probed":        {at: early, within: locality.OwnHall, action: placement.Wait, contended: true},
+		"no answer in the last round":                {within: far, at: late, action: placement.Fallback, contended: true},
+		"no target is known":                         {within: far, at: early, targets: -1, action: placement.RefuseNoTarget},
+		"none in a region that is allowed":           {at: early, targets: -1, barred: 3, evacuated: 2, action: placement.RefuseRegion},
+		"some in a region that is allowed":           {at: early, barred: 3, action: placement.Wait, contended: true},
+		"none has credit":                            {within: far, at: early, closed: 1, action: placement.RefuseSpent},
+		"none has credit, in the last round":         {within: far, at: late, closed: 1, action: placement.RefuseSpent},
+		"some have credit":                           {within: far, at: early, targets: 1, closed: 1, action: placement.Wait, contended: true},
+		"all ask for back-off":                       {within: far, at: early, closed: 1, backOff: 1, action: placement.RefuseBackOff, contended: true},
+		"one may be back while it searches":          {within: far, at: early, closed: 1, backOff: 1, opensIn: late / 2, action: placement.Wait, contended: true},
+		"one may be back after that":                 {within: far, at: late, closed: 1, backOff: 1, opensIn: time.Millisecond, action: placement.RefuseBackOff, contended: true},
+		"some ask for back-off, some have no credit": {within: far, at: early, targets: 1, closed: 2, backOff: 1, action: placement.RefuseBackOff, contended: true},
+		"one does not ask for back-off":              {within: far, at: early, targets: 1, closed: 1, backOff: 1, action: placement.Wait, contended: true},
+		"all halls are evacuated":                    {within: far, at: early, targets: -1, evacuated: 2, action: placement.RefuseEvacuated},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			d := placement.Decide(placement.State{
 				Now: began.Add(c.at), Deadlines: placement.NewDeadlines(began, objective, usual), Targets: c.targets + 1, Evacuated: c.evacuated, Barred: c.barred,
-				Spent: c.spent, CreditIn: 700 * time.Millisecond,
+				Closed: c.closed, BackingOff: c.backOff, OpensIn: cmp.Or(c.opensIn, 700*time.Millisecond),
 				Best: c.best, Within: c.within, Yield: c.yield,
 			})
 			g.Expect(d.Action()).To(Equal(c.action))
 			g.Expect(d.Contended()).To(Equal(c.contended))
 			refuses := c.action == placement.RefuseFull || c.action == placement.RefuseNoTarget ||
-				c.action == placement.RefuseEvacuated || c.action == placement.RefuseRegion || c.action == placement.RefuseSpent
+				c.action == placement.RefuseEvacuated || c.action == placement.RefuseRegion || c.action == placement.RefuseSpent ||
+				c.action == placement.RefuseBackOff
 			g.Expect(d.Refusal() != nil).To(Equal(refuses))
 			if refuses {
 				g.Expect(d.Refusal().Verdict()).To(Equal(verdict.NotRun))
--- a/core/gateway/quarantine/ledger.go
+++ b/core/gateway/quarantine/ledger.go
@@ -5,21 +5,22 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/changes"
 )
 
 // Ledger is what a gateway knows of requests under which targets ended. It is not safe
 // for concurrent use.
 type Ledger struct {
-	number   uint64
-	version  uint64
+	log      *changes.Log
 	records  map[string]*record // by content
 	verdicts *Verdicts
 }
 
 // New makes a ledger that knows nothing. number is drawn at random, so that others can
-// tell it from that of an earlier life of the gateway.
+// distinguish it from that of an earlier life of the gateway.
 func New(number uint64) *Ledger {
-	return &Ledger{number: number, records: map[string]*record{}, verdicts: &Verdicts{}}
+	return &Ledger{log: changes.NewLog(number), records: map[string]*record{}, verdicts: &Verdicts{}}
 }
 
 // Verdicts are those by what is known now.
@@ -29,14 +30,9 @@
 func (l *Ledger) Size() int { return len(l.records) }
 
 // Position is how far the ledger has come.
-func (l *Ledger) Position() Position {
-	if l.version == 0 {
-		return Position{}
-	}
-	return Position{Ledger: l.number, Version: l.version}
-}
+func (l *Ledger) Position() changes.Position { return l.log.Position() }
 
-// NoteEnd notes that a target ended while it had a request under way. Others should hear of
+// NoteEnd notes that a target ended while it had a request under way. Others should learn of
 // it at once if it is not the first end under this request, else once Tick says so.
 func (l *Ledger) NoteEnd(now time.Time, r Request, e End) {
 	l.expire(now)
@@ -52,7 +48,7 @@
 }
 
 // NoteAnswer notes that a target has run a request and lives, and says whether others
-// should hear of that.
+// should learn of that.
 func (l *Ledger) NoteAnswer(now time.Time, r Request) bool {
 	kept, ok := l.records[r.Print.Content]
 	if !ok {
@@ -83,7 +79,7 @@
 }
 
 // NoteRefused notes that a quarantined request came again, and says whether others should
-// hear of that.
+// learn of that.
 func (l *Ledger) NoteRefused(now time.Time, r Request) bool {
 	kept, ok := l.records[r.Print.Content]
 	if !ok {
@@ -98,19 +94,19 @@
 }
 
 // Tick forgets what has lapsed, and no longer holds back what was noted some time ago. It
-// says whether there is anything that others should hear of. It should be called each
+// says whether there is anything that others should learn of. It should be called each
 // second.
-func (l *Ledger) Tick(now time.Time) (isNews bool) {
+func (l *Ledger) Tick(now time.Time) (isNew bool) {
 	if l.expire(now) {
 		l.judge()
 	}
 	for _, r := range l.records {
 		if r.isHeldBack() && now.Sub(r.seen) >= holdBack {
 			l.touch(r)
-			isNews = true
+			isNew = true
 		}
 	}
-	return isNews
+	return isNew
 }
 
 func (l *Ledger) expire(now time.Time) bool {
@@ -123,10 +119,10 @@
 	return len(l.records) < before
 }
 
-// Merge takes in what another gateway told, and says whether that changes anything.
-func (l *Ledger) Merge(now time.Time, words []Word) bool {
+// Merge takes in what another gateway reported, and says whether that changes anything.
+func (l *Ledger) Merge(now time.Time, updates []Update) bool {
 	changed := false
-	for _, w := range words {
+	for _, w := range updates {
 		if w.isSound() && w.Seen < lapseAfter {
 			changed = l.merge(now, w) || changed
 		}
@@ -138,9 +134,9 @@
 	return changed
 }
 
-// isSound says whether a word can be taken in: none from the future, which would never
-// lapse, and no more than a gateway tells.
-func (w Word) isSound() bool {
+// isSound says whether an update can be taken in: none from the future, which would never
+// lapse, and no more than a gateway reports.
+func (w Update) isSound() bool {
 	if w.Content == "" || w.Seen < 0 || len(w.Ends) == 0 || len(w.Ends) > maxEnds {
 		return false
 	}
@@ -149,7 +145,7 @@
 	})
 }
 
-func (l *Ledger) merge(now time.Time, w Word) bool {
+func (l *Ledger) merge(now time.Time, w Update) bool {
 	kept := l.record(w.Content, w.Service)
 	changed := false
 	for _, told := range w.Ends {
@@ -167,38 +163,26 @@
 
 // Since lists what changed since a position of this ledger, the earliest changes first, and
 // how far that comes: not all where it is much.
-func (l *Ledger) Since(now time.Time, at Position) ([]Word, Position) {
-	if at.Ledger != l.number {
-		at = Position{Ledger: l.number}
-	}
-	var newer []*record
+func (l *Ledger) Since(now time.Time, at changes.Position) ([]Update, changes.Position) {
+	after := l.log.After(at)
+	var lacking []changes.Change[Update]
 	for _, r := range l.records {
-		if r.version > at.Version {
-			newer = append(newer, r)
+		if r.version > after {
+			lacking = append(lacking, changes.Change[Update]{Version: r.version, Update: r.update(now)})
 		}
 	}
-	slices.SortFunc(newer, func(a, b *record) int { return cmp.Compare(a.version, b.version) })
-	to := l.Position()
-	if len(newer) > maxWords {
-		newer = newer[:maxWords]
-		to.Version = newer[maxWords-1].version
-	}
-	words := make([]Word, 0, len(newer))
-	for _, r := range newer {
-		words = append(words, r.word(now))
-	}
-	return words, to
+	return changes.First(l.log, lacking, maxUpdates)
 }
 
-// Words lists all that is known of some requests, by their contents, in a fixed order.
-func (l *Ledger) Words(now time.Time, contents map[string]bool) []Word {
-	var words []Word
+// Updates lists all that is known of some requests, by their contents, in a fixed order.
+func (l *Ledger) Updates(now time.Time, contents map[string]bool) []Update {
+	var updates []Update
 	for _, content := range slices.Sorted(maps.Keys(contents)) {
 		if r, ok := l.records[content]; ok {
-			words = append(words, r.word(now))
+			updates = append(updates, r.update(now))
 		}
 	}
-	return words
+	return updates
 }
 
 // record is what is known of a request; a new one where nothing is.
@@ -211,10 +195,9 @@
 	return r
 }
 
-// touch has a record told to others again.
+// touch has a record sent to others again.
 func (l *Ledger) touch(r *record) {
-	l.version++
-	r.version = l.version
+	r.version = l.log.Next()
 	r.told = r.seen
 }
 
@@ -246,7 +229,7 @@
 	return n
 }
 
-// take takes in an end that another gateway told, and says whether it is new or has a
+// take takes in an end that another gateway reported, and says whether it is new or has a
 // better excuse.
 func (r *record) take(now time.Time, told End) bool {
 	i := slices.IndexFunc(r.ends, func(e end) bool { return e.id == told.ID })
@@ -275,7 +258,7 @@
 
 // byWorth orders ends by which of them are kept: cleared ones last. Of the others any will
 // do, but the same everywhere. Their times would not be: each gateway reckons them a little
-// later than the one that told it, so that gateways would go on replacing each other's.
+// later than the one that reported it, so that gateways would go on replacing each other's.
 func byWorth(a, b end) int {
 	return cmp.Or(cmp.Compare(a.excuse, b.excuse), cmp.Compare(a.id, b.id))
 }
@@ -288,9 +271,9 @@
 	}
 }
 
-// word is what others are told of a request.
-func (r *record) word(now time.Time) Word {
-	w := Word{Content: r.content, Service: r.service, Seen: now.Sub(r.seen)}
+// update is what others are sent of a request.
+func (r *record) update(now time.Time) Update {
+	w := Update{Content: r.content, Service: r.service, Seen: now.Sub(r.seen)}
 	for _, e := range r.ends {
 		w.Ends = append(w.Ends, End{ID: e.id, Target: e.target, Caller: e.caller, Ago: now.Sub(e.at), Ran: e.ran, Excuse: e.excuse})
 	}
--- a/core/gateway/quarantine/quarantine.go
+++ b/core/gateway/quarantine/quarantine.go
@@ -13,8 +13,8 @@
 //     requests that ran at three targets when they ended, the one that ran at five is
 //     quarantined and the other is not.
 //
-// Gateways tell each other what they know (Word), each only what changed (Since); what
-// they know becomes alike in whatever order word comes. All of it lapses some time after
+// Gateways exchange what they know (Update), each only what changed (Since); what
+// they know becomes alike in whatever order updates come. All of it lapses some time after
 // the request was last seen, so that it is tried again once its targets were mended.
 //
 // The package does no I/O, reads no clock and draws no random numbers. Times should carry
@@ -51,12 +51,12 @@
 	// may be tried again. It costs three targets each time that it still is fatal:
 	// chosen, so that these are a few in an hour.
 	lapseAfter = 10 * time.Minute
-	// toldAgainAfter is how much later a request must have been seen to be told again: a
-	// quarantined one that comes each second is told each minute.
+	// toldAgainAfter is how much later a request must have been seen to be sent again: a
+	// quarantined one that comes each second is sent each minute.
 	toldAgainAfter = lapseAfter / 10
-	// holdBack is for how long the first end under a request is not told to others. Most
+	// holdBack is for how long the first end under a request is not sent to others. Most
 	// requests that lose their target are answered by another meanwhile and were never
-	// worth a word: when a hall loses power, there are hundreds.
+	// worth an update: when a hall loses power, there are hundreds.
 	holdBack = 250 * time.Millisecond
 	// sameEndWithin is how far apart two gateways may note the end of one target. Both do
 	// within a few ways there and back; the target takes longer to start again.
@@ -72,11 +72,11 @@
 	// maxRequests and maxEnds bound what is kept, to some 2 MB if each place is taken: of the
 	// requests, those with most ends. Chosen: a service of ten targets has 30 requests under
 	// way, all of which a fatal one may take along, and a request that is quarantined after
-	// the third end comes to some dozens while word of it spreads.
+	// the third end comes to some dozens while updates of it spread.
 	maxRequests = 256
 	maxEnds     = 64
-	// maxWords bounds what one message tells: some 5 kB where requests have a few ends.
-	maxWords = 32
+	// maxUpdates bounds the updates in one message: some 5 kB where requests have a few ends.
+	maxUpdates = 32
 )
 
 // LapseAfter is how long after it was last seen a request is forgotten.
@@ -104,7 +104,7 @@
 	Cleared
 )
 
-// End is the end of a target while it had a request under way, as gateways tell each
+// End is the end of a target while it had a request under way, as gateways exchange
 // other of it.
 type End struct {
 	// ID is drawn by the gateway that noted it.
@@ -118,8 +118,8 @@
 	Excuse Excuse
 }
 
-// Word is what one gateway tells another of a request.
-type Word struct {
+// Update is what one gateway sends another of a request.
+type Update struct {
 	Content string
 	Service string
 	Ends    []End
@@ -127,14 +127,6 @@
 	Seen time.Duration
 }
 
-// Position is how far a ledger has come, so that another gateway can say what it has
-// heard of it. The zero Position is that of an empty one.
-type Position struct {
-	// Ledger is the ledger's own number: a gateway that starts again has another.
-	Ledger  uint64
-	Version uint64
-}
-
 // end is an End by the time of this process.
 type end struct {
 	id     uint64
@@ -156,11 +148,11 @@
 	service string
 	ends    []end
 	seen    time.Time
-	// told is the seen that was last told, version that of the ledger at its latest change;
-	// 0 while nothing of it is told.
+	// told is the seen that was last sent, version that of the ledger at its latest change;
+	// 0 while nothing of it is sent.
 	told    time.Time
 	version uint64
 }
 
-// isHeldBack says whether nothing of the record is told yet.
+// isHeldBack says whether nothing of the record is sent yet.
 func (r *record) isHeldBack() bool { return r.version == 0 }
--- a/core/gateway/quarantine/quarantine_test.go
+++ b/core/gateway/quarantine/quarantine_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/changes"
 	"github.com/sprucecrank/sprucecrank/core/gateway/fingerprint"
 	"github.com/sprucecrank/sprucecrank/core/gateway/quarantine"
 )
@@ -182,7 +183,7 @@
 	g.Expect(s.ledger.Size()).To(BeZero())
 }
 
-func TestWhatIsKeptAndToldIsBounded(t *testing.T) {
+func TestWhatIsKeptAndSharedIsBounded(t *testing.T) {
 	g := NewWithT(t)
 	s := newScene()
 	fatal := request("fatal", "c1")
@@ -196,35 +197,35 @@
 	g.Expect(s.isQuarantined(fatal)).To(BeTrue())
 	s.now = s.now.Add(time.Second)
 	g.Expect(s.ledger.Tick(s.now)).To(BeTrue())
-	words, at := s.ledger.Since(s.now, quarantine.Position{})
-	g.Expect(words).To(HaveLen(32))
-	for _, w := range words {
+	updates, at := s.ledger.Since(s.now, changes.Position{})
+	g.Expect(updates).To(HaveLen(32))
+	for _, w := range updates {
 		g.Expect(len(w.Ends)).To(BeNumerically("<=", 64))
 	}
 	told := 0
-	for ; len(words) > 0; words, at = s.ledger.Since(s.now, at) {
-		told += len(words)
+	for ; len(updates) > 0; updates, at = s.ledger.Since(s.now, at) {
+		told += len(updates)
 	}
 	g.Expect(told).To(Equal(256))
 	g.Expect(at).To(Equal(s.ledger.Position()))
 }
 
-func TestALedgerThatBeginsAnewIsToldAll(t *testing.T) {
+func TestALedgerThatBeginsAnewIsSentAll(t *testing.T) {
 	g := NewWithT(t)
 	s := newScene()
-	g.Expect(s.ledger.Position()).To(Equal(quarantine.Position{}))
+	g.Expect(s.ledger.Position()).To(Equal(changes.Position{}))
 	s.ends("i-0", request("a", "c1"))
 	s.ends("i-1", request("a", "c1"))
-	words, _ := s.ledger.Since(s.now, quarantine.Position{Ledger: 8, Version: 99})
-	g.Expect(words).To(HaveLen(1))
+	updates, _ := s.ledger.Since(s.now, changes.Position{Log: 8, Version: 99})
+	g.Expect(updates).To(HaveLen(1))
 }
 
-func TestTheFirstEndIsToldOnlyIfNoAnswerFollows(t *testing.T) {
+func TestTheFirstEndIsSharedOnlyIfNoAnswerFollows(t *testing.T) {
 	g := NewWithT(t)
 	s := newScene()
 	told := func() int {
-		words, _ := s.ledger.Since(s.now, quarantine.Position{})
-		return len(words)
+		updates, _ := s.ledger.Since(s.now, changes.Position{})
+		return len(updates)
 	}
 	answered, lost := request("answered", "c1"), request("lost", "c1")
 	s.ends("i-0", answered, lost)
@@ -244,7 +245,7 @@
 }
 
 // Gateways hear of ends and answers in any order, several times over, and late.
-func TestLedgersBecomeAlikeInWhateverOrderTheyHear(t *testing.T) {
+func TestLedgersBecomeAlikeInWhateverOrderUpdatesCome(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const gateways = 3
 		var ledgers [gateways]*quarantine.Ledger
@@ -253,8 +254,8 @@
 		}
 		draw := func(n int, what string) int { return rapid.IntRange(0, n-1).Draw(t, what) }
 		tell := func(from, to int, now time.Time) bool {
-			words, _ := ledgers[from].Since(now, quarantine.Position{})
-			return ledgers[to].Merge(now, words)
+			updates, _ := ledgers[from].Since(now, changes.Position{})
+			return ledgers[to].Merge(now, updates)
 		}
 		now := start
 		for i := range rapid.IntRange(0, 40).Draw(t, "events") {
@@ -296,7 +297,7 @@
 func TestLedgersThatKnowMoreThanTheyKeepComeToRest(t *testing.T) {
 	const gateways = 6
 	var ledgers [gateways]*quarantine.Ledger
-	var heard [gateways][gateways]quarantine.Position
+	var heard [gateways][gateways]changes.Position
 	random := rand.New(rand.NewPCG(1, 2))
 	for i := range ledgers {
 		ledgers[i] = quarantine.New(uint64(i + 1))
@@ -306,48 +307,48 @@
 		}
 	}
 	now := start.Add(20 * time.Millisecond)
-	tell := func(from, to int) (isNews bool) {
-		words, at := ledgers[from].Since(now, heard[to][from])
+	tell := func(from, to int) (isNew bool) {
+		updates, at := ledgers[from].Since(now, heard[to][from])
 		heard[to][from] = at
-		return ledgers[to].Merge(now.Add(time.Duration(random.IntN(5))*time.Millisecond), words) // on its way
+		return ledgers[to].Merge(now.Add(time.Duration(random.IntN(5))*time.Millisecond), updates) // on its way
 	}
-	isNews := false
+	isNew := false
 	for range 20 {
-		isNews = false
+		isNew = false
 		for range gateways * gateways {
 			now = now.Add(time.Millisecond)
 			from := random.IntN(gateways)
-			isNews = tell(from, (from+1+random.IntN(gateways-1))%gateways) || isNews
+			isNew = tell(from, (from+1+random.IntN(gateways-1))%gateways) || isNew
 		}
 	}
-	NewWithT(t).Expect(isNews).To(BeFalse())
+	NewWithT(t).Expect(isNew).To(BeFalse())
 }
 
-// Words come from other gateways, and from an object in the store that others may write.
-func TestAWordThatCannotBeIsPassedOver(t *testing.T) {
+// Updates come from other gateways, and from an object in the store that others may write.
+func TestAnUpdateThatCannotBeIsPassedOver(t *testing.T) {
 	g := NewWithT(t)
-	good := func() quarantine.Word {
-		return quarantine.Word{Content: "fatal", Service: "shop", Ends: []quarantine.End{{ID: 1, Target: "i-1", Caller: "c1"}}}
+	good := func() quarantine.Update {
+		return quarantine.Update{Content: "fatal", Service: "shop", Ends: []quarantine.End{{ID: 1, Target: "i-1", Caller: "c1"}}}
 	}
-	for _, change := range []func(w *quarantine.Word){
-		func(w *quarantine.Word) { w.Content = "" },
-		func(w *quarantine.Word) { w.Seen = -time.Hour },
-		func(w *quarantine.Word) { w.Seen = quarantine.LapseAfter() },
-		func(w *quarantine.Word) { w.Ends = nil },
-		func(w *quarantine.Word) { w.Ends = make([]quarantine.End, 1000) },
-		func(w *quarantine.Word) { w.Ends[0].Target = "" },
-		func(w *quarantine.Word) { w.Ends[0].Ago = -time.Hour },
-		func(w *quarantine.Word) { w.Ends[0].Excuse = 7 },
-		func(w *quarantine.Word) { w.Ends[0].Excuse = -1 },
+	for _, change := range []func(w *quarantine.Update){
+		func(w *quarantine.Update) { w.Content = "" },
+		func(w *quarantine.Update) { w.Seen = -time.Hour },
+		func(w *quarantine.Update) { w.Seen = quarantine.LapseAfter() },
+		func(w *quarantine.Update) { w.Ends = nil },
+		func(w *quarantine.Update) { w.Ends = make([]quarantine.End, 1000) },
+		func(w *quarantine.Update) { w.Ends[0].Target = "" },
+		func(w *quarantine.Update) { w.Ends[0].Ago = -time.Hour },
+		func(w *quarantine.Update) { w.Ends[0].Excuse = 7 },
+		func(w *quarantine.Update) { w.Ends[0].Excuse = -1 },
 	} {
 		w := good()
 		change(&w)
 		ledger := quarantine.New(1)
-		g.Expect(ledger.Merge(start, []quarantine.Word{w})).To(BeFalse(), "%+v", w)
+		g.Expect(ledger.Merge(start, []quarantine.Update{w})).To(BeFalse(), "%+v", w)
 		g.Expect(ledger.Size()).To(BeZero())
 	}
 	ledger := quarantine.New(1)
-	g.Expect(ledger.Merge(start, []quarantine.Word{good()})).To(BeTrue())
+	g.Expect(ledger.Merge(start, []quarantine.Update{good()})).To(BeTrue())
 }
 
 func ExampleLedger() {
--- a/core/gateway/quarantine/verdicts.go
+++ b/core/gateway/quarantine/verdicts.go
@@ -7,7 +7,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/fingerprint"
 )
 
-// anyCaller stands for all callers of a request.
+// anyCaller represents all callers of a request.
 const anyCaller = ""
 
 // Verdicts say which requests are quarantined, and which are suspect. The zero value has
--- a/core/gateway/quota/told.go
+++ b/core/gateway/quota/advertised.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// leastRate stands for a smaller limit that a target names: somebody must still meet it
-	// now and then, to hear that it takes more.
+	// leastRate represents a smaller limit that a target names: somebody must still meet it
+	// now and then, to learn that it takes more.
 	leastRate = 0.2
 	// mostRate is a limit, in requests a second, beyond which none is held: no gateway sends
 	// one target as many.
@@ -21,7 +21,7 @@
 	asksPerRequest = 4.0
 	leastAsks      = 8.0
 	// maxTargetPause bounds for how long a gateway passes a target over without a probe. It
-	// hears of others that there is no limit any more, unless word is lost.
+	// learns of others that there is no limit any more, unless an update is lost.
 	maxTargetPause = 30 * time.Second
 	// onTheWay is for how long an answer may have been on its way that a gateway gets.
 	onTheWay = 100 * time.Millisecond
@@ -31,35 +31,35 @@
 	targetBurstSeconds = 0.25
 )
 
-// ErrTold says that what should name a target's limit does not.
-var ErrTold = errors.New("a limit is one decimal number of requests a second, not below 0")
+// ErrAdvertised says that what should name a target's limit does not.
+var ErrAdvertised = errors.New("a limit is one decimal number of requests a second, not below 0")
 
-// Told is what one answer of a target says of the limit that it names.
-type Told struct {
+// Advertised is what one answer of a target says of the limit that it names.
+type Advertised struct {
 	// Rate is how many requests a second it takes from all gateways together; 0 for any
 	// number.
 	Rate float64
 }
 
-// ParseTold reads the values of the header by which a target names its limit; none means that
-// it names no limit, and of several the smallest holds. It fails with ErrTold.
-func ParseTold(values []string) (Told, error) {
+// ParseAdvertised reads the values of the header by which a target names its limit; none means that
+// it names no limit, and of several the smallest holds. It fails with ErrAdvertised.
+func ParseAdvertised(values []string) (Advertised, error) {
 	smallest := math.Inf(1)
 	for _, value := range values {
 		rate, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
 		if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
-			return Told{}, ErrTold
+			return Advertised{}, ErrAdvertised
 		}
 		smallest = min(smallest, rate)
 	}
 	if smallest > mostRate {
-		return Told{}, nil
+		return Advertised{}, nil
 	}
-	return Told{Rate: max(smallest, leastRate)}, nil
+	return Advertised{Rate: max(smallest, leastRate)}, nil
 }
 
 // Limit is the limit that holds for the target.
-func (t Told) Limit() Limit {
+func (t Advertised) Limit() Limit {
 	if t.Rate == 0 {
 		return Limit{}
 	}
@@ -70,7 +70,7 @@
 	return asking{rate: max(asksPerRequest*rate, leastAsks), maxPause: maxTargetPause}
 }
 
-// Via is the kind of answer by which a target tells its limit.
+// Via is the kind of answer by which a target reports its limit.
 type Via int
 
 // The kinds of answers.
@@ -79,11 +79,11 @@
 	ViaAnswer Via = iota
 	// ViaProbe is the answer to a health probe.
 	ViaProbe
-	// ViaHome is word of the home, which other gateways told.
+	// ViaHome is an answer of the home, which other gateways reported it to.
 	ViaHome
-	// ViaGateway is word of another gateway.
+	// ViaGateway is an update from another gateway.
 	ViaGateway
-	// ViaLapse is no word: the target was not met for long.
+	// ViaLapse is no update: the target was not met for long.
 	ViaLapse
 )
 
@@ -91,35 +91,35 @@
 func (v Via) String() string { return [...]string{"answer", "probe", "home", "gateway", "lapse"}[v] }
 
 // Named is the limit that one target names, as a gateway knows it. The zero Named is that of
-// a target of which nothing was heard. It is not safe for concurrent use.
+// a target of which nothing was learnt. It is not safe for concurrent use.
 type Named struct {
-	told Told
-	at   time.Time
+	advertised Advertised
+	at         time.Time
 	// turned is when a limit was first named, or lifted, last.
 	turned time.Time
-	// inProbes says that its answers to probes name limits, so that one without any tells
+	// inProbes says that its answers to probes name limits, so that one without any says
 	// that there is none.
 	inProbes bool
 }
 
-// Told is the limit.
-func (n *Named) Told() Told { return n.told }
+// Advertised is the limit.
+func (n *Named) Advertised() Advertised { return n.advertised }
 
-// Age is how long ago the limit was told.
+// Age is how long ago the limit was advertised.
 func (n *Named) Age(now time.Time) time.Duration { return now.Sub(n.at) }
 
-// Note takes in what was told at a moment, unless what is known is younger. It says whether
+// Note takes in what was advertised at a moment, unless what is known is younger. It says whether
 // the limit is another one now.
-func (n *Named) Note(at time.Time, told Told, via Via) (changed bool) {
-	if n.ignores(at, told, via) {
+func (n *Named) Note(at time.Time, advertised Advertised, via Via) (changed bool) {
+	if n.ignores(at, advertised, via) {
 		return false
 	}
-	if n.turns(told) {
+	if n.turns(advertised) {
 		n.turned = at
 	}
-	n.inProbes = n.inProbes || via == ViaProbe && told.Rate > 0
-	changed = told != n.told
-	n.told = told
+	n.inProbes = n.inProbes || via == ViaProbe && advertised.Rate > 0
+	changed = advertised != n.advertised
+	n.advertised = advertised
 	if at.After(n.at) {
 		n.at = at
 	}
@@ -127,19 +127,21 @@
 }
 
 // turns says whether a limit is named where there was none, or none any more.
-func (n *Named) turns(told Told) bool { return (told.Rate > 0) != (n.told.Rate > 0) }
+func (n *Named) turns(advertised Advertised) bool {
+	return (advertised.Rate > 0) != (n.advertised.Rate > 0)
+}
 
-// ignores says whether what was told changes nothing of what is known. Answers take their
+// ignores says whether what was advertised changes nothing of what is known. Answers take their
 // time: one that was made before a target first named a limit, or lifted it, may come after
-// word of that, or just before.
-func (n *Named) ignores(at time.Time, told Told, via Via) bool {
+// the update on that, or just before.
+func (n *Named) ignores(at time.Time, advertised Advertised, via Via) bool {
 	switch {
-	case n.turns(told) && at.Sub(n.turned) < onTheWay:
+	case n.turns(advertised) && at.Sub(n.turned) < onTheWay:
 		return true
-	case told.Rate > 0:
+	case advertised.Rate > 0:
 		return at.Before(n.at)
 	case via == ViaProbe && !n.inProbes:
-		return true // they never told limits
+		return true // they never reported limits
 	default:
 		return at.Add(onTheWay).Before(n.at)
 	}
--- a/core/gateway/quota/told_test.go
+++ b/core/gateway/quota/advertised_test.go
@@ -10,7 +10,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/quota"
 )
 
-func TestWhatATargetTellsOfItsLimit(t *testing.T) {
+func TestWhatATargetAdvertisesOfItsLimit(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		values []string
@@ -34,8 +34,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			told, err := quota.ParseTold(c.values)
-			g.Expect(told.Rate).To(Equal(c.rate))
+			advertised, err := quota.ParseAdvertised(c.values)
+			g.Expect(advertised.Rate).To(Equal(c.rate))
 			g.Expect(err != nil).To(Equal(c.fails))
 		})
 	}
@@ -47,33 +47,33 @@
 	}
 	f.Fuzz(func(t *testing.T, first, second string) {
 		for _, values := range [][]string{{first}, {first, second}} {
-			told, err := quota.ParseTold(values)
-			if err == nil && (told.Rate < 0 || math.IsNaN(told.Rate) || math.IsInf(told.Rate, 0)) {
-				t.Errorf("%q gives %v", values, told)
+			advertised, err := quota.ParseAdvertised(values)
+			if err == nil && (advertised.Rate < 0 || math.IsNaN(advertised.Rate) || math.IsInf(advertised.Rate, 0)) {
+				t.Errorf("%q gives %v", values, advertised)
 			}
 		}
 	})
 }
 
-func TestTheYoungestWordOfALimitHolds(t *testing.T) {
+func TestTheMostRecentUpdateOfALimitHolds(t *testing.T) {
 	g := NewWithT(t)
 	var n quota.Named
-	g.Expect(n.Note(at(1), quota.Told{Rate: 3}, quota.ViaAnswer)).To(BeTrue())
-	g.Expect(n.Note(at(0.5), quota.Told{Rate: 9}, quota.ViaHome)).To(BeFalse())
-	g.Expect(n.Note(at(2), quota.Told{Rate: 2}, quota.ViaHome)).To(BeTrue())
-	g.Expect(n.Told().Rate).To(Equal(2.0))
+	g.Expect(n.Note(at(1), quota.Advertised{Rate: 3}, quota.ViaAnswer)).To(BeTrue())
+	g.Expect(n.Note(at(0.5), quota.Advertised{Rate: 9}, quota.ViaHome)).To(BeFalse())
+	g.Expect(n.Note(at(2), quota.Advertised{Rate: 2}, quota.ViaHome)).To(BeTrue())
+	g.Expect(n.Advertised().Rate).To(Equal(2.0))
 	// Probes that never named a limit say nothing.
-	g.Expect(n.Note(at(3), quota.Told{}, quota.ViaProbe)).To(BeFalse())
-	g.Expect(n.Note(at(4), quota.Told{Rate: 2}, quota.ViaProbe)).To(BeFalse())
-	g.Expect(n.Note(at(5), quota.Told{}, quota.ViaProbe)).To(BeTrue())
-	g.Expect(n.Told().Rate).To(BeZero())
+	g.Expect(n.Note(at(3), quota.Advertised{}, quota.ViaProbe)).To(BeFalse())
+	g.Expect(n.Note(at(4), quota.Advertised{Rate: 2}, quota.ViaProbe)).To(BeFalse())
+	g.Expect(n.Note(at(5), quota.Advertised{}, quota.ViaProbe)).To(BeTrue())
+	g.Expect(n.Advertised().Rate).To(BeZero())
 	g.Expect(n.Age(at(7)).Seconds()).To(Equal(2.0))
 }
 
 // takeTarget asks for requests to a target that told its limit some time ago.
 func takeTarget(l *quota.Ledger, seconds, rate, age float64, count int) quota.Grant {
 	g, ok := l.Take(at(seconds), quota.Want{
-		Target: "target-1", Limit: quota.Told{Rate: rate}.Limit(), Age: time.Duration(age * float64(time.Second)), Count: count,
+		Target: "target-1", Limit: quota.Advertised{Rate: rate}.Limit(), Age: time.Duration(age * float64(time.Second)), Count: count,
 	})
 	if !ok {
 		panic("the fleet is not known")
@@ -122,7 +122,7 @@
 	g := NewWithT(t)
 	l := quota.NewLedger(self, began, 0)
 	l.SetFleet(2072)
-	l.Hear(at(10), quota.Standing{From: 101, Homes: []uint32{self}})
+	l.Observe(at(10), quota.Standing{From: 101, Homes: []uint32{self}})
 	takeTarget(l, 10, 4, 0, 1)
 	g.Expect(takeTarget(l, 12, 4, 0, 9).Count).To(Equal(2))
 }
@@ -130,9 +130,9 @@
 // Answers that a target made before it named its limit, or before it lifted it, come after
 // word of that, or just before it.
 func TestAnAnswerThatWasOnItsWayTurnsNothingBack(t *testing.T) {
-	limit, none := quota.Told{Rate: 3}, quota.Told{}
+	limit, none := quota.Advertised{Rate: 3}, quota.Advertised{}
 	for name, c := range map[string]struct {
-		begin, end quota.Told
+		begin, end quota.Advertised
 		via        quota.Via
 	}{
 		"named, an answer":  {limit, none, quota.ViaAnswer},
@@ -149,7 +149,7 @@
 			}
 			g.Expect(n.Note(at(1), c.begin, quota.ViaProbe)).To(BeTrue())
 			g.Expect(n.Note(at(1.05), c.end, c.via)).To(BeFalse())
-			g.Expect(n.Told()).To(Equal(c.begin))
+			g.Expect(n.Advertised()).To(Equal(c.begin))
 			g.Expect(n.Note(at(1.15), c.end, c.via)).To(BeTrue(), "a tenth of a second later it is news")
 		})
 	}
--- a/core/gateway/quota/board_test.go
+++ b/core/gateway/quota/board_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	"github.com/sprucecrank/sprucecrank/core/gateway/changes"
 	"github.com/sprucecrank/sprucecrank/core/gateway/quota"
 )
 
@@ -16,8 +17,8 @@
 
 // rateOn is the limit that a board tells of a target; -1 for nothing.
 func rateOn(b *quota.Board, life catalog.Life) float64 {
-	words, _ := b.Since(at(60), quota.BoardPosition{})
-	for _, w := range words {
+	updates, _ := b.Since(at(60), changes.Position{})
+	for _, w := range updates {
 		if w.Life == life {
 			return w.Rate
 		}
@@ -25,35 +26,35 @@
 	return -1
 }
 
-func TestABoardTellsLimitsThatMoveByMuch(t *testing.T) {
+func TestABoardPublishesLimitsThatMoveByMuch(t *testing.T) {
 	g := NewWithT(t)
 	b := quota.NewBoard(1)
-	g.Expect(b.Position()).To(Equal(quota.BoardPosition{}))
-	g.Expect(b.Note(at(0), inNeed, quota.Told{})).To(BeFalse(), "it never named one")
-	g.Expect(b.Note(at(0), inNeed, quota.Told{Rate: 4})).To(BeTrue())
-	g.Expect(b.Note(at(0.6), inNeed, quota.Told{Rate: 4.4})).To(BeFalse())
-	g.Expect(b.Note(at(0.7), inNeed, quota.Told{Rate: 3})).To(BeTrue())
-	g.Expect(b.Note(at(0.8), inNeed, quota.Told{})).To(BeFalse(), "too soon")
+	g.Expect(b.Position()).To(Equal(changes.Position{}))
+	g.Expect(b.Note(at(0), inNeed, quota.Advertised{})).To(BeFalse(), "it never named one")
+	g.Expect(b.Note(at(0), inNeed, quota.Advertised{Rate: 4})).To(BeTrue())
+	g.Expect(b.Note(at(0.6), inNeed, quota.Advertised{Rate: 4.4})).To(BeFalse())
+	g.Expect(b.Note(at(0.7), inNeed, quota.Advertised{Rate: 3})).To(BeTrue())
+	g.Expect(b.Note(at(0.8), inNeed, quota.Advertised{})).To(BeFalse(), "too soon")
 	g.Expect(b.Tick(at(1))).To(BeFalse())
 	g.Expect(b.Tick(at(1.3))).To(BeTrue())
-	g.Expect(b.Note(at(1.9), inNeed, quota.Told{})).To(BeFalse())
-	words, to := b.Since(at(2), quota.BoardPosition{})
-	g.Expect(words).To(Equal([]quota.Word{{Life: inNeed, Edition: 3, Age: 700 * time.Millisecond}}))
+	g.Expect(b.Note(at(1.9), inNeed, quota.Advertised{})).To(BeFalse())
+	updates, to := b.Since(at(2), changes.Position{})
+	g.Expect(updates).To(Equal([]quota.Update{{Life: inNeed, Edition: 3, Age: 700 * time.Millisecond}}))
 	again, _ := b.Since(at(2), to)
 	g.Expect(again).To(BeEmpty())
 	b.Tick(at(62))
 	g.Expect(rateOn(b, inNeed)).To(Equal(-1.0))
 }
 
-func TestWordThatCantBeTrueIsPassedOver(t *testing.T) {
+func TestAnUpdateThatCantBeTrueIsPassedOver(t *testing.T) {
 	g := NewWithT(t)
 	b := quota.NewBoard(1)
-	for _, w := range []quota.Word{
+	for _, w := range []quota.Update{
 		{Rate: 1, Edition: 1}, {Life: inNeed, Rate: -1, Edition: 1}, {Life: inNeed, Rate: 1e9, Edition: 1},
 		{Life: inNeed, Rate: 1, Edition: 1, Age: -time.Second}, {Life: inNeed, Rate: 1, Edition: 1, Age: time.Hour},
 		{Life: inNeed, Edition: 1, Age: 2 * time.Minute},
 	} {
-		g.Expect(b.Merge(at(0), []quota.Word{w})).To(BeEmpty(), "%v", w)
+		g.Expect(b.Merge(at(0), []quota.Update{w})).To(BeEmpty(), "%v", w)
 	}
 }
 
@@ -62,81 +63,81 @@
 	g := NewWithT(t)
 	b := quota.NewBoard(1)
 	for i := range 3000 {
-		b.Note(at(0), catalog.Life{ID: fmt.Sprint("target-", i)}, quota.Told{Rate: 1})
+		b.Note(at(0), catalog.Life{ID: fmt.Sprint("target-", i)}, quota.Advertised{Rate: 1})
 	}
-	told := map[string]bool{}
-	for position := (quota.BoardPosition{}); ; {
-		words, to := b.Since(at(1), position)
-		g.Expect(len(words)).To(BeNumerically("<=", 32))
-		if len(words) == 0 {
+	advertised := map[string]bool{}
+	for position := (changes.Position{}); ; {
+		updates, to := b.Since(at(1), position)
+		g.Expect(len(updates)).To(BeNumerically("<=", 32))
+		if len(updates) == 0 {
 			break
 		}
-		for _, w := range words {
-			told[w.Life.ID] = true
+		for _, w := range updates {
+			advertised[w.Life.ID] = true
 		}
 		position = to
 	}
-	g.Expect(told).To(HaveLen(256))
+	g.Expect(advertised).To(HaveLen(256))
 	// What has no place is not told with each answer.
 	position := b.Position()
 	for i := range 3000 {
-		b.Note(at(1), catalog.Life{ID: fmt.Sprint("target-", i)}, quota.Told{Rate: 1})
+		b.Note(at(1), catalog.Life{ID: fmt.Sprint("target-", i)}, quota.Advertised{Rate: 1})
 	}
 	g.Expect(b.Position()).To(Equal(position))
 }
 
 // A target names a limit in each second answer, at all gateways.
-func TestALimitThatFlapsIsToldNowAndThen(t *testing.T) {
+func TestALimitThatFlapsIsPublishedNowAndThen(t *testing.T) {
 	g := NewWithT(t)
 	boards := []*quota.Board{quota.NewBoard(1), quota.NewBoard(2), quota.NewBoard(3)}
-	told := 0
+	advertised := 0
 	for i := range 1000 {
 		now := at(float64(i) / 100)
 		rate := float64(i%2) * 3
-		if b := boards[i%3]; b.Note(now, inNeed, quota.Told{Rate: rate}) || b.Tick(now) {
-			told++
-			words, _ := b.Since(now, quota.BoardPosition{})
+		if b := boards[i%3]; b.Note(now, inNeed, quota.Advertised{Rate: rate}) || b.Tick(now) {
+			advertised++
+			updates, _ := b.Since(now, changes.Position{})
 			for _, other := range boards {
-				other.Merge(now, words)
+				other.Merge(now, updates)
 			}
 		}
 	}
-	g.Expect(told).To(BeNumerically("<=", 21), "in 10 s")
+	g.Expect(advertised).To(BeNumerically("<=", 21), "in 10 s")
 }
 
 // Gateways hear what a target told at different times, and tell each other in any order. Once
 // all was told, all know the same, and nobody has anything left to tell.
-func TestBoardsEndAlikeInWhateverOrderWordComes(t *testing.T) {
+func TestBoardsEndAlikeInWhateverOrderUpdatesCome(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var boards []*quota.Board
 		for i := range 4 {
 			boards = append(boards, quota.NewBoard(uint64(i+1)))
 		}
-		heard := map[[2]int]quota.BoardPosition{}
+		observed := map[[2]int]changes.Position{}
 		now := 1.0
-		tell := func(from, to int) (isNews bool) {
-			words, position := boards[from].Since(at(now), heard[[2]int{from, to}])
-			heard[[2]int{from, to}] = position
-			return len(boards[to].Merge(at(now), words)) > 0
+		tell := func(from, to int) (isNew bool) {
+			updates, position := boards[from].Since(at(now), observed[[2]int{from, to}])
+			observed[[2]int{from, to}] = position
+			return len(boards[to].Merge(at(now), updates)) > 0
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			i, j := rapid.IntRange(0, 3).Draw(t, "i"), rapid.IntRange(0, 3).Draw(t, "j")
 			if i == j {
 				rate := rapid.SampledFrom([]float64{0, 1, 2, 8}).Draw(t, "rate")
 				now += 0.3
-				boards[i].Note(at(now), inNeed, quota.Told{Rate: rate})
+				boards[i].Note(at(now), inNeed, quota.Advertised{Rate: rate})
 				continue
 			}
 			tell(i, j)
 		}
-		for rounds, news := 0, true; news; rounds++ {
+		for rounds, fresh := 0, true; fresh; rounds++ {
 			if rounds > 8 {
 				t.Fatal("they go on telling each other")
 			}
-			news = false
+			fresh = false
 			for i := range 4 {
 				for j := range 4 {
-					news = i != j && tell(i, j) || news
+					fresh = i != j && tell(i, j) || fresh
 				}
 			}
 		}
--- a/core/gateway/quota/ledger.go
+++ b/core/gateway/quota/ledger.go
@@ -10,7 +10,7 @@
 	// more than its limit: gateways pause between them, and what is due to them meanwhile is
 	// given in one.
 	askRate = 200.0
-	// maxPause bounds that pause, and with it how long a gateway refuses by what it heard,
+	// maxPause bounds that pause, and with it how long a gateway refuses by what it learnt,
 	// and minPause keeps questions apart.
 	maxPause = 2 * time.Second
 	minPause = 10 * time.Millisecond
@@ -39,7 +39,7 @@
 // bucket is the credit of one subject (token bucket).
 type bucket struct {
 	limit Limit
-	// version is that of a workspace's limit, and named what a target told of its own.
+	// version is that of a workspace's limit, and named what a target reported of its own.
 	version uint64
 	named   Named
 	asking  asking
@@ -78,8 +78,8 @@
 	return &Ledger{members: newMembers(self, started), buckets: map[Subject]*bucket{}, slack: slackShare * tolerance}
 }
 
-// Hear notes that a gateway is there, and whom it takes for homes.
-func (l *Ledger) Hear(now time.Time, s Standing) { l.members.hear(now, s) }
+// Observe notes that a gateway is there, and whom it takes for homes.
+func (l *Ledger) Observe(now time.Time, s Standing) { l.members.observe(now, s) }
 
 // SetFleet says about how many gateways there are.
 func (l *Ledger) SetFleet(size int) { l.members.fraction = fractionOf(size) }
@@ -113,7 +113,7 @@
 	if !known {
 		return Grant{}, false
 	}
-	b.hear(now, w)
+	b.observe(now, w)
 	b.settle(now, share)
 	l.startOrRestart(now, b)
 	b.asked = now
@@ -158,13 +158,13 @@
 	return b
 }
 
-// hear takes in a limit that is newer than the bucket's.
-func (b *bucket) hear(now time.Time, w Want) {
+// observe takes in a limit that is newer than the bucket's.
+func (b *bucket) observe(now time.Time, w Want) {
 	b.asking = asking{rate: askRate, maxPause: maxPause}
 	switch {
 	case w.Target != "":
-		b.named.Note(now.Add(-w.Age), Told{Rate: w.Limit.Rate}, ViaGateway)
-		b.limit = b.named.Told().Limit()
+		b.named.Note(now.Add(-w.Age), Advertised{Rate: w.Limit.Rate}, ViaGateway)
+		b.limit = b.named.Advertised().Limit()
 		b.asking = targetAsking(b.limit.Rate)
 	case w.Version > b.version:
 		b.limit, b.version = w.Limit, w.Version
--- a/core/gateway/quota/ledger_test.go
+++ b/core/gateway/quota/ledger_test.go
@@ -28,7 +28,7 @@
 // hearAll has gateways say at a moment that they are there.
 func hearAll(l *quota.Ledger, seconds float64, from, to int) {
 	for i := from; i < to; i++ {
-		l.Hear(at(seconds), quota.Standing{From: uint32(100 + i), Homes: []uint32{self}, Counts: true})
+		l.Observe(at(seconds), quota.Standing{From: uint32(100 + i), Homes: []uint32{self}, Counts: true})
 	}
 }
 
@@ -47,12 +47,12 @@
 	_, ok := l.Take(at(0.1), quota.Want{Workspace: "harbour", Limit: quota.Limit{Rate: 100}, Count: 1})
 	g.Expect(ok).To(BeFalse())
 	// Another gateway knows it: one in ten has this one for a home.
-	l.Hear(at(0.2), quota.Standing{From: 101, Homes: []uint32{self}, Counts: true, Fleet: quota.Fleet{Size: 20}})
+	l.Observe(at(0.2), quota.Standing{From: 101, Homes: []uint32{self}, Counts: true, Fleet: quota.Fleet{Size: 20}})
 	g.Expect(take(l, 0.2, 100).Count).To(Equal(1)) // 2 in 20 of a tenth of the burst, and of what .1 s earned
 	g.Expect(take(l, 1.2, 100).Count).To(Equal(4)) // and of the burst; 10 were earned
-	// Word of a fleet that is too old says nothing.
+	// Update of a fleet that is too old says nothing.
 	l = quota.NewLedger(self, began, 0)
-	l.Hear(at(0.2), quota.Standing{From: 101, Homes: []uint32{self}, Counts: true, Fleet: quota.Fleet{Size: 20, Age: time.Minute}})
+	l.Observe(at(0.2), quota.Standing{From: 101, Homes: []uint32{self}, Counts: true, Fleet: quota.Fleet{Size: 20, Age: time.Minute}})
 	g.Expect(l.Fleet(at(0.2)).Size).To(BeZero())
 }
 
@@ -94,7 +94,7 @@
 	g := NewWithT(t)
 	l := settled(6)
 	for i := range 3 { // they name another home beside this one, which ranks first for some
-		l.Hear(at(1), quota.Standing{From: uint32(100 + i), Homes: []uint32{self, 2}, Counts: true})
+		l.Observe(at(1), quota.Standing{From: uint32(100 + i), Homes: []uint32{self, 2}, Counts: true})
 	}
 	here, elsewhere := 0, 0
 	for i := range 40 {
@@ -188,7 +188,7 @@
 	for size, want := range map[int]float64{1: 1, 109: 1, 192: 1, 193: 0.5, 984: 0.125, 2072: 0.0625} {
 		counts := 0
 		for i := range 20000 {
-			if quota.StandsFor(quota.ID(fmt.Sprint("gateway-", i)), size) > 0 {
+			if quota.SampleWeight(quota.ID(fmt.Sprint("gateway-", i)), size) > 0 {
 				counts++
 			}
 		}
@@ -209,17 +209,17 @@
 			t.Run(fmt.Sprint(name, ", the home takes it for ", home), func(t *testing.T) {
 				g := NewWithT(t)
 				l := quota.NewLedger(self, began, 0)
-				hear := func(seconds float64, guess func(int, float64) int) {
+				observe := func(seconds float64, guess func(int, float64) int) {
 					for i := range size {
 						id := quota.ID(fmt.Sprint("gateway-", i))
-						stands := quota.StandsFor(id, guess(i, seconds))
-						l.Hear(at(seconds), quota.Standing{From: id, Homes: []uint32{self}, Counts: stands > 0, Stands: stands})
+						stands := quota.SampleWeight(id, guess(i, seconds))
+						l.Observe(at(seconds), quota.Standing{From: id, Homes: []uint32{self}, Counts: stands > 0, Stands: stands})
 					}
 				}
-				hear(1, func(int, float64) int { return 20 })
+				observe(1, func(int, float64) int { return 20 })
 				for s := 2.0; s < 9; s++ {
 					l.SetFleet(home)
-					hear(s, guess)
+					observe(s, guess)
 					l.Tick(at(s))
 					take(l, s, 0)
 				}
--- a/core/gateway/quota/members.go
+++ b/core/gateway/quota/members.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// BeatEvery is how often a gateway that counts tells the homes that it is there, unless
+	// HeartbeatEvery is how often a gateway that counts sends the homes a heartbeat, unless
 	// it asks them for credit.
-	BeatEvery = 900 * time.Millisecond
-	// AttachedFor is how long a gateway counts after it was last heard from. While it turns
-	// to another home its part is given out twice; a beat may come a third of a second late.
+	HeartbeatEvery = 900 * time.Millisecond
+	// AttachedFor is how long a gateway counts after it was last seen. While it turns
+	// to another home its part is given out twice; a heartbeat may come a third of a second late.
 	AttachedFor = 1250 * time.Millisecond
 	// doubtfulWeight is for how much a gateway counts that may still count elsewhere, at a home
 	// that it has turned away from. That one may be cut off from it, and give out its part as
@@ -22,20 +22,20 @@
 	// gets less than its limits for so long, which is longer than most cuts last.
 	fleetFor = 30 * time.Second
 	// settleTime is how long a home that has just begun looks for others before it believes
-	// that there are no more. Gateways that start together tell of themselves as soon as they
+	// that there are no more. Gateways that start together announce themselves as soon as they
 	// know a home, within some tenths of a second.
 	settleTime = 600 * time.Millisecond
 )
 
-// member is a gateway that tells that it is there.
+// member is a gateway that sends heartbeats.
 type member struct {
-	heard time.Time
-	group string
+	observed time.Time
+	group    string
 	// stands is for how many gateways it stands.
 	stands int
 }
 
-// group are the members that take the same gateways for homes, by how many these stand for.
+// group are the members that take the same gateways for homes, by how many these represent.
 type group struct {
 	homes []uint32
 	count int
@@ -63,8 +63,8 @@
 	}
 }
 
-// Members are the gateways that count and that this one hears from. Of a large fleet one of so
-// many counts, each by its own guess of the fleet's size, and stands for that many: so their
+// Members are the gateways that count and that this one gets updates from. Of a large fleet one of so
+// many counts, each by its own guess of the fleet's size, and represents that many: so their
 // sum is the fleet whatever each of them, or the home, takes it for.
 type Members struct {
 	self    uint32
@@ -75,7 +75,7 @@
 	fraction int
 	// changed is when a member last came, went or took to other homes.
 	changed time.Time
-	// fleet is the greatest size lately, known at a moment; 0 if none was ever told.
+	// fleet is the greatest size lately, known at a moment; 0 if none was ever reported.
 	fleet   int
 	fleetAt time.Time
 }
@@ -84,8 +84,8 @@
 	return &Members{self: self, started: started, fraction: 1, members: map[uint32]*member{}, groups: map[string]*group{}}
 }
 
-// hear notes that a gateway is there.
-func (m *Members) hear(now time.Time, s Standing) {
+// observe notes that a gateway is there.
+func (m *Members) observe(now time.Time, s Standing) {
 	m.noteFleet(now, s.Fleet)
 	known := m.members[s.From]
 	switch key := groupKey(s.Homes); {
@@ -97,7 +97,7 @@
 		m.move(now, key, s)
 	default:
 		m.groups[key].count += s.stands() - known.stands
-		known.heard, known.stands = now, s.stands()
+		known.observed, known.stands = now, s.stands()
 	}
 	m.noteCount(now)
 }
@@ -111,7 +111,7 @@
 	}
 	g := m.groups[key]
 	g.count += s.stands()
-	m.members[s.From] = &member{heard: now, group: key, stands: s.stands()}
+	m.members[s.From] = &member{observed: now, group: key, stands: s.stands()}
 	if s.Left > 0 && s.Left < AttachedFor {
 		g.doubt(now, s.stands(), AttachedFor-s.Left)
 	}
@@ -130,7 +130,7 @@
 	}
 }
 
-// groupKey tells lists of homes apart, whose order matters to nobody but is mostly the same.
+// groupKey distinguishes lists of homes, whose order matters to nobody but is mostly the same.
 func groupKey(homes []uint32) string {
 	key := make([]byte, 0, 4*len(homes))
 	for _, home := range homes {
@@ -142,7 +142,7 @@
 // prune forgets members that fell silent.
 func (m *Members) prune(now time.Time) {
 	for id, member := range m.members {
-		if now.Sub(member.heard) > AttachedFor {
+		if now.Sub(member.observed) > AttachedFor {
 			m.drop(id)
 			m.changed = now
 		}
@@ -164,7 +164,7 @@
 	}
 }
 
-// noteCount takes the members for the fleet, once there was time to hear of it.
+// noteCount takes the members for the fleet, once there was time to learn of it.
 func (m *Members) noteCount(now time.Time) {
 	if m.fleet == 0 && now.Sub(m.started) < settleTime {
 		return
@@ -201,13 +201,13 @@
 }
 
 // counted is about how many gateways of a large fleet count: enough to know parts to some
-// hundredths, and as many beats a second at any size.
+// hundredths, and as many heartbeats a second at any size.
 const counted = 192
 
-// StandsFor is for how many gateways one stands by which parts are measured, in a fleet of
+// SampleWeight is for how many gateways one stands by which parts are measured, in a fleet of
 // about a size: each for itself in a small one, in a larger one half of them for two, a quarter
 // for four and so on, always the same ones; 0 for one that does not count.
-func StandsFor(gateway uint32, fleet int) int {
+func SampleWeight(gateway uint32, fleet int) int {
 	fraction := fractionOf(fleet)
 	if !isOneOf(gateway, fraction) {
 		return 0
--- a/core/gateway/quota/quota.go
+++ b/core/gateway/quota/quota.go
@@ -7,8 +7,8 @@
 // that costs grows with the requests, not with the fleet.
 //
 // The limit of a workspace is the configuration's, and the newest version holds. That of a
-// target is what it last told (Told), to whichever gateway: each knows what it was told itself
-// (Named), tells the home when it asks for credit, and hears from it what is younger.
+// target is what it last advertised, to whichever gateway: each knows what it got itself
+// (Named), sends it to the home when it asks for credit, and gets back what is more recent.
 // Gateways also pass on to each other what moved by much (Board).
 //
 // Views differ for a while when gateways go, come back or are cut off, and then a subject
@@ -26,7 +26,7 @@
 // # Usage
 //
 //	ledger := quota.NewLedger(quota.ID("gateway-1"), started, tolerance)
-//	ledger.Hear(now, standing)                // each gateway, about once a second
+//	ledger.Observe(now, standing)             // each gateway, about once a second
 //	grant, ok := ledger.Take(now, quota.Want{Workspace: "harbour", Limit: limit, Count: 1})
 package quota
 
@@ -63,7 +63,7 @@
 // IsSet says whether there is a limit.
 func (l Limit) IsSet() bool { return l.Rate > 0 }
 
-// ID stands for a gateway in messages. Of 2,072 gateways two are alike in one fleet of 2,000,
+// ID represents a gateway in messages. Of 2,072 gateways two are alike in one fleet of 2,000,
 // and count as one.
 func ID(gateway string) uint32 { return uint32(xxhash.Sum64String("gateway\x00" + gateway)) }
 
@@ -76,9 +76,9 @@
 	// small fleet, an even share of a large one.
 	Counts bool
 	// Stands is for how many gateways it stands, if it counts; 0 of one of an earlier version,
-	// which stands for one.
+	// which represents one.
 	Stands int
-	// Fleet is the greatest fleet that it has lately heard of.
+	// Fleet is the greatest fleet that it has lately learnt of.
 	Fleet Fleet
 	// Left is how long ago a home last answered to which the gateway does not turn any more,
 	// the latest one; 0 where that is long ago, or its process has ended.
@@ -98,11 +98,11 @@
 	// Workspace or Target names the subject.
 	Workspace string
 	Target    string
-	// Limit is a workspace's by a version of the configuration, or what a target told Age ago.
+	// Limit is a workspace's by a version of the configuration, or what a target reported Age ago.
 	Limit   Limit
 	Version uint64
 	Age     time.Duration
-	// Count is how many requests wait, or were refused since the question before; 0 to tell
+	// Count is how many requests wait, or were refused since the question before; 0 to report
 	// the limit alone.
 	Count int
 }
@@ -117,8 +117,8 @@
 	// Permille the part of the limit that the home then gave out, in thousandths.
 	Pause    time.Duration
 	Permille int
-	// Newer says that the home knows younger word of a target's limit than it was asked with:
-	// Rate, 0 for none, as it was told Age ago.
+	// Newer says that the home knows a more recent limit of a target than it was asked with:
+	// Rate, 0 for none, as it was advertised Age ago.
 	Newer bool
 	Rate  float64
 	Age   time.Duration
--- a/core/gateway/reader/reader.go
+++ b/core/gateway/reader/reader.go
@@ -1,5 +1,5 @@
 // Package reader decides which gateways read the store: one for the whole fleet,
-// others only when it falls silent. All others hear from those, since the store
+// others only when it falls silent. All others get updates from those, since the store
 // counts each call and its rates grow more slowly than the fleet.
 //
 // It owns that rule, its constants, and what is known of other gateways' attempts
@@ -47,23 +47,22 @@
 	// firstSettleTime is that time where the whole fleet is new: no client is
 	// waiting, and all would read at once.
 	firstSettleTime = 1200 * time.Millisecond
-	// glanceSpread is the time over which gateways that know nothing, and whose clients
-	// wait, take a glance at the store, evenly, unless another offers what it knows. A
+	// staleReadSpread is the time over which gateways that know nothing, and whose clients
+	// wait, read the store's older copy, evenly, unless another offers what it knows. A
 	// list of 719 targets is 250 kB, and a whole fleet that asks for it at once fills the
 	// store's link: with 0.1 s, half of 461 gateways that had lost power together knew
 	// the configuration 0.48 s after their start.
-	glanceSpread = 450 * time.Millisecond
+	staleReadSpread = 450 * time.Millisecond
 	// seedSpread is the time over which gateways read that others turn to when they
 	// start: these should know first.
 	seedSpread = 30 * time.Millisecond
 	// rankTime is how long a gateway that has just begun leaves the reading to whoever
 	// confirms what it knows, though it takes itself for the first in rank: it knows few
 	// others yet. Without it 10 or 11 of 100 that had lost power together took the reading
-	// up, with 52 to 67 calls to the store (30 fleets in virtual time). Chosen: some
-	// swaps of whom neighbours have heard from.
+	// up, with 52 to 67 calls to the store (30 fleets in virtual time).
 	rankTime = 3 * time.Second
 	// offerTrust is how long a gateway that knows nothing counts on another's offer to
-	// tell it everything. Chosen: that takes some tens of milliseconds.
+	// send it everything.
 	offerTrust = 300 * time.Millisecond
 	// steepness is that of the distribution of delays: e to its power is the number
 	// of gateways of which about one is early. Chosen for some thousands.
@@ -72,14 +71,13 @@
 	// failedHoldShare how much of the time for which nobody succeeded they do. With
 	// tryHold for these, too, a configuration was not in force after 2.5 s where a third
 	// of 95 gateways was turned away and a quarter cut off: the reader and three more
-	// failed within 1.4 s, the next began to try 0.9 s later. Chosen: word of a failure
-	// is everywhere in some 20 ms.
+	// failed within 1.4 s, the next began to try 0.9 s later.
 	minFailedHold   = 60 * time.Millisecond
 	failedHoldShare = 0.4
 	// followersDelay is how much later gateways that are no readers read targets
 	// after an outage of the store. Chosen: the reader's list is there by then.
 	followersDelay = 500 * time.Millisecond
-	// never stands for a time that has not begun.
+	// never means a time that has not begun.
 	never = time.Duration(math.MaxInt64)
 )
 
@@ -115,7 +113,7 @@
 	// Confirmed that some gateway has confirmed them.
 	Knows     bool
 	Confirmed bool
-	// OfferAge is how long ago another gateway last offered to tell what it knows.
+	// OfferAge is how long ago another gateway last offered to send what it knows.
 	OfferAge time.Duration
 	// Age is how long ago what is known was confirmed.
 	Age time.Duration
@@ -163,8 +161,8 @@
 }
 
 // untilStarting is how long a gateway that knows nothing need not read the store. Those
-// that others turn to read at once; the first in rank when it has had time to hear of
-// others; whoever finds none, and has had its glance, as if it had fallen silent.
+// that others turn to read at once; the first in rank when it has had time to learn of
+// others; whoever finds none, and has had its stale read, as if it had fallen silent.
 func untilStarting(s State, t Timing) time.Duration {
 	var wait time.Duration
 	switch {
@@ -184,10 +182,10 @@
 	return max(wait, held(s, t))
 }
 
-// UntilGlance is how long a gateway that knows nothing, and whose clients wait, need not
-// take a glance at the store.
-func UntilGlance(s State) time.Duration {
-	return max(time.Duration(s.Draw*float64(glanceSpread))-s.Running, offerTrust-s.OfferAge)
+// UntilStaleRead is how long a gateway that knows nothing, and whose clients wait, need not
+// read the store's older copy.
+func UntilStaleRead(s State) time.Duration {
+	return max(time.Duration(s.Draw*float64(staleReadSpread))-s.Running, offerTrust-s.OfferAge)
 }
 
 // held is how long the tries of others hold a gateway back; it waits as if it had
--- a/core/gateway/reader/reader_test.go
+++ b/core/gateway/reader/reader_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-func TestUntilGlance(t *testing.T) {
+func TestUntilStaleRead(t *testing.T) {
 	const long = time.Hour
 	for name, c := range map[string]struct {
 		state reader.State
@@ -88,7 +88,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			g.Expect(reader.UntilGlance(c.state)).To(BeNumerically("~", c.want, time.Microsecond))
+			g.Expect(reader.UntilStaleRead(c.state)).To(BeNumerically("~", c.want, time.Microsecond))
 		})
 	}
 }
@@ -127,23 +127,23 @@
 	}
 }
 
-func TestTriesAreToldOnceAndHoldOthersBack(t *testing.T) {
+func TestTriesArePublishedOnceAndHoldOthersBack(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	var tries reader.Tries
-	g.Expect(tries.Told(now)).To(BeEmpty())
+	g.Expect(tries.Published(now)).To(BeEmpty())
 	g.Expect(tries.Note(now, reader.Try{ID: "a", Number: 1})).To(BeTrue())
 	g.Expect(tries.Note(now.Add(ms(900)), reader.Try{ID: "a", Number: 1})).To(BeFalse(), "the same, by a long way")
-	g.Expect(tries.Told(now)).To(Equal([]reader.Try{{ID: "a", Number: 1}}))
+	g.Expect(tries.Published(now)).To(Equal([]reader.Try{{ID: "a", Number: 1}}))
 	g.Expect(tries.Note(now, reader.Try{ID: "a", Number: 1, Failed: true})).To(BeTrue(), "that it failed is news")
 	g.Expect(tries.Lacking(now, []reader.Try{{ID: "a", Number: 1}})).To(BeTrue())
 	g.Expect(tries.Note(now, reader.Try{ID: "a", Number: 1, Failed: true})).To(BeFalse(), "known")
 	g.Expect(tries.Note(now, reader.Try{ID: "a", Number: 1})).To(BeFalse(), "never taken back")
-	g.Expect(tries.Told(now)).To(Equal([]reader.Try{{ID: "a", Number: 1, Failed: true}}))
+	g.Expect(tries.Published(now)).To(Equal([]reader.Try{{ID: "a", Number: 1, Failed: true}}))
 	g.Expect(tries.Note(now, reader.Try{ID: "a", Number: 0})).To(BeFalse(), "an earlier one")
 	g.Expect(tries.Lacking(now, nil)).To(BeTrue())
-	g.Expect(tries.Lacking(now, tries.Told(now))).To(BeFalse())
+	g.Expect(tries.Lacking(now, tries.Published(now))).To(BeFalse())
 	tries.Note(now, reader.Try{ID: "self", Number: 2})
 	tries.Note(now, reader.Try{ID: "b", Number: 3, Ago: ms(10)})
 	g.Expect(tries.HeldFor(now, "self")).To(BeNumerically(">", time.Hour), "two others are not enough")
@@ -157,12 +157,12 @@
 	tries.Note(now, reader.Try{ID: "e", Number: 6, Ago: ms(5)})
 	g.Expect(tries.Note(now, reader.Try{ID: "old", Number: -1})).To(BeFalse(), "there are enough later ones")
 	g.Expect(tries.Note(now.Add(time.Second), reader.Try{ID: "a", Number: 9})).To(BeTrue(), "again")
-	g.Expect(tries.Told(now.Add(time.Second))[0]).To(Equal(reader.Try{ID: "a", Number: 9}))
-	g.Expect(tries.Told(now.Add(time.Minute))).To(BeEmpty())
+	g.Expect(tries.Published(now.Add(time.Second))[0]).To(Equal(reader.Try{ID: "a", Number: 9}))
+	g.Expect(tries.Published(now.Add(time.Minute))).To(BeEmpty())
 	g.Expect(tries.Lacking(now.Add(1999*time.Millisecond), nil)).To(BeTrue())
 	g.Expect(tries.Lacking(now.Add(2001*time.Millisecond), nil)).To(BeFalse(), "no longer news")
 	late := now.Add(3500 * time.Millisecond)
-	g.Expect(tries.Told(late)).To(BeEmpty())
+	g.Expect(tries.Published(late)).To(BeEmpty())
 	g.Expect(tries.Note(late, reader.Try{ID: "a", Number: 9, Ago: 1999 * time.Millisecond})).To(BeFalse(),
 		"word of it that was late is no news, or two gateways go on for ever")
 }
@@ -181,14 +181,14 @@
 				})
 			}
 		}
-		for _, told := range one.Told(now) {
+		for _, told := range one.Published(now) {
 			other.Note(now, told)
 		}
-		for _, told := range other.Told(now) {
+		for _, told := range other.Published(now) {
 			one.Note(now, told)
 		}
-		if one.Lacking(now, other.Told(now)) || other.Lacking(now, one.Told(now)) {
-			t.Fatalf("%v and %v go on", one.Told(now), other.Told(now))
+		if one.Lacking(now, other.Published(now)) || other.Lacking(now, one.Published(now)) {
+			t.Fatalf("%v and %v go on", one.Published(now), other.Published(now))
 		}
 	})
 }
--- a/core/gateway/reader/tries.go
+++ b/core/gateway/reader/tries.go
@@ -8,17 +8,16 @@
 
 const (
 	// enoughTries is how many gateways at once try to read the store for all that can
-	// hear of them. Chosen: where a third is turned away, all three are so in 4 of
-	// 100 cases, and others follow.
+	// learn of them. Where all of them are turned away, others follow.
 	enoughTries = 3
 	// tryHold is for how long such a try holds others back. Chosen: a read of all
 	// targets takes a tenth of a second, and what it finds is everywhere soon after.
 	tryHold = 500 * time.Millisecond
-	// keptTries is how many tries are remembered and told. They are told for toldFor,
+	// keptTries is how many tries are remembered and reported. They are sent for toldFor,
 	// until nobody is held back by one any more, and are news to a gateway that has not
-	// heard of them for newsFor. They are remembered for far longer: one that is
-	// forgotten as soon as it is no longer told is news again when it is told by a
-	// gateway that heard of it a moment later. Fleets told each other of such tries
+	// learnt of them for newsFor. They are remembered for far longer: one that is
+	// forgotten as soon as it is no longer reported is news again when it is sent by a
+	// gateway that learnt of it a moment later. Fleets went on exchanging such tries
 	// without an end, on some runs of this package's users' tests.
 	keptTries   = 2 * enoughTries
 	toldFor     = 2 * time.Second
@@ -27,11 +26,11 @@
 )
 
 // Try is an attempt of a gateway to read the store on behalf of all that have grown
-// out of date, as gateways tell each other of it by net/rpc.
+// out of date, as gateways exchange it by net/rpc.
 type Try struct {
 	// ID is the gateway's, and Number greater for each of its tries: the time of day
 	// when it began, in nanoseconds by its own clock. It orders the tries of all alike
-	// everywhere, however long word of them was on its way.
+	// everywhere, however long updates of them were on their way.
 	ID     string
 	Number int64
 	// Ago is how long ago it began.
@@ -47,7 +46,7 @@
 	failed bool
 }
 
-// Tries are the latest attempts to read the store that a gateway has heard of, its own
+// Tries are the latest attempts to read the store that a gateway has learnt of, its own
 // among them. The zero value has none.
 type Tries struct {
 	kept    []try // one a gateway, the latest first
@@ -100,8 +99,8 @@
 	t.kept = t.kept[:min(keptTries, len(t.kept))]
 }
 
-// Told are the tries that other gateways are told of.
-func (t *Tries) Told(now time.Time) []Try {
+// Published are the tries that other gateways are sent.
+func (t *Tries) Published(now time.Time) []Try {
 	var out []Try
 	for _, k := range t.kept {
 		if ago := now.Sub(k.at); ago < toldFor {
@@ -112,7 +111,7 @@
 }
 
 // Lacking says whether there is a try, or that one failed, that is missing in what
-// another gateway told.
+// another gateway reported.
 func (t *Tries) Lacking(now time.Time, told []Try) bool {
 	return slices.ContainsFunc(t.kept, func(k try) bool {
 		known := slices.ContainsFunc(told, func(other Try) bool {
--- a/core/gateway/refusal/refusal.go
+++ b/core/gateway/refusal/refusal.go
@@ -117,6 +117,15 @@
 	return atOnceFrom + time.Duration(draw*float64(atOnceSpread))
 }
 
+// AfterOpening is when a client should come back that was refused since no target takes requests
+// until some time from now: then or, so that not all come at one moment, somewhat later. left is
+// the time until it stops waiting, draw is uniform in [0, 1).
+func AfterOpening(opensIn, left time.Duration, draw float64) time.Duration {
+	longest := time.Duration(longestShare * float64(left))
+	spread := max(longest-opensIn, minRetryAfter)
+	return opensIn + time.Duration(draw*float64(spread))
+}
+
 // RetryAfter is when a refused client should come back: left is the time until it
 // stops waiting, draw is uniform in [0, 1).
 func RetryAfter(left time.Duration, draw float64) time.Duration {
--- a/core/gateway/refusal/refusal_test.go
+++ b/core/gateway/refusal/refusal_test.go
@@ -91,6 +91,20 @@
 	g.Expect(refusal.AtOnce(0.5)).To(Equal(15 * time.Millisecond))
 }
 
+func TestNobodyIsToldToComeBackBeforeTargetsOpenNorAllAtOnce(t *testing.T) {
+	const left = 6 * time.Second
+	for name, c := range map[string]struct{ opensIn, first, last time.Duration }{
+		"soon":                                {100 * time.Millisecond, 100 * time.Millisecond, 2 * time.Second},
+		"beyond a third of the client's time": {3 * time.Second, 3 * time.Second, 3150 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(refusal.AfterOpening(c.opensIn, left, 0)).To(Equal(c.first))
+			g.Expect(refusal.AfterOpening(c.opensIn, left, 0.999999)).To(BeNumerically("~", c.last, time.Millisecond))
+		})
+	}
+}
+
 func ExampleFinal() {
 	broken := verdict.New(verdict.MayHaveRun, verdict.ReasonTargetFailed, "the connection broke")
 	full := verdict.New(verdict.NotRun, verdict.ReasonTooLate, "every target is full")
--- a/core/gateway/rollout/age.go
+++ b/core/gateway/rollout/age.go
@@ -18,7 +18,7 @@
 // Ages holds how old the orders are, rather too old than too young: what is not proved
 // when its time is over is rolled back, and never late. It is not safe for concurrent use.
 //
-// A process that knew all orders at some moment knows that whatever it hears of later is
+// A process that knew all orders at some moment knows that whatever it learns of later is
 // younger. One that has just begun goes by the record and the wall clock, and of an order
 // without a record knows nothing.
 type Ages struct {
@@ -28,7 +28,7 @@
 // heard is what is known of one order's age.
 type heard struct {
 	rollout catalog.Rollout
-	// first is when it was heard of, and least how old it was then at least.
+	// first is when it was learnt of, and least how old it was then at least.
 	first time.Time
 	least time.Duration
 	// by and bound are a moment, and how old the order was then at most.
@@ -40,13 +40,13 @@
 func NewAges() *Ages { return &Ages{orders: map[string]heard{}} }
 
 // Note takes in an order as it is believed. now carries the readings of the monotonic and
-// the wall clock; confirmed is the latest moment, before this process heard of the order
+// the wall clock; confirmed is the latest moment, before this process learnt of the order
 // as it is, at which its knowledge of rollouts was complete, zero for never.
 func (a *Ages) Note(now time.Time, r catalog.Rollout, confirmed time.Time) {
 	h, known := a.orders[r.Service]
 	switch {
 	case known && !isNewOrder(h.rollout, r):
-		// Of a record that was heard of before, what is confirmed since says nothing.
+		// Of a record that was learnt of before, what is confirmed since says nothing.
 		if r.Elapsed != h.rollout.Elapsed || r.At != h.rollout.At {
 			h.tighten(now, recordedBound(now, r, confirmed))
 		}
--- a/core/gateway/rollout/age_test.go
+++ b/core/gateway/rollout/age_test.go
@@ -13,7 +13,7 @@
 	}
 }
 
-func TestAgeOfAnOrderHeardAtOnce(t *testing.T) {
+func TestAgeOfAnOrderLearntAtOnce(t *testing.T) {
 	a := NewAges()
 	order := catalog.Rollout{Service: "api", Version: "2"}
 	a.Note(start, order, start.Add(-50*time.Millisecond))
--- a/core/gateway/rollout/analysis.go
+++ b/core/gateway/rollout/analysis.go
@@ -114,7 +114,7 @@
 	return out
 }
 
-// allRoutes stands for all routes together.
+// allRoutes represents all routes together.
 const allRoutes = ""
 
 // withAll adds the sum of all routes.
@@ -123,7 +123,7 @@
 }
 
 // excess is the statistic of one pair of counts. Where the baseline has too few sends in
-// it, those of the route since the order stand for it, or else those of all routes.
+// it, those of the route since the order are taken for it, or else those of all routes.
 func (m measure) excess(pair Pair, route, all Pair) float64 {
 	baseline, allowed := pair.Baseline, m.allowed
 	for _, apart := range []Counts{route.Baseline, all.Baseline} {
--- a/core/gateway/rollout/decide.go
+++ b/core/gateway/rollout/decide.go
@@ -15,7 +15,7 @@
 	Slack int
 	// RollBackWithin is how soon after the Slack-th bad answer nothing may be sent to it.
 	RollBackWithin time.Duration
-	// DrainWait is how long a send to the baseline may be under way at most; 0 stands for
+	// DrainWait is how long a send to the baseline may be under way at most; 0 means
 	// longestDrain.
 	DrainWait time.Duration
 }
--- a/core/gateway/rollout/evidence.go
+++ b/core/gateway/rollout/evidence.go
@@ -44,7 +44,7 @@
 	Counts Counts
 }
 
-// Report is what one gateway tells the deciding one of one rollout.
+// Report is what one gateway sends the deciding one about one rollout.
 type Report struct {
 	Gateway string
 	// Start orders the lives of one gateway's process.
@@ -138,7 +138,7 @@
 	// Routes are the counts of all gateways since the order. Slices divide them by time, the
 	// latest first: a version may turn bad late, and what disturbs both versions for a while
 	// is seen in slices of that while alone. The oldest also holds what gateways had counted
-	// when they were first heard of.
+	// when they were first learnt of.
 	Routes Routes
 	Slices []Slice
 	// CanaryActive is how many sends to the canary are under way.
@@ -177,7 +177,7 @@
 const (
 	// rateSpan is over how long the rate of a service is measured: long enough for some
 	// reports of each gateway, short enough to follow a burst. leastRateSpan is the least
-	// from which one is told.
+	// from which one is sent.
 	rateSpan      = 1500 * time.Millisecond
 	leastRateSpan = 700 * time.Millisecond
 )
--- a/core/gateway/rollout/ledger.go
+++ b/core/gateway/rollout/ledger.go
@@ -66,7 +66,7 @@
 	return sum
 }
 
-// addHistory adds what a gateway had counted before it was first heard of: to a successor
+// addHistory adds what a gateway had counted before it was first learnt of: to a successor
 // all report all that they have counted since the order, which no slice may show as new.
 func (l *Ledger) addHistory(counts []RouteCounts) {
 	l.sum.grow(counts, nil)
--- a/core/gateway/rollout/stages.go
+++ b/core/gateway/rollout/stages.go
@@ -29,16 +29,16 @@
 	// order's time: until slow answers of its first sends are known and reported.
 	leastStage = 700 * time.Millisecond
 	stagePart  = 0.05
-	// lastStage is how long the last stage usually takes: all gateways have heard of it, what
+	// lastStage is how long the last stage usually takes: all gateways have learnt of it, what
 	// was under way at the baseline has ended, and both are reported.
 	lastStage = 600 * time.Millisecond
 	// longestDrain is how long the last stage waits for gateways that don't report and sends
 	// that don't end, where nobody says how long these may take.
 	longestDrain = 30 * time.Second
 	// noticeTime is how long after a version turns bad the last request is sent to it: an
-	// answer, a report, a write to the store, word of it. stopTime is the part of it in which
+	// answer, a report, a write to the store, its update. stopTime is the part of it in which
 	// requests are sent that are not counted yet: half the time between two reports, the
-	// write, word of it.
+	// write, its update.
 	noticeTime = 450 * time.Millisecond
 	stopTime   = 250 * time.Millisecond
 	// exposedPart is the part of what a bad version may get at which it is stopped by the
--- a/core/gateway/routing/routing.go
+++ b/core/gateway/routing/routing.go
@@ -127,6 +127,9 @@
 		t.byHost[route.Host] = append(t.byHost[route.Host], route)
 		t.regions = append(t.regions, route.Regions...)
 	}
+	for _, w := range c.Workspaces {
+		t.regions = append(t.regions, w.Regions...)
+	}
 	slices.Sort(t.regions)
 	t.regions = slices.Compact(t.regions)
 	for _, routes := range t.byHost {
--- a/core/gateway/snapshot/snapshot.go
+++ b/core/gateway/snapshot/snapshot.go
@@ -24,6 +24,7 @@
 	targets   map[string][]catalog.Target
 	evacuated map[string]int
 	rollouts  map[string]rollout.Assignment
+	leaving   map[catalog.Life]bool
 }
 
 // New makes a snapshot of the routes in force and of the targets that take
@@ -49,6 +50,19 @@
 	return &c
 }
 
+// WithLeaving returns a copy that tells which targets leave and take no new requests.
+func (s *Snapshot) WithLeaving(leaving map[catalog.Life]bool) *Snapshot {
+	c := *s
+	c.leaving = leaving
+	return &c
+}
+
+// IsLeaving says whether a target is known to leave.
+func (s *Snapshot) IsLeaving(life catalog.Life) bool { return s.leaving[life] }
+
+// Leaving is how many targets are known to leave.
+func (s *Snapshot) Leaving() int { return len(s.leaving) }
+
 // Table holds the routes in force; it is nil while no configuration is known.
 func (s *Snapshot) Table() *routing.Table { return s.table }
 
--- a/core/gateway/warmup/warmup.go
+++ b/core/gateway/warmup/warmup.go
@@ -24,7 +24,7 @@
 // # Usage
 //
 //	turns := warmup.New(rand.Float64())
-//	turns.Told(now, "i-1", 3*time.Second)
+//	turns.Observe(now, "i-1", 3*time.Second)
 //	if turns.Take(now, warmup.Share{PerSecond: 2.5, Cold: 40, Gateways: 95}) {
 //		// one request may go to a cold target that has nothing to do
 //	}
@@ -61,8 +61,8 @@
 // rate is how many requests a second this gateway may send to cold targets.
 func (s Share) rate() float64 { return s.PerSecond * float64(s.Cold) / float64(max(s.Gateways, 1)) }
 
-// word is what a target said of itself at a moment.
-type word struct {
+// report is what a target said of itself at a moment.
+type report struct {
 	at   time.Time
 	warm time.Time // when it is warm again
 }
@@ -70,7 +70,7 @@
 // Turns holds one service's cold targets and this gateway's turns at them. It is not safe
 // for concurrent use.
 type Turns struct {
-	words map[catalog.Life]word
+	reports map[catalog.Life]report
 	// credit is how many turns are left, and at when it last grew.
 	credit float64
 	at     time.Time
@@ -78,32 +78,32 @@
 
 // New makes one that knows of no cold target. draw is a random number in [0, 1), the
 // part of a turn that a gateway begins with: theirs don't come at the same moment.
-func New(draw float64) *Turns { return &Turns{words: map[catalog.Life]word{}, credit: draw} }
+func New(draw float64) *Turns { return &Turns{reports: map[catalog.Life]report{}, credit: draw} }
 
-// Told takes in for how much longer a target says that it is cold; 0 for not.
-func (t *Turns) Told(now time.Time, life catalog.Life, remaining time.Duration) {
-	if _, known := t.words[life]; !known && remaining <= 0 {
+// Observe takes in for how much longer a target says that it is cold; 0 for not.
+func (t *Turns) Observe(now time.Time, life catalog.Life, remaining time.Duration) {
+	if _, known := t.reports[life]; !known && remaining <= 0 {
 		return // most targets, most of the time
 	}
-	t.words[life] = word{at: now, warm: now.Add(remaining)}
-	if len(t.words) > keptTargets {
+	t.reports[life] = report{at: now, warm: now.Add(remaining)}
+	if len(t.reports) > keptTargets {
 		t.forget(now)
 	}
 }
 
 func (t *Turns) forget(now time.Time) {
-	for life, w := range t.words {
-		if now.Sub(w.at) > forgetAfter {
-			delete(t.words, life)
+	for life, r := range t.reports {
+		if now.Sub(r.at) > forgetAfter {
+			delete(t.reports, life)
 		}
 	}
 }
 
-// IsCold says whether a target is cold: by its own word, or by what its entry says
+// IsCold says whether a target is cold: by what it says itself, or by what its entry says
 // (listed) where it has said nothing.
 func (t *Turns) IsCold(now time.Time, life catalog.Life, listed bool) bool {
-	if w, said := t.words[life]; said {
-		return now.Before(w.warm)
+	if r, said := t.reports[life]; said {
+		return now.Before(r.warm)
 	}
 	return listed
 }
--- a/core/gateway/warmup/warmup_test.go
+++ b/core/gateway/warmup/warmup_test.go
@@ -22,12 +22,12 @@
 	turns := warmup.New(0)
 	target := catalog.Life{ID: "a"}
 	g.Expect(turns.IsCold(begin, target, true)).To(BeTrue(), "its entry is all that is known")
-	turns.Told(begin, target, 0)
+	turns.Observe(begin, target, 0)
 	g.Expect(turns.IsCold(begin, target, true)).To(BeTrue(), "it does not say that it is cold; the entry does")
-	turns.Told(begin, target, 2*time.Second)
+	turns.Observe(begin, target, 2*time.Second)
 	g.Expect(turns.IsCold(at(1999*time.Millisecond), target, false)).To(BeTrue())
 	g.Expect(turns.IsCold(at(2*time.Second), target, true)).To(BeFalse())
-	turns.Told(at(time.Second), target, 0)
+	turns.Observe(at(time.Second), target, 0)
 	g.Expect(turns.IsCold(at(time.Second), target, true)).To(BeFalse(), "its entry is older")
 }
 
--- a/core/gateway/workspace/workspace.go
+++ b/core/gateway/workspace/workspace.go
@@ -33,6 +33,8 @@
 	Priority *int
 	// Limit bounds the requests of the workspace, all gateways together.
 	Limit quota.Limit
+	// Regions are those whose targets may have its requests; nil for all.
+	Regions []string
 }
 
 // Workspace is one of a Directory.
@@ -40,6 +42,7 @@
 	name     string
 	priority *int
 	limit    quota.Limit
+	regions  []string
 }
 
 // Name is what the workspace is called, in the configuration as at the targets.
@@ -48,6 +51,16 @@
 // Limit bounds its requests.
 func (w *Workspace) Limit() quota.Limit { return w.limit }
 
+// AllowsAll says whether targets of all regions may have its requests, as far as a route allows. So
+// they may those of no workspace, which is nil.
+func (w *Workspace) AllowsAll() bool { return w == nil || w.regions == nil }
+
+// Allows says whether targets of a region may have its requests. A region that is not known is none
+// of those that a workspace names.
+func (w *Workspace) Allows(region string, known bool) bool {
+	return w.AllowsAll() || known && slices.Contains(w.regions, region)
+}
+
 // Priority is that of its requests on a route with a priority of its own.
 func (w *Workspace) Priority(route int) int {
 	if w.priority != nil {
@@ -74,7 +87,7 @@
 	d := &Directory{byKey: map[digest]*Workspace{}}
 	ambiguous := map[digest]bool{}
 	for _, c := range configs {
-		w := &Workspace{name: c.Name, priority: c.Priority, limit: c.Limit}
+		w := &Workspace{name: c.Name, priority: c.Priority, limit: c.Limit, regions: c.Regions}
 		d.limited = d.limited || c.Limit.IsSet()
 		for _, key := range c.Keys {
 			d.add(key, w, ambiguous)
--- a/e2e/gateway/soak_test.go
+++ b/e2e/gateway/soak_test.go
@@ -130,9 +130,11 @@
 	{"gateway killed", false, (*world).killGateway},
 	{"gateway frozen", false, func(w *world, random *rand.Rand, lasts time.Duration) {
 		w.onGateway(random, func(g *soakGateway) {
+			from := time.Since(w.began)
 			g.signal(syscall.SIGSTOP)
 			time.Sleep(lasts)
 			g.signal(syscall.SIGCONT)
+			w.frozen.add(from, time.Since(w.began))
 		})
 	}},
 	{"target misbehaves", false, func(w *world, random *rand.Rand, lasts time.Duration) {
@@ -144,7 +146,9 @@
 	}},
 	{"path to a target", false, func(w *world, random *rand.Rand, lasts time.Duration) {
 		if b := w.pickTarget(random); b != nil {
+			from := time.Since(w.began)
 			harm(random, b.proxy, lasts)
+			w.harmed.add(from, time.Since(w.began))
 		}
 	}},
 	{"path to the store", false, func(w *world, random *rand.Rand, lasts time.Duration) {
@@ -167,6 +171,7 @@
 		w.store.Recover()
 	}},
 	{"target names a limit", false, (*world).nameLimit},
+	{"target asks for back-off", false, (*world).askForBackOff},
 	{"target starts again under its id", false, (*world).startAgain},
 	{"entry overwritten", false, (*world).overwrite},
 	{"request that ends its targets", false, (*world).sendFatal},
@@ -248,19 +253,22 @@
 	})
 }
 
-// leave has a target say that it leaves, or go from the store without a word; it
-// goes on serving.
+// leave has a target say that it leaves, in its answers and mostly in the store, by its entry or
+// by going from there without a word; it goes on serving.
 func (w *world) leave(random *rand.Rand, _ time.Duration) {
 	b := w.pickTarget(random)
 	if b == nil {
 		return
 	}
 	b.leaving.Store(true)
-	if random.IntN(2) == 0 {
+	b.saysLeaving.Store(true)
+	switch random.IntN(3) {
+	case 0:
 		b.register("draining")
-		return
+	case 1:
+		w.store.Remove(storetest.Servers, b.id)
+	default: // its answers alone say so
 	}
-	w.store.Remove(storetest.Servers, b.id)
 }
 
 // evacuate has one hall's targets get nothing for a while; some come back cold.
@@ -349,7 +357,7 @@
 	r.Header.Set("Attempt-Id", id)
 	r.Header.Set("Deadline-Ms", fmt.Sprint(clientTime.Milliseconds()))
 	life, calm, planned := g.life.Load(), w.calm(), g.down.Load()
-	o := outcome{method: method, uri: r.URL.RequestURI(), body: body, gateway: g.id}
+	o := outcome{method: method, uri: r.URL.RequestURI(), body: body, gateway: g.id, began: time.Since(w.began)}
 	w.records.ended(id, o) // so that a target never sees an id that nobody sent
 	response, err := client.Do(r)
 	if err != nil {
@@ -362,7 +370,10 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	got, err := io.ReadAll(response.Body)
-	o.status, o.cut = response.StatusCode, err != nil
+	o.status, o.cut, o.ended = response.StatusCode, err != nil, time.Since(w.began)
+	if life == g.life.Load() && !g.down.Load() {
+		o.life = life
+	}
 	w.records.ended(id, o)
 	if err == nil {
 		w.checkAnswer(id, o, response.Header, string(got))
@@ -474,6 +485,7 @@
 	w.checkLimits()
 	w.records.mu.Lock()
 	defer w.records.mu.Unlock()
+	w.checkSignals()
 	requests, second := map[string]int{}, map[string]int{}
 	told := 0
 	fail := func(id, format string, args ...any) {
--- a/e2e/gateway/soak_world_test.go
+++ b/e2e/gateway/soak_world_test.go
@@ -55,12 +55,16 @@
 	behaviour atomic.Int32
 	leaving   atomic.Bool
 	// limit is what it names as its limit; nil for none.
-	limit    atomic.Pointer[namedLimit]
-	arrivals atomic.Int64
-	server   *http.Server
-	address  string
-	proxy    *faultproxy.Proxy
-	born     int64 // when this life of it began, in ms
+	limit atomic.Pointer[namedLimit]
+	// backOff is for how long it asks gateways for back-off, in ns, as it turns them away; 0 for
+	// not. saysLeaving says that it leaves, in all its answers.
+	backOff     atomic.Int64
+	saysLeaving atomic.Bool
+	arrivals    atomic.Int64
+	server      *http.Server
+	address     string
+	proxy       *faultproxy.Proxy
+	born        int64 // when this life of it began, in ms
 }
 
 // entry is what the target says of itself in the store.
@@ -86,6 +90,10 @@
 	if limit != nil {
 		w.Header().Set("Server-Limit", limit.text)
 	}
+	saysLeaving := b.saysLeaving.Load()
+	if saysLeaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", b.id)
 		if left := b.coldFor(); left > 0 {
@@ -113,13 +121,15 @@
 	}
 	full := b.running.Add(1) > soakSlots
 	defer b.running.Add(-1)
-	if full || does == refusesAll {
-		b.records.arrived(id, b, r, body, false)
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	came := arrival{target: b.id, service: b.service, method: r.Method, uri: r.RequestURI, body: string(body), at: time.Since(b.world.began), saidLeaving: saysLeaving}
+	if backOff := time.Duration(b.backOff.Load()); full || does == refusesAll || backOff > 0 {
+		came.backOff = backOff
+		b.records.arrived(id, came)
+		b.turnAway(w, backOff)
 		return
 	}
-	b.records.arrived(id, b, r, body, true)
+	came.ran = true
+	b.records.arrived(id, came)
 	b.world.keys.ran(b.world, id, r)
 	if name := fatalName(r); name != "" {
 		b.endBy(name)
@@ -165,6 +175,10 @@
 type arrival struct {
 	target, service, method, uri, body string
 	ran                                bool
+	// at is when it came, since the soak began, backOff what the target asked for in its answer, and
+	// saidLeaving that it said there that it leaves.
+	at, backOff time.Duration
+	saidLeaving bool
 }
 
 // outcome is how a request ended for its client.
@@ -173,6 +187,10 @@
 	gateway           string
 	status            int
 	cut               bool
+	// life is that of the gateway, if it went on until the end; 0 if not. The request began and
+	// ended at these times since the soak began.
+	life         int32
+	began, ended time.Duration
 }
 
 // records holds what clients and targets saw.
@@ -209,12 +227,10 @@
 	return most, target
 }
 
-func (r *records) arrived(id string, b *soakTarget, request *http.Request, body []byte, ran bool) {
+func (r *records) arrived(id string, a arrival) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals[id] = append(r.arrivals[id], arrival{
-		target: b.id, service: b.service, method: request.Method, uri: request.RequestURI, body: string(body), ran: ran,
-	})
+	r.arrivals[id] = append(r.arrivals[id], a)
 }
 
 func (r *records) ended(id string, o outcome) {
@@ -255,7 +271,9 @@
 	healed   time.Duration // when all faults were over, since began
 	fatals   fatals
 	keys     *keys
-	after    sync.WaitGroup // what goes on beyond the event that began it
+	// frozen and harmed are when gateways were frozen and ways to targets harmed.
+	frozen, harmed spans
+	after          sync.WaitGroup // what goes on beyond the event that began it
 }
 
 const (
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,7 +6,7 @@
 //
 // It owns the sockets, the start, the reload of settings and the stop. It holds
 // nothing that must last: the store that a Source reads does. It relies on that
-// store only to learn of changes; docs/ARCHITECTURE.md tells what happens when a
+// store only to learn of changes; docs/ARCHITECTURE.md says what happens when a
 // dependency fails.
 //
 // # Usage
@@ -35,6 +35,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/quota"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/signals"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
 )
@@ -72,9 +73,10 @@
 	pool      *upstream.Pool
 	answers   *upstream.Room // for what is held of answers
 	forward   *forward.Handler
-	fatal     *fatal.Register  // requests that end targets
-	quota     *quota.Register  // requests of workspaces that have limits
-	metrics   *metrics.Metrics // nil without an address to serve them on
+	fatal     *fatal.Register   // requests that end targets
+	quota     *quota.Register   // requests of workspaces that have limits
+	signals   *signals.Register // what targets said of themselves
+	metrics   *metrics.Metrics  // nil without an address to serve them on
 	stopping  atomic.Bool
 	assembled atomic.Bool
 	listeners listeners
@@ -135,18 +137,21 @@
 	self := member.Box{ID: s.ID, Peer: s.peerAddress(), Hall: s.Hall, Start: uint64(o.Clock().UnixNano())}
 	g.fatal = fatal.New(fatal.Options{Clock: o.Clock, Log: g.log})
 	g.quota = quota.New(g.quotaOptions(self, s.QuotaTolerance))
+	g.signals = signals.New(signals.Options{Self: s.ID, Clock: o.Clock, Log: g.log})
 	g.discovery = discovery.New(discovery.Options{
 		Self: self, FirstStart: s.FirstStart, Seeds: func() []string { return g.settings.Load().Seeds },
 		Source: followed(o.Source, s), Decode: g.decode, Timing: timing(s), Places: g.places.Load, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
-		Fatal: g.fatal, LimitsFor: g.quota.LimitsFor, HearLimits: g.quota.HearLimits, Limits: g.quota.Words(),
+		Fatal: g.fatal, LimitsFor: g.quota.LimitsFor, ObserveLimits: g.quota.ObserveLimits, Updates: []discovery.Updates{g.quota.Updates(), g.signals.Updates()},
 	})
-	g.quota.OnNews(g.discovery.Wake)
+	g.quota.OnUpdate(g.discovery.Wake)
+	g.signals.OnUpdate(g.discovery.Wake)
+	g.signals.OnLeaving(g.discovery.Drain)
 	g.answers = upstream.NewRoom(answerRoom(s))
-	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Room: g.answers, Opened: g.metrics.Opened})
+	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Room: g.answers, Opened: g.metrics.Opened, Log: g.log})
 	g.forward = forward.New(forward.Options{
 		Names: o.Wire.Headers, Places: g.places.Load, Snapshot: g.discovery.Snapshot, Current: g.discovery.Current,
 		Gateways: g.discovery.Gateways, Fatal: g.fatal, Quota: g.quota, TrustsKeys: g.trustsKeys,
-		Ready: g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
+		Signals: g.signals, Ready: g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
 		Retry: forward.Retry{Window: seconds(s.RetryWindow), Ratio: s.RetryRatio},
 	})
 	if s.Rollout != nil {
@@ -204,7 +209,7 @@
 }
 
 // trustsKeys says whether keys that are believed to be in force may be relied on. Where the
-// settings say so, those that a gateway has not heard of for long count as revoked.
+// settings say so, those that a gateway has not learnt of for long count as revoked.
 func (g *Gateway) trustsKeys() bool {
 	s := g.settings.Load()
 	return !s.RevokeUnconfirmed || g.discovery.Age() <= seconds(s.RevokeWithin)
@@ -216,6 +221,7 @@
 		Active: g.forward.Active(), ConfigAge: g.discovery.Age().Seconds(), EvacuatedHalls: g.discovery.EvacuatedHalls(),
 		AnswerBytes: g.answers.Held(), Quarantined: g.fatal.Quarantined(), LimitedTargets: g.quota.LimitedTargets(),
 		FarServices: g.forward.FarServices(), Trips: g.forward.Trips(),
+		BackingOff: len(g.signals.All()), Leaving: g.discovery.Snapshot().Leaving(),
 	}
 	if table := g.discovery.Snapshot().Table(); table != nil {
 		state.ConfigVersion = table.Version()
--- a/gateway/regions_test.go
+++ b/gateway/regions_test.go
@@ -32,7 +32,9 @@
 		Targets: func(context.Context) (discovery.List[catalog.Target], error) {
 			return discovery.List[catalog.Target]{Revision: 3}, nil
 		},
-		Glance: func(context.Context) (discovery.Glance, error) { return discovery.Glance{Config: config.Latest}, nil },
+		StaleRead: func(context.Context) (discovery.StaleRead, error) {
+			return discovery.StaleRead{Config: config.Latest}, nil
+		},
 		WatchConfig: func(ctx context.Context, _ uint64, _ time.Duration) (discovery.Newest[discovery.ConfigObject], error) {
 			<-ctx.Done()
 			return discovery.Newest[discovery.ConfigObject]{}, ctx.Err()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -23,7 +23,7 @@
 
 // Shares of the time for a stop (stop_within_s).
 const (
-	// acceptShare is the share in which clients that have not yet heard of the
+	// acceptShare is the share in which clients that have not yet learnt of the
 	// stop are still served. Chosen: the users' platform notices within seconds.
 	acceptShare = 0.5
 	// endShare is the share after which the process ends, whatever goes on, since
@@ -56,6 +56,7 @@
 func (g *Gateway) addDuties(ctx context.Context, group *run.Group, end func()) {
 	duties := append(g.discovery.Duties(), pause.Every(retainEvery, g.retain))
 	duties = append(duties, g.quota.Duties()...)
+	duties = append(duties, g.signals.Duties()...)
 	if g.delivery != nil {
 		duties = append(duties, g.delivery.Duties()...)
 	}
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -21,7 +21,7 @@
 	// each, five a second at the users' setting (docs/DESIGN.md, "Costs").
 	pingShare = 0.1
 	// batchShare is the pause after an update in which more may gather, and
-	// aloneBatchShare that pause where nobody has to hear of it.
+	// aloneBatchShare that pause where nobody has to learn of it.
 	batchShare      = 0.15
 	aloneBatchShare = 0.4
 )
--- a/internal/boundaries/boundaries_test.go
+++ b/internal/boundaries/boundaries_test.go
@@ -6,12 +6,17 @@
 	"go/token"
 	"os"
 	"path/filepath"
+	"reflect"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/platform"
 )
 
 const (
@@ -139,7 +144,7 @@
 
 // The platform's own names; what they stand for has other names elsewhere.
 var platformNames = []string{
-	"Attempt-Id", "Deadline-Ms\"", "Expected-Instance", "Instance-Id", "Server-Load", "Server-Signature", "Not-Executed",
+	"Attempt-Id", "Deadline-Ms\"", "Expected-Instance", "Instance-Id", "Server-Load", "Server-Leaving", "Server-Signature", "Not-Executed",
 	"config/main", "trafficSplit", "pathPrefix", "targetLatencyS", "healthCheckPath", "warmupRemainingS",
 	"configApplyS", "gracePeriodS", "retryBudgetRatio", "listenAddresses", "SPRUCECRANK_NODE_FILE", "waitMs",
 	"Tenant-Name", "apiKeys", "ratePerS", "burstSize", "revokeWhenPartitioned", "quotaTolerance",
@@ -171,3 +176,30 @@
 	}
 	g.Expect(adapter).To(BeNumerically("<", mostAdapterLines))
 }
+
+// A header that a deployment spells and nobody reads or sets is word that goes unheard.
+func TestEachHeaderIsReadOrSetSomewhere(t *testing.T) {
+	g := NewWithT(t)
+	all := sources(t)
+	names := reflect.TypeFor[headers.Names]()
+	for i := range names.NumField() {
+		use := regexp.MustCompile(`[nN]ames\.` + names.Field(i).Name + `\b`)
+		used := slices.ContainsFunc(all, func(s source) bool {
+			return strings.HasPrefix(s.path, "internal/gateway/") && use.MatchString(s.text)
+		})
+		g.Expect(used).To(BeTrue(), names.Field(i).Name)
+	}
+}
+
+// Each header of the product has a name on the platform, and no two have the same.
+func TestThePlatformSpellsEachHeader(t *testing.T) {
+	g := NewWithT(t)
+	spelled := reflect.ValueOf(platform.Wire().Headers)
+	seen := map[string]string{}
+	for i := range spelled.NumField() {
+		field, name := spelled.Type().Field(i).Name, spelled.Field(i).String()
+		g.Expect(name).NotTo(BeEmpty(), field)
+		g.Expect(seen).NotTo(HaveKey(name), "%s and %s", field, seen[name])
+		seen[name] = field
+	}
+}
--- a/internal/cli/explaincmd/explaincmd.go
+++ b/internal/cli/explaincmd/explaincmd.go
@@ -118,13 +118,16 @@
 		began := line.Time.Add(-time.Duration(line.HeldMS * float64(time.Millisecond)))
 		_, _ = fmt.Fprintf(table, "%s\t%s takes request %s\troute %s, service %s, configuration %d%s\n",
 			began.Format(time.StampMilli), line.Gateway, told.Request, line.Route, line.Service, line.Config, whose(line))
+		for _, target := range line.PassedOver {
+			_, _ = fmt.Fprintf(table, "\tpassed over %s\t%s%s\n", target.Target, whyPassedOver(target), left(target))
+		}
 		for _, send := range line.Sends {
 			what := "sent to"
 			if send.Hedge {
 				what = "also sent to"
 			}
-			_, _ = fmt.Fprintf(table, "\t%s %s in %s\t%d running, %d waiting, %d slots, %.1f times usual, read %.1f ms before; expected %.0f ms, ended after %.0f ms: %s\n",
-				what, send.Target, where(send), send.Running, send.Waiting, send.Slots, send.Slowness, send.AgeMS, send.PredictedMS, send.TookMS, send.Result)
+			_, _ = fmt.Fprintf(table, "\t%s %s in %s\t%d running, %d waiting, %d slots, %.1f times usual, read %.1f ms before; expected %.0f ms, ended after %.0f ms: %s%s\n",
+				what, send.Target, where(send), send.Running, send.Waiting, send.Slots, send.Slowness, send.AgeMS, send.PredictedMS, send.TookMS, send.Result, asked(send))
 		}
 		_, _ = fmt.Fprintf(table, "%s\tended with %d after %.0f ms\t%s%s\n",
 			line.Time.Format(time.StampMilli), line.Status, line.HeldMS, told.Causes[i], comeBack(line))
@@ -132,6 +135,30 @@
 	return table.Flush()
 }
 
+// whyPassedOver says what a target that was passed over had said of itself.
+func whyPassedOver(target forward.PassedOver) string {
+	if target.BackOff {
+		return "it asked for back-off"
+	}
+	return "no request was left of the limit that it names"
+}
+
+// left says for how much longer a target was passed over, where that is known.
+func left(target forward.PassedOver) string {
+	if target.LeftMS == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", %.0f ms left", target.LeftMS)
+}
+
+// asked says for how long a target asked to be sent nothing in its answer.
+func asked(send forward.Send) string {
+	if send.RetryAfterMS == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", and asked for back-off of %.0f ms", send.RetryAfterMS)
+}
+
 // whose names the workspace of a request that has one.
 func whose(line timeline.Line) string {
 	if line.Workspace == "" {
--- a/internal/cli/explaincmd/explaincmd_test.go
+++ b/internal/cli/explaincmd/explaincmd_test.go
@@ -58,6 +58,18 @@
 	g.Expect(out).To(ContainSubstring("sent to i-1 in hall-c (south, other-region)"))
 }
 
+func TestItSaysWhichTargetAskedForWhat(t *testing.T) {
+	g := NewWithT(t)
+	file := filepath.Join(t.TempDir(), "a.log")
+	g.Expect(os.WriteFile(file, []byte(`{"time":"2026-12-02T08:00:00Z","msg":"served","request":"a","status":200,"held_ms":400,"service":"shop","passed_over":[{"target":"i-1","back_off":true,"left_ms":2400},{"target":"i-2"}],"sends":[{"target":"i-3","hall":"hall-c","result":"503","retry_after_ms":3000}]}
+`), 0o600)).To(Succeed())
+	out, _, err := run("a", file)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out).To(MatchRegexp(`passed over i-1 +it asked for back-off, 2400 ms left`))
+	g.Expect(out).To(MatchRegexp(`passed over i-2 +no request was left of the limit that it names\n`))
+	g.Expect(out).To(ContainSubstring("503, and asked for back-off of 3000 ms"))
+}
+
 func TestAnUnknownRequestGetsAClearWord(t *testing.T) {
 	g := NewWithT(t)
 	_, _, err := run("nobody", "testdata/logs.txt")
--- a/internal/cli/timeline/timeline.go
+++ b/internal/cli/timeline/timeline.go
@@ -31,25 +31,28 @@
 
 // Line is one line of a gateway's log about a request.
 type Line struct {
-	Time         time.Time      `json:"time"`
-	Message      string         `json:"msg"`
-	Gateway      string         `json:"gateway"`
-	Request      string         `json:"request"`
-	Status       int            `json:"status"`
-	HeldMS       float64        `json:"held_ms"`
-	ObjectiveMS  float64        `json:"objective_ms,omitzero"`
-	Config       uint64         `json:"config"`
-	Service      string         `json:"service"`
-	Route        string         `json:"route"`
-	Workspace    string         `json:"workspace,omitzero"`
-	Waits        int            `json:"waits"`
-	Probed       int            `json:"probed,omitzero"`
-	Idle         int            `json:"idle,omitzero"`
-	Sends        []forward.Send `json:"sends"`
-	Verdict      string         `json:"verdict"`
-	Reason       verdict.Reason `json:"reason"`
-	RetryAfterMS float64        `json:"retry_after_ms"`
-	Detail       string         `json:"cause"`
+	Time        time.Time `json:"time"`
+	Message     string    `json:"msg"`
+	Gateway     string    `json:"gateway"`
+	Request     string    `json:"request"`
+	Status      int       `json:"status"`
+	HeldMS      float64   `json:"held_ms"`
+	ObjectiveMS float64   `json:"objective_ms,omitzero"`
+	Config      uint64    `json:"config"`
+	Service     string    `json:"service"`
+	Route       string    `json:"route"`
+	Workspace   string    `json:"workspace,omitzero"`
+	Waits       int       `json:"waits"`
+	Probed      int       `json:"probed,omitzero"`
+	Idle        int       `json:"idle,omitzero"`
+	// PassedOver are some of the targets that the request passed over by what they said of
+	// themselves.
+	PassedOver   []forward.PassedOver `json:"passed_over,omitzero"`
+	Sends        []forward.Send       `json:"sends"`
+	Verdict      string               `json:"verdict"`
+	Reason       verdict.Reason       `json:"reason"`
+	RetryAfterMS float64              `json:"retry_after_ms"`
+	Detail       string               `json:"cause"`
 }
 
 // Logs are the lines of some logs that tell of requests.
@@ -142,13 +145,14 @@
 
 // causes are those that a reason tells whole.
 var causes = map[verdict.Reason]string{
-	verdict.ReasonNotReady:     "the gateway did not know enough: it had just begun, or its configuration was not confirmed lately",
-	verdict.ReasonNoTarget:     "no target of the service was known",
-	verdict.ReasonEvacuated:    "all targets of the service stand in halls that are evacuated",
-	verdict.ReasonRegion:       "no target of the service stands in a region that the route allows",
-	verdict.ReasonQuarantined:  "three targets or more ended under this request; lines \"request quarantined\" with its content name them",
-	verdict.ReasonTargetsSpent: "all targets of the service had got as many requests as the limits allow that they name; lines \"limit of a target\" say which these are",
-	verdict.ReasonUnreachable:  "no connection to any target could be made",
+	verdict.ReasonNotReady:       "the gateway did not know enough: it had just begun, or its configuration was not confirmed lately",
+	verdict.ReasonNoTarget:       "no target of the service was known",
+	verdict.ReasonEvacuated:      "all targets of the service stand in halls that are evacuated",
+	verdict.ReasonRegion:         "no target of the service stands in a region that the route allows",
+	verdict.ReasonQuarantined:    "three targets or more ended under this request; lines \"request quarantined\" with its content name them",
+	verdict.ReasonTargetsSpent:   "all targets of the service had got as many requests as the limits allow that they name; lines \"limit of a target\" say which these are",
+	verdict.ReasonTargetsBackOff: "all targets of the service had asked to be sent nothing for a while; lines \"target asks for back-off\" say which and for how long",
+	verdict.ReasonUnreachable:    "no connection to any target could be made",
 }
 
 // Cause says in words what the end of the request was due to.
--- a/internal/gateway/delivery/decide.go
+++ b/internal/gateway/delivery/decide.go
@@ -92,10 +92,10 @@
 }
 
 // firstReportsWithin is how long the other gateways may take to report to one that has begun
-// to decide. Chosen: they do as soon as they hear of it, and again if they got no answer.
+// to decide.
 const firstReportsWithin = 2 * reportEvery
 
-// lacksReports says whether the gateway that decides may not have heard from all others yet.
+// lacksReports says whether the gateway that decides may lack reports of others.
 // It must only roll back then: it could go to the next stage without any report of the
 // version on trial.
 func (c *course) lacksReports(now time.Time) bool {
--- a/internal/gateway/delivery/decider_test.go
+++ b/internal/gateway/delivery/decider_test.go
@@ -31,7 +31,7 @@
 	})
 }
 
-func TestANewDeciderIsToldAllAtOnce(t *testing.T) {
+func TestANewDeciderIsSentAllAtOnce(t *testing.T) {
 	play(t, 5, func(g *WithT, w *world) {
 		for _, gw := range w.all() {
 			gw.idle.Store(true)
@@ -52,7 +52,7 @@
 	})
 }
 
-func TestANewDeciderGoesOnOnceItWasTold(t *testing.T) {
+func TestANewDeciderGoesOnOnceItWasSentReports(t *testing.T) {
 	play(t, 5, func(g *WithT, w *world) {
 		w.order("shop", "v2", within)
 		w.reaches("shop", 50)
--- a/internal/gateway/delivery/delivery.go
+++ b/internal/gateway/delivery/delivery.go
@@ -79,7 +79,7 @@
 	Peers func() []string
 	// Standing is how the targets of a service stand to a rollout.
 	Standing func(r catalog.Rollout) discovery.Standing
-	// Decide says what is to be done of a rollout; nil stands for rollout.Decide.
+	// Decide says what is to be done of a rollout; nil means rollout.Decide.
 	Decide func(s rollout.State) rollout.Decision
 	// Reports gives this process's own counts for each of the rollouts, which are all that
 	// are under way; what was counted for others is dropped.
--- a/internal/gateway/delivery/due.go
+++ b/internal/gateway/delivery/due.go
@@ -25,7 +25,7 @@
 )
 
 // interval is the least time between two reports of a gateway, by how many gateways report.
-// The one that decides tells it: others know the size of a large fleet only roughly.
+// The one that decides says it: others know the size of a large fleet only roughly.
 func interval(reporting int) time.Duration {
 	return max(reportEvery, time.Duration(reporting)*time.Second/reportsASecond)
 }
--- a/internal/gateway/delivery/record.go
+++ b/internal/gateway/delivery/record.go
@@ -20,7 +20,7 @@
 	firstRetry   = 100 * time.Millisecond
 	longestRetry = time.Second
 	// settleWithin is how long it may take until the change that a write made is seen, where
-	// the write's answer did not hold it. Chosen: the watch tells in milliseconds.
+	// the write's answer did not hold it.
 	settleWithin = time.Second
 )
 
--- a/internal/gateway/delivery/report.go
+++ b/internal/gateway/delivery/report.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		r.noteFailed(now, to.address, reports)
 		d.options.Metrics.RolloutReport(waySent, resultFailed)
-		d.heard(to, reports, wordOf(err))
+		d.heard(to, reports, stanceOf(err))
 		d.options.Log.Info("rollout not reported", "peer", to.id, "address", to.address, "failed", r.failed, "error", err.Error())
 		return
 	}
@@ -136,9 +136,9 @@
 	}
 }
 
-// wordOf is what an error says of whether a gateway decides: one of an earlier version
+// stanceOf is what an error says of whether a gateway decides: one of an earlier version
 // takes no reports.
-func wordOf(err error) word {
+func stanceOf(err error) stance {
 	var answered rpc.ServerError
 	if errors.As(err, &answered) {
 		return declines
@@ -149,13 +149,13 @@
 // heard notes what a gateway said of whether it decides: for the rollouts that were
 // reported, though this process may not have seen yet that it is named for them, and for
 // the others for which it is named.
-func (d *Delivery) heard(from decider, reports []rollout.Report, w word) {
+func (d *Delivery) heard(from decider, reports []rollout.Report, s stance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for service, c := range d.courses {
 		asked := slices.ContainsFunc(reports, func(r rollout.Report) bool { return r.Service == service })
 		if asked || c.decider() == from {
-			c.told = answer{from: from, word: w}
+			c.told = answer{from: from, stance: s}
 		}
 	}
 }
--- a/internal/gateway/delivery/touch.go
+++ b/internal/gateway/delivery/touch.go
@@ -7,11 +7,11 @@
 // from each other: eight times in a rollout of a quarter of a minute.
 const takeoverPause = time.Second
 
-// word is what is known of whether a gateway decides, by its answer to a report.
-type word uint8
+// stance is what is known of whether a gateway decides, by its answer to a report.
+type stance uint8
 
 const (
-	_ word = iota // nothing: it was not asked yet
+	_ stance = iota // nothing: it was not asked yet
 	// silent: it did not answer.
 	silent
 	// declines: it answered that it does not decide.
@@ -22,15 +22,15 @@
 
 // answer is how a gateway that was named to decide answered the latest report.
 type answer struct {
-	from decider
-	word word
+	from   decider
+	stance stance
 }
 
 // takesOver says whether this gateway, which reads the store, takes a rollout over from
 // the one that is named; the lock is held.
 func (d *Delivery) takesOver(now time.Time, c *course) bool {
 	named := c.order.Decider != "" && c.order.Peer != ""
-	gone := c.told.from == c.decider() && (c.told.word == silent || c.told.word == declines)
+	gone := c.told.from == c.decider() && (c.told.stance == silent || c.told.stance == declines)
 	if named && !gone {
 		return false
 	}
--- a/internal/gateway/discovery/calls.go
+++ b/internal/gateway/discovery/calls.go
@@ -62,23 +62,23 @@
 	}
 	changes, err := f.options.Source.WatchTargets(ctx, from, f.waitFor(f.fresh.Targets()))
 	return func(c *catalog.Catalog) catalog.Changed {
-		return catalog.Changed{Targets: c.Advance(changes.Revision, ownChanges(changes.Items, catalog.TellBirths(c.Targets())))}
+		return catalog.Changed{Targets: c.Advance(changes.Revision, ownChanges(changes.Items, catalog.ReportStarts(c.Targets())))}
 	}, err
 }
 
-// ownTargets are those that wrote their entries themselves: where targets tell when they
+// ownTargets are those that wrote their entries themselves: where targets report when they
 // started, an entry that does not is another writer's and names no target.
 func ownTargets(targets []catalog.Target) []catalog.Target {
-	if !catalog.TellBirths(targets) {
+	if !catalog.ReportStarts(targets) {
 		return targets
 	}
 	return slices.DeleteFunc(slices.Clone(targets), func(t catalog.Target) bool { return t.Born == 0 })
 }
 
 // ownChanges has targets gone whose entry another writer has overwritten, where targets
-// tell when they started.
-func ownChanges(changes []catalog.Change, tellBirths bool) []catalog.Change {
-	if !tellBirths {
+// report when they started.
+func ownChanges(changes []catalog.Change, reportStarts bool) []catalog.Change {
+	if !reportStarts {
 		return changes
 	}
 	changes = slices.Clone(changes)
--- a/internal/gateway/discovery/discovery.go
+++ b/internal/gateway/discovery/discovery.go
@@ -1,6 +1,6 @@
 // Package discovery keeps what a gateway believes of the configuration, of the targets,
 // of the halls that are evacuated and of the rollouts up to date (service discovery). One
-// gateway reads the store; the others hear of updates from each other. Each keeps
+// gateway reads the store; the others learn of updates from each other. Each keeps
 // exchanging with a few others, drawn at random, and both sides of such a link say how far
 // they are; whoever is behind asks for what it lacks, of one of those that have it. A
 // gateway that hears nothing in time reads for itself, so that nobody's knowledge depends
@@ -8,7 +8,7 @@
 //
 // It owns the catalog of the process (core/gateway/catalog), the view of the other
 // gateways (core/gateway/peers), their freshness (core/gateway/freshness) and the tries
-// to read that it has heard of (core/gateway/reader), under one lock, and publishes a
+// to read that it has learnt of (core/gateway/reader), under one lock, and publishes a
 // snapshot for the data path at each change. It relies on the store by a Source and on
 // other gateways by net/rpc; without either it goes on with what it knows. Who reads is
 // decided by core/gateway/reader, with whom to exchange by core/gateway/peers.
@@ -18,7 +18,7 @@
 //	read.go       the loop of a watch: whether to call the store, and how to go on
 //	calls.go      the calls, and how their answers get into the catalog
 //	role.go       who reads: this gateway's rank, and taking up or laying down the reading
-//	start.go      a glance at the store by a gateway that knows nothing
+//	start.go      a stale read of the store by a gateway that knows nothing
 //	ping.go       confirming, between the answers of a watch, that the store is there
 //	neighbour.go  the few gateways to exchange with: asking, telling
 //	draw.go       drawing these; region.go: what is different between regions
@@ -30,7 +30,8 @@
 //	publish.go    the snapshot of the data path, and the log lines of changes
 //	rewind.go     a store that comes back from an older copy
 //	assign.go     which targets the snapshot leaves to the versions on trial
-//	fatal.go      what gateways tell each other of requests that end targets
+//	updates.go    what gateways exchange beside the catalog; changelog.go: a list of such changes
+//	announce.go   updates that come one after the other leave together
 //	saved.go      what is saved in the store of requests that end targets
 //	rollout.go    what is told of rollouts to whom decides on them
 //
@@ -120,15 +121,15 @@
 	TimeOfDay func() time.Time
 	// Places says how far halls are. It may be nil for a fleet of one region.
 	Places func() *locality.Map
-	// Fatal is what is known of requests that end targets, which gateways tell each other;
+	// Fatal is what is known of requests that end targets, which gateways exchange;
 	// nil where nobody notes any here.
 	Fatal *fatal.Register
-	// LimitsFor is for how much longer gateways share limits that targets name, which they tell
-	// each other, and HearLimits takes in what another one says; nil where nobody does here.
-	LimitsFor  func() time.Duration
-	HearLimits func(left time.Duration)
-	// Limits are the limits that targets name, as gateways tell each other of them.
-	Limits Words
+	// LimitsFor is for how much longer gateways share limits that targets name, which they
+	// send each other, and ObserveLimits takes in what another one says; nil where nobody does here.
+	LimitsFor     func() time.Duration
+	ObserveLimits func(left time.Duration)
+	// Updates are what gateways exchange besides, in the order in which versions began to.
+	Updates []Updates
 	// Metrics may be nil.
 	Metrics *metrics.Metrics
 	Log     *slog.Logger
@@ -180,7 +181,11 @@
 	// Offers wait to be taken up: offers those of gateways of the own region,
 	// otherRegionOffers those of others.
 	offers, otherRegionOffers chan offer
-	links                     *links
+	// announced is how far each kind of update is announced, and unannounced has a place for
+	// the wish to announce more.
+	announced   []announced
+	unannounced chan struct{}
+	links       *links
 	// wholes bounds how often all that is known is sent.
 	wholes *rate.Limiter
 
@@ -196,11 +201,12 @@
 		options: o, started: o.Clock(), catalog: catalog.New(), versions: rollout.NewVersions(), fresh: freshness.New(o.Timing.freshness(), peers.Before),
 		view: peers.New(o.Self, func(n int) int { return int(o.Draw() * float64(n)) }), draw: o.Draw(),
 		changed: make(chan struct{}), ready: make(chan struct{}), offers: make(chan offer, keptOffers), otherRegionOffers: make(chan offer, keptOffers),
-		links: newLinks(o.Dial), wholes: rate.NewLimiter(rate.Every(wholeEvery), wholesAtOnce),
+		announced: make([]announced, len(o.Updates)), unannounced: make(chan struct{}, 1),
+		links: newLinks(o.Dial, o.Clock), wholes: rate.NewLimiter(rate.Every(wholeEvery), wholesAtOnce),
 	}
 	f.nextSeed = int(o.Draw() * float64(len(o.Seeds())))
 	f.view.SetTiers(f.tier)
-	o.Fatal.OnNews(f.Wake)
+	o.Fatal.OnUpdate(f.Wake)
 	if o.Source.followsEvacuations() {
 		f.fresh.FollowEvacuations()
 	}
@@ -226,10 +232,7 @@
 		o.Fatal = fatal.New(fatal.Options{Clock: o.Clock, Log: o.Log})
 	}
 	if o.LimitsFor == nil {
-		o.LimitsFor, o.HearLimits = func() time.Duration { return 0 }, func(time.Duration) {}
-	}
-	if o.Limits.Position == nil {
-		o.Limits = noWords()
+		o.LimitsFor, o.ObserveLimits = func() time.Duration { return 0 }, func(time.Duration) {}
 	}
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{}).DialContext
@@ -249,7 +252,7 @@
 
 // Duties are what a gateway does to stay up to date, each until its context ends.
 func (f *Follower) Duties() []func(context.Context) error {
-	duties := []func(context.Context) error{f.start, f.readConfig, f.readTargets, f.ping, f.fetchOwnRegion, f.fetchOtherRegions, f.heal}
+	duties := []func(context.Context) error{f.start, f.readConfig, f.readTargets, f.ping, f.fetchOwnRegion, f.fetchOtherRegions, f.heal, f.links.closeIdle, f.announce}
 	if f.options.Source.followsEvacuations() {
 		duties = append(duties, f.readEvacuations)
 	}
--- a/internal/gateway/discovery/discovery_test.go
+++ b/internal/gateway/discovery/discovery_test.go
@@ -21,6 +21,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/gateway/discovery"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/quota"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/signals"
 	"github.com/sprucecrank/sprucecrank/internal/standin/faultproxy"
 )
 
@@ -46,7 +47,7 @@
 	floor        uint64
 	woken        chan struct{}
 	calls        atomic.Int32
-	glances      atomic.Int32  // among the calls
+	staleReads   atomic.Int32  // among the calls
 	delay        time.Duration // before each call is looked at
 }
 
@@ -193,18 +194,18 @@
 			}
 			return list, nil
 		},
-		Glance: func(ctx context.Context) (discovery.Glance, error) {
-			a.store.glances.Add(1)
+		StaleRead: func(ctx context.Context) (discovery.StaleRead, error) {
+			a.store.staleReads.Add(1)
 			if err := a.reach(ctx); err != nil {
-				return discovery.Glance{}, err
+				return discovery.StaleRead{}, err
 			}
 			a.store.mu.Lock()
 			defer a.store.mu.Unlock()
-			glance := discovery.Glance{Config: a.latest(0).Latest}
+			staleRead := discovery.StaleRead{Config: a.latest(0).Latest}
 			for _, target := range a.store.targets {
-				glance.Targets = append(glance.Targets, target)
+				staleRead.Targets = append(staleRead.Targets, target)
 			}
-			return glance, nil
+			return staleRead, nil
 		},
 		Ping: a.reach,
 		WatchTargets: func(ctx context.Context, from uint64, wait time.Duration) (discovery.Changes[catalog.Change], error) {
@@ -250,7 +251,8 @@
 	stop     context.CancelFunc
 	fatal    *fatal.Register // nil where a test does not look at it
 	limits   *quota.Register // likewise
-	slept    atomic.Int64    // for how long its machine was suspended
+	signals  *signals.Register
+	slept    atomic.Int64 // for how long its machine was suspended
 	mu       sync.Mutex
 	conns    []net.Conn
 }
@@ -407,14 +409,14 @@
 }
 
 // expectCurrent waits until what gateways believe was confirmed, be it that they began
-// with a glance.
+// with a stale read.
 func expectCurrent(g *WithT, gateways []*gateway) {
 	for _, gw := range gateways {
 		g.Eventually(gw.Current, eventual).Should(BeTrue())
 	}
 }
 
-func TestAllGatewaysHearOfAChangeAndFewReadTheStore(t *testing.T) {
+func TestAllGatewaysLearnOfAChangeAndFewReadTheStore(t *testing.T) {
 	g := NewWithT(t)
 	s := newFakeStore()
 	s.setConfig(3)
@@ -440,7 +442,7 @@
 	}, eventual).Should(BeNumerically("<", 6*2))
 }
 
-func TestAGatewayThatIsCutFromTheStoreHearsFromOthers(t *testing.T) {
+func TestAGatewayThatIsCutFromTheStoreLearnsFromOthers(t *testing.T) {
 	for name, cut := range map[string]func(*access){
 		"refused": func(a *access) { a.down.Store(true) },
 		"silent":  func(a *access) { a.silent.Store(true) },
--- a/internal/gateway/discovery/evacuation_test.go
+++ b/internal/gateway/discovery/evacuation_test.go
@@ -64,8 +64,8 @@
 		defer a.store.mu.Unlock()
 		return discovery.List[catalog.Evacuation]{Revision: a.store.revision, Items: a.store.allEvacuations()}, nil
 	}
-	source.GlanceEvacuations = func(ctx context.Context) (discovery.List[catalog.Evacuation], error) {
-		a.store.glances.Add(1)
+	source.StaleEvacuations = func(ctx context.Context) (discovery.List[catalog.Evacuation], error) {
+		a.store.staleReads.Add(1)
 		return source.Evacuations(ctx)
 	}
 	source.WatchEvacuations = func(ctx context.Context, from uint64, wait time.Duration) (discovery.Changes[catalog.EvacuationChange], error) {
--- a/internal/gateway/discovery/exchange.go
+++ b/internal/gateway/discovery/exchange.go
@@ -43,7 +43,7 @@
 	reply := call.Reply.(*UpdateReply)
 	onTheWay := max(0, f.options.Clock().Sub(asked)-reply.Held)
 	reply.Age, reply.ReaderAge = older(reply.Age, onTheWay), older(reply.ReaderAge, onTheWay)
-	f.options.HearLimits(reply.LimitsFor - onTheWay)
+	f.options.ObserveLimits(reply.LimitsFor - onTheWay)
 	return reply, f.take(peer, reply)
 }
 
@@ -66,10 +66,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock()
-	f.meet(now, reply.Members, f.view.Heard)
+	f.meet(now, reply.Members, f.view.Observe)
 	f.fresh.NoteReader(now.Add(-reply.ReaderAge), reply.Reader)
-	f.hear(now, reply.Tries)
-	f.hearWords(reply.Fatal, peer.ID)
+	f.noteTries(now, reply.Tries)
+	f.mergeUpdates(reply.Fatal, peer.ID)
 	f.compare(now, peer, reply)
 	return nil
 }
@@ -110,7 +110,7 @@
 	f.confirm(now.Add(-reply.Age), reply.Origin)
 }
 
-// canConfirm says whether word of a gateway at a position can confirm all that is
+// canConfirm says whether an update of a gateway at a position can confirm all that is
 // believed here: one of an earlier version follows no evacuations, or no rollouts.
 func (f *Follower) canConfirm(theirs catalog.Position) bool {
 	evacuations := theirs.Evacuations > 0 || !f.options.Source.followsEvacuations()
@@ -124,9 +124,9 @@
 	f.wakeIfOld(f.fresh.Confirm(at, origin))
 }
 
-// hear takes in which tries to read the store another gateway knows of; the lock is
+// noteTries takes in which tries to read the store another gateway knows of; the lock is
 // held.
-func (f *Follower) hear(now time.Time, tries []reader.Try) {
+func (f *Follower) noteTries(now time.Time, tries []reader.Try) {
 	news := false
 	for _, try := range tries {
 		news = f.tries.Note(now, try) || news
@@ -135,6 +135,6 @@
 		}
 	}
 	if news {
-		f.wake() // others have to hear of it, and the reading may no longer fall to this one
+		f.wake() // others have to learn of it, and the reading may no longer fall to this one
 	}
 }
--- a/internal/gateway/discovery/fetch.go
+++ b/internal/gateway/discovery/fetch.go
@@ -18,7 +18,7 @@
 	busyPause = 15 * time.Millisecond
 )
 
-// offer is word of another gateway that is further than this one was.
+// offer names another gateway that is further than this one was.
 type offer struct {
 	peer member.Box
 	at   catalog.Position
@@ -51,7 +51,7 @@
 }
 
 // fetch asks for what is missing here, one gateway at a time, so that each update comes
-// once, whoever else told of it.
+// once, whoever else offered it.
 func (f *Follower) fetch(ctx context.Context, offers chan offer) error {
 	for {
 		select {
--- a/internal/gateway/discovery/fleet_test.go
+++ b/internal/gateway/discovery/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/discovery"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/signals"
 )
 
 // These tests run whole fleets of the real code in virtual time, over a network in
@@ -99,14 +100,14 @@
 	ctx, stop := context.WithCancel(context.Background())
 	g := &gateway{
 		access: &access{store: f.store, way: f.storeWay(hall)}, listener: f.fabric.listen(address, hall), stop: stop, log: &lines{},
-		fatal: fatal.New(fatal.Options{}), limits: newLimits(),
+		fatal: fatal.New(fatal.Options{}), limits: newLimits(), signals: signals.New(signals.Options{Self: strconv.Itoa(i)}),
 	}
 	places := f.places(hall)
 	self := member.Box{ID: "gateway-" + strconv.Itoa(i), Peer: address, Hall: hall, Start: uint64(time.Now().UnixNano())}
 	g.Follower = discovery.New(discovery.Options{
 		Self: self, FirstStart: first, Seeds: func() []string { return []string{f.address(0), f.address(1), f.address(2)} },
 		Source: f.source(g.access), Timing: fleetTiming, Log: slog.New(slog.NewTextHandler(g.log, nil)),
-		Dial: f.fabric.dialFrom(address), Places: func() *locality.Map { return places }, Fatal: g.fatal, Limits: g.limits.Words(),
+		Dial: f.fabric.dialFrom(address), Places: func() *locality.Map { return places }, Fatal: g.fatal, Updates: []discovery.Updates{g.limits.Updates(), g.signals.Updates()},
 		Clock: func() time.Time { return time.Now().Add(time.Duration(g.slept.Load())) },
 		Draw: func() float64 {
 			mu.Lock()
@@ -118,8 +119,10 @@
 			return routing.New(routing.Config{Version: version}), err
 		},
 	})
-	g.limits.OnNews(g.Wake)
-	for _, duty := range g.Duties() {
+	g.limits.OnUpdate(g.Wake)
+	g.signals.OnUpdate(g.Wake)
+	g.signals.OnLeaving(g.Drain)
+	for _, duty := range append(g.Duties(), g.signals.Duties()...) {
 		go func() { _ = duty(ctx) }()
 	}
 	var more []discovery.Service
@@ -202,7 +205,7 @@
 	}
 }
 
-func TestAFleetHearsOfAChangeWithinMoments(t *testing.T) {
+func TestAFleetLearnsOfAChangeWithinMoments(t *testing.T) {
 	measure(t, fleetSize(100), 2, func(g *WithT, fleet *bigFleet) {
 		calls := fleet.store.calls.Load()
 		for version := uint64(2); version < 6; version++ {
@@ -333,7 +336,7 @@
 				size := len(fleet.gateways)
 				fleet.stopAll()
 				time.Sleep(time.Second)
-				calls, seen := fleet.store.calls.Load(), fleet.store.glances.Load()
+				calls, seen := fleet.store.calls.Load(), fleet.store.staleReads.Load()
 				for i := range size {
 					i = size - 1 - i // the seeds last
 					if i == 2 {
@@ -354,16 +357,16 @@
 				}
 				slices.Sort(times)
 				time.Sleep(3 * time.Second)
-				glances := fleet.store.glances.Load() - seen
-				read := fleet.store.calls.Load() - calls - glances
-				fleet.t.Logf("all ready %v after the last began; %d took up the reading, %d calls, %d glances", times[size-1], takenUp(fleet.gateways), read, glances)
+				staleReads := fleet.store.staleReads.Load() - seen
+				read := fleet.store.calls.Load() - calls - staleReads
+				fleet.t.Logf("all ready %v after the last began; %d took up the reading, %d calls, %d stale reads", times[size-1], takenUp(fleet.gateways), read, staleReads)
 				g.Expect(times[size-1]).To(BeNumerically("<", 300*time.Millisecond))
 				g.Expect(takenUp(fleet.gateways)).To(BeNumerically("<=", 12), "those that others turn to, and whoever ranks first among the few that it has found")
 				g.Expect(read).To(BeNumerically("<", 60))
 				fleet.store.setConfig(2)
 				g.Expect(fleet.untilAll(fleet.gateways, 2)).To(BeNumerically("<", 600*time.Millisecond))
 				for _, gw := range fleet.gateways {
-					g.Expect(gw.Current()).To(BeTrue(), "what was glanced at has been confirmed")
+					g.Expect(gw.Current()).To(BeTrue(), "what was read from an older copy has been confirmed")
 				}
 			})
 		})
--- a/internal/gateway/discovery/heal.go
+++ b/internal/gateway/discovery/heal.go
@@ -10,8 +10,7 @@
 
 const (
 	// healEvery is how often, on average, a gateway is asked that did not answer and
-	// that nobody has heard from since. Chosen: each side of a cut that has healed then finds the other
-	// within seconds, as all of its gateways ask.
+	// that nobody has seen since.
 	healEvery = 2 * time.Second
 	// healSeedShare is how often a seed is asked instead: a cut that lasted longer than
 	// what is remembered heals by them. Chosen: of a hundred gateways one asks each
@@ -45,7 +44,7 @@
 	return box
 }
 
-// greeting swaps members and tells how far this gateway is.
+// greeting swaps members and reports how far this gateway is.
 func (f *Follower) greeting() UpdateArgs {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/discovery/links.go
+++ b/internal/gateway/discovery/links.go
@@ -6,6 +6,8 @@
 	"net/rpc"
 	"sync"
 	"time"
+
+	"github.com/sprucecrank/sprucecrank/internal/pause"
 )
 
 // dialPart is by how much a connection must come quicker than the answer to a question
@@ -14,13 +16,28 @@
 // (measured with choices of core/gateway/peers).
 const dialPart = 3
 
+const (
+	// idleFor is how long a connection stays open that nobody uses: whoever has sent this
+	// gateway something mostly does so again, and the codec describes all types on each new
+	// connection.
+	idleFor = 5 * time.Second
+	// idleCheckEvery is the time between two looks for connections that have been idle for
+	// long.
+	idleCheckEvery = time.Second
+	// maxIdle bounds how many connections stay open that nobody uses.
+	maxIdle = 8
+)
+
 // links are the connections to other gateways, one an address, shared by the duties
-// that use them and closed with the last of these.
+// that use them and kept for a while after the last of these.
 type links struct {
-	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	dial  func(ctx context.Context, network, address string) (net.Conn, error)
+	clock func() time.Time
 
 	mu   sync.Mutex
 	open map[string]*link
+	// ended is whether none is kept any more that nobody uses.
+	ended bool
 }
 
 // link is one connection to another gateway.
@@ -28,10 +45,26 @@
 	address string
 	client  *rpc.Client
 	users   int
+	// idleSince is when the last of its users released it.
+	idleSince time.Time
+}
+
+func newLinks(dial func(context.Context, string, string) (net.Conn, error), clock func() time.Time) *links {
+	return &links{dial: dial, clock: clock, open: map[string]*link{}}
+}
+
+// watchedConn calls a function once its other end has closed it or it broke.
+type watchedConn struct {
+	net.Conn
+	onEnd func()
 }
 
-func newLinks(dial func(context.Context, string, string) (net.Conn, error)) *links {
-	return &links{dial: dial, open: map[string]*link{}}
+func (c *watchedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.onEnd()
+	}
+	return n, err
 }
 
 // acquire gives the connection to an address, and makes it within a time if there is
@@ -46,7 +79,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return ls.add(&link{address: address, client: rpc.NewClient(conn), users: 1}), nil
+	l := &link{address: address, users: 1}
+	l.client = rpc.NewClient(&watchedConn{Conn: conn, onEnd: func() { ls.forget(l) }})
+	return ls.add(l), nil
 }
 
 // join gives a connection that stands already; nil if there is none.
@@ -70,12 +105,28 @@
 	return l
 }
 
+// forget takes a connection that has ended off the list.
+func (ls *links) forget(l *link) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	ls.drop(l)
+}
+
 // release gives a connection back; one that broke is not given to anybody any more.
 func (ls *links) release(l *link, broke bool) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	l.users--
-	if ls.open[l.address] == l && (broke || l.users == 0) {
+	l.idleSince = ls.clock()
+	if broke || ls.ended || ls.idle() > maxIdle || ls.open[l.address] != l {
+		ls.drop(l)
+	}
+}
+
+// drop takes a connection off the list and closes it unless somebody uses it; the lock is
+// held.
+func (ls *links) drop(l *link) {
+	if ls.open[l.address] == l {
 		delete(ls.open, l.address)
 	}
 	if l.users == 0 {
@@ -83,7 +134,42 @@
 	}
 }
 
-// ask begins a call, whose end is told on the channel that it holds.
+// idle is how many connections nobody uses; the lock is held.
+func (ls *links) idle() (count int) {
+	for _, l := range ls.open {
+		if l.users == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// closeIdle is the duty of closing connections that nobody has used for a while, and in the
+// end all of them.
+func (ls *links) closeIdle(ctx context.Context) error {
+	for pause.For(ctx, idleCheckEvery) {
+		ls.closeUnused(idleFor)
+	}
+	ls.mu.Lock()
+	ls.ended = true
+	ls.mu.Unlock()
+	ls.closeUnused(0)
+	return nil
+}
+
+// closeUnused closes the connections that nobody has used for a time.
+func (ls *links) closeUnused(unused time.Duration) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	now := ls.clock()
+	for _, l := range ls.open {
+		if l.users == 0 && now.Sub(l.idleSince) >= unused {
+			ls.drop(l)
+		}
+	}
+}
+
+// ask begins a call, whose end is signalled on the channel that it holds.
 func (l *link) ask(args UpdateArgs) *rpc.Call {
 	return l.client.Go(methodNews, args, &UpdateReply{}, make(chan *rpc.Call, 1))
 }
--- /dev/null
+++ b/internal/gateway/discovery/links_test.go
@@ -0,0 +1,97 @@
+package discovery
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// pipes dials connections in memory and keeps the other end of each.
+type pipes struct{ ends []net.Conn }
+
+func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	p.ends = append(p.ends, far)
+	return near, nil
+}
+
+// withLinks runs f on connections whose duty goes on until f returns.
+func withLinks(t *testing.T, f func(g *WithT, ls *links, p *pipes)) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pipes{}
+		ls := newLinks(p.dial, time.Now)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- ls.closeIdle(ctx) }()
+		f(NewWithT(t), ls, p)
+		stop()
+		NewWithT(t).Expect(<-done).To(Succeed())
+		NewWithT(t).Expect(ls.idle()).To(BeZero(), "none stays open")
+	})
+}
+
+// use acquires a connection to an address and releases it.
+func use(g *WithT, ls *links, address string, broke bool) {
+	l, err := ls.acquire(context.Background(), address, time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	ls.release(l, broke)
+}
+
+func TestRepeatedQuestionsToAPeerDoNotDialEachTime(t *testing.T) {
+	withLinks(t, func(g *WithT, ls *links, p *pipes) {
+		for range 10 {
+			use(g, ls, "peer", false)
+			time.Sleep(idleFor - 2*idleCheckEvery)
+		}
+		g.Expect(p.ends).To(HaveLen(1))
+		time.Sleep(idleFor + idleCheckEvery)
+		synctest.Wait()
+		g.Expect(ls.open).To(BeEmpty(), "closed once nobody has used it for that time")
+		use(g, ls, "peer", false)
+		g.Expect(p.ends).To(HaveLen(2))
+	})
+}
+
+func TestAConnectionThatBrokeIsNotUsedAgain(t *testing.T) {
+	withLinks(t, func(g *WithT, ls *links, p *pipes) {
+		use(g, ls, "peer", true)
+		use(g, ls, "peer", false)
+		g.Expect(p.ends).To(HaveLen(2))
+	})
+}
+
+func TestAnIdleConnectionThatThePeerClosedIsNotUsedAgain(t *testing.T) {
+	withLinks(t, func(g *WithT, ls *links, p *pipes) {
+		use(g, ls, "peer", false)
+		g.Expect(p.ends[0].Close()).To(Succeed())
+		synctest.Wait()
+		use(g, ls, "peer", false)
+		g.Expect(p.ends).To(HaveLen(2))
+	})
+}
+
+func TestFewIdleConnectionsAreKept(t *testing.T) {
+	withLinks(t, func(g *WithT, ls *links, _ *pipes) {
+		for i := range 3 * maxIdle {
+			use(g, ls, "peer-"+strconv.Itoa(i), false)
+		}
+		g.Expect(ls.idle()).To(Equal(maxIdle))
+	})
+}
+
+func TestAConnectionInUseIsNotClosedAsIdle(t *testing.T) {
+	withLinks(t, func(g *WithT, ls *links, p *pipes) {
+		l, err := ls.acquire(context.Background(), "peer", time.Second)
+		g.Expect(err).NotTo(HaveOccurred())
+		use(g, ls, "peer", false)
+		time.Sleep(3 * idleFor)
+		use(g, ls, "peer", false)
+		g.Expect(p.ends).To(HaveLen(1))
+		ls.release(l, false)
+	})
+}
--- a/internal/gateway/discovery/lives_test.go
+++ b/internal/gateway/discovery/lives_test.go
@@ -62,3 +62,25 @@
 		expect(true, "10.0.0.4:80")
 	})
 }
+
+// A target that said in an answer that it leaves takes no more requests of that gateway, also once
+// its entry is written again without saying so; one that starts again does.
+func TestATargetThatSaysThatItLeavesIsTakenOut(t *testing.T) {
+	g := NewWithT(t)
+	store := newFilledStore()
+	store.setLife("t1", 1, "10.0.0.1:80", false)
+	gw := fleet(t, store, 1)[0]
+	g.Eventually(func() bool { return gw.believes("t1", "10.0.0.1:80") }, eventual).Should(BeTrue())
+	leaving := catalog.Target{ID: "t1", Service: "shop", Born: 1}
+	gw.Drain([]catalog.Life{leaving.Life()})
+	g.Expect(gw.targets()).NotTo(ContainElement("t1"))
+	g.Expect(gw.Snapshot().IsLeaving(leaving.Life())).To(BeTrue())
+
+	store.setLife("t1", 1, "10.0.0.2:80", false)
+	store.setLife("t2", 1, "10.0.0.3:80", false)
+	g.Eventually(func() bool { return gw.believes("t2", "10.0.0.3:80") }, eventual).Should(BeTrue())
+	g.Expect(gw.targets()).NotTo(ContainElement("t1"))
+
+	store.setLife("t1", 2, "10.0.0.4:80", false)
+	g.Eventually(func() bool { return gw.believes("t1", "10.0.0.4:80") }, eventual).Should(BeTrue())
+}
--- a/internal/gateway/discovery/neighbour.go
+++ b/internal/gateway/discovery/neighbour.go
@@ -14,12 +14,12 @@
 	// staleFor is how long a neighbour is kept that has grown out of date like this
 	// gateway itself. Chosen: somebody fresher is found in time for two failures.
 	staleFor = 500 * time.Millisecond
-	// swapMembersEvery is how often two neighbours swap whom they have heard from.
+	// swapMembersEvery is how often two neighbours swap whom they have seen.
 	// Chosen: below the time for which a sighting counts (core/gateway/peers), in other
 	// halls as well.
 	swapMembersEvery = 1500 * time.Millisecond
 	// askFloor is the least time between two questions to a neighbour. Chosen: whatever
-	// two gateways may have to tell each other, it can't keep a link or a core busy.
+	// two gateways may have to exchange, it can't keep a link or a core busy.
 	askFloor = 20 * time.Millisecond
 	// quietPause is the wait before asking again where nobody could help.
 	quietPause = 100 * time.Millisecond
@@ -32,19 +32,19 @@
 	peer member.Box
 	// until is when another is drawn.
 	until time.Time
-	// at is how far that gateway was when it last spoke or was told, and confirmed when
+	// at is how far that gateway was when it last spoke or was sent something, and confirmed when
 	// its knowledge had last been confirmed then.
 	at        catalog.Position
 	confirmed time.Time
 	// swapped is when members were last swapped.
 	swapped time.Time
-	// toldTries is which tries were last told, and toldLeaving whether this gateway's
+	// sentTries is which tries were last sent, and sentLeaving whether this gateway's
 	// own leaving was.
-	toldTries   int
-	toldLeaving bool
-	// heardWords is how far that gateway was heard on requests that end targets and on limits
-	// of targets, and toldWords how far it was told.
-	heardWords, toldWords heardAt
+	sentTries   int
+	sentLeaving bool
+	// receivedUpdates is how far its updates came here on requests that end targets and on limits
+	// of targets, and sentUpdates how far it was sent those known here.
+	receivedUpdates, sentUpdates positions
 }
 
 // follow is the duty of exchanging with one neighbour after the other.
@@ -106,7 +106,7 @@
 }
 
 // exchange asks a neighbour once and works its answer in. While the question waits,
-// what the neighbour lacks is told to it.
+// what the neighbour lacks is sent to it.
 func (f *Follower) exchange(ctx context.Context, l *link, n *neighbour, wait time.Duration) (*UpdateReply, error) {
 	asked := f.options.Clock()
 	call := l.ask(f.question(n, wait))
@@ -134,9 +134,7 @@
 	now := f.options.Clock()
 	args := f.standing(now)
 	args.Wait, args.Digest = wait, !f.asksInFull(n.peer)
-	heard := n.heardWords
-	heard.asksLimits = true
-	args.AsksFatal, args.FatalAt = true, heard.String()
+	args.AsksFatal, args.FatalAt = true, f.asksAll(n.receivedUpdates).String()
 	if args.Digest && args.At.Lacks(n.at) {
 		args.At = n.at // what is missing here is asked for already
 	}
@@ -151,43 +149,40 @@
 // standing is what this gateway says of its own knowledge; the lock is held.
 func (f *Follower) standing(now time.Time) UpdateArgs {
 	return UpdateArgs{
-		At: f.catalog.Position(), Age: f.fresh.Age(now), Tries: f.tries.Told(now),
+		At: f.catalog.Position(), Age: f.fresh.Age(now), Tries: f.tries.Published(now),
 		FollowsEvacuations: f.options.Source.followsEvacuations(), FollowsRollouts: f.options.Source.followsRollouts(),
 	}
 }
 
-// tell tells a neighbour, without waiting for its answer, what it lacks, if it may be
-// told now. It returns what is closed when there may be something new to tell.
+// tell sends a neighbour, without waiting for its answer, what it lacks, if it may be
+// sent that now. It returns what is closed when there may be something new to send.
 func (f *Follower) tell(l *link, n *neighbour, may bool) (changed chan struct{}) {
 	f.mu.Lock()
 	now := f.options.Clock()
-	worth := may && f.isWorthTelling(now, n)
+	worth := may && f.isWorthSending(now, n)
 	args := f.standing(now)
 	args.Digest, args.From = true, f.view.Self()
 	if worth {
 		args.News, args.Base = f.newsFor(n), n.at
 		n.at, n.confirmed = args.At, now.Add(-min(args.Age, longAgo))
-		n.toldTries, n.toldLeaving = f.tries.Version(), args.From.Leaving
-		n.toldWords.asksLimits = true
-		args.Fatal, n.toldWords = f.wordsSince(n.toldWords)
+		n.sentTries, n.sentLeaving = f.tries.Version(), args.From.Leaving
+		args.Fatal, n.sentUpdates = f.updatesSince(f.asksAll(n.sentUpdates))
 	}
 	changed = f.changed
 	f.mu.Unlock()
 	if worth {
-		l.ask(args) // the question that waits tells whether the neighbour is there
+		l.ask(args) // the question that waits shows whether the neighbour is there
 	}
 	return changed
 }
 
-// isWorthTelling says whether a neighbour lacks something that this gateway has; the
+// isWorthSending says whether a neighbour lacks something that this gateway has; the
 // lock is held.
-func (f *Follower) isWorthTelling(now time.Time, n *neighbour) bool {
-	leaves := f.view.Self().Leaving && !n.toldLeaving
+func (f *Follower) isWorthSending(now time.Time, n *neighbour) bool {
+	leaves := f.view.Self().Leaving && !n.sentLeaving
 	further := n.at.Lacks(f.catalog.Position())
-	tries := f.tries.Version() != n.toldTries
-	told := n.toldWords
-	told.asksLimits = true
-	return leaves || further || tries || f.lacksWords(told) || f.fresh.Confirms(now, now.Sub(n.confirmed))
+	tries := f.tries.Version() != n.sentTries
+	return leaves || further || tries || f.lacksUpdates(f.asksAll(n.sentUpdates)) || f.fresh.Confirms(now, now.Sub(n.confirmed))
 }
 
 // noteExchanged notes how far a neighbour is, and logs who it is if it is new. One that
@@ -199,14 +194,14 @@
 	if first := n.confirmed.IsZero(); first && n.peer.ID != "" {
 		f.options.Log.Info("news come from", "peer", n.peer.ID, "address", n.peer.Peer, "hall", n.peer.Hall, "age_s", f.loggedAge())
 	}
-	n.at, n.heardWords = reply.Delta.To, parseHeardAt(reply.FatalAt)
+	n.at, n.receivedUpdates = reply.Delta.To, parsePositions(reply.FatalAt)
 	n.confirmed = now.Add(-min(reply.Age, longAgo))
 	if !f.fresh.Fresh(now) && reply.Age >= f.options.Timing.SilentAfter {
 		n.until = earlier(n.until, now.Add(staleFor))
 	}
 }
 
-// longAgo stands for the age of what nobody has confirmed.
+// longAgo represents the age of what nobody has confirmed.
 const longAgo = time.Hour
 
 func earlier(a, b time.Time) time.Time {
@@ -230,23 +225,23 @@
 	f.options.Log.Info("peer lost", "peer", peer.ID, "address", peer.Peer, "error", err.Error())
 }
 
-// meet takes in whom another gateway, the first of the sightings, has heard of, and
-// what it says of itself by Heard or Called of the view; the lock is held.
-func (f *Follower) meet(now time.Time, sightings []peers.Sighting, heard heardFrom) {
+// meet takes in whom another gateway, the first of the sightings, has learnt of, and
+// what it says of itself by Observe or Called of the view; the lock is held.
+func (f *Follower) meet(now time.Time, sightings []peers.Sighting, observe observer) {
 	if len(sightings) == 0 {
 		return
 	}
-	f.greet(now, sightings[0].Box, heard)
+	f.greet(now, sightings[0].Box, observe)
 	f.view.Sighted(now, sightings[1:])
 }
 
-// heardFrom takes in what a gateway says of itself and reports whether it is back.
-type heardFrom func(now time.Time, box member.Box) (back bool)
+// observer takes in what a gateway says of itself and reports whether it is back.
+type observer func(now time.Time, box member.Box) (back bool)
 
 // greet takes in what a gateway says of itself; the lock is held.
-func (f *Follower) greet(now time.Time, box member.Box, heard heardFrom) {
+func (f *Follower) greet(now time.Time, box member.Box, observe observer) {
 	alone := f.view.Alone(now)
-	if heard(now, box) {
+	if observe(now, box) {
 		f.options.Log.Info("peer back", "peer", box.ID, "address", box.Peer)
 	}
 	if f.met.IsZero() {
--- a/internal/gateway/discovery/pack_test.go
+++ b/internal/gateway/discovery/pack_test.go
@@ -11,7 +11,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 )
 
-func TestAConfigurationIsToldInFewerBytesAndPackedOnce(t *testing.T) {
+func TestAConfigurationIsSentInFewerBytesAndPackedOnce(t *testing.T) {
 	g := NewWithT(t)
 	body := bytes.Repeat([]byte(`{"name":"r-1","kind":"safe","action":{"service":"shop"}},`), 1000)
 	var p packedConfig
@@ -27,7 +27,7 @@
 	g.Expect(inflate(next)).To(Equal([]byte("another")))
 }
 
-func TestAListOfTargetsIsToldInFewerBytesAndPackedOnce(t *testing.T) {
+func TestAListOfTargetsIsSentInFewerBytesAndPackedOnce(t *testing.T) {
 	g := NewWithT(t)
 	var changes []catalog.Change
 	for i := range 719 {
--- a/internal/gateway/discovery/ping.go
+++ b/internal/gateway/discovery/ping.go
@@ -32,7 +32,7 @@
 	return f.fresh.Reads(now) && f.isAsked(now)
 }
 
-// isAsked says whether other gateways hear of updates from this one: they ask it, or it
+// isAsked says whether other gateways learn of updates from this one: they ask it, or it
 // is linked to one; the lock is held.
 func (f *Follower) isAsked(now time.Time) bool {
 	timing := f.options.Timing
--- a/internal/gateway/discovery/protocol.go
+++ b/internal/gateway/discovery/protocol.go
@@ -17,7 +17,7 @@
 	methodNews  = serviceName + ".News"
 )
 
-// UpdateArgs asks a gateway for what the caller lacks, or for word of how far it is.
+// UpdateArgs asks a gateway for what the caller lacks, or for how far it is.
 type UpdateArgs struct {
 	// At is how far the caller's knowledge has come. In a question that waits it is
 	// how far the caller knows the answering gateway to be, if that is further.
@@ -25,14 +25,14 @@
 	// Wait is how long to wait for an update if there is none.
 	Wait time.Duration
 	// Age is how long ago what the caller believes was confirmed. In a question that
-	// waits it is the age that the answering gateway last told, if that is younger.
+	// waits it is the age that the answering gateway last reported, if that is younger.
 	Age time.Duration
 	// Members are given now and then, the caller first, and then asked for as
 	// well.
 	Members []peers.Sighting
 	// Digest asks for the position alone and not for what the caller lacks.
 	Digest bool
-	// From is given by a caller that has something to tell: At and Age are its own. They
+	// From is given by a caller that has something to send: At and Age are its own. They
 	// may have been on their way for long, so that they are a reason to ask it and no
 	// more.
 	From member.Box
@@ -50,11 +50,11 @@
 	FollowsRollouts bool
 	// AsksFatal asks for what the called gateway knows of requests that end targets, and of
 	// limits that targets name, and the caller has not heard: FatalAt is how far it has
-	// (heardAt).
+	// (positions).
 	AsksFatal bool
 	FatalAt   string
-	// Fatal is what the caller knows of these and has not told the called gateway before
-	// (encodeWords).
+	// Fatal is what the caller knows of these and has not sent to the called gateway before
+	// (encodeUpdates).
 	Fatal []byte
 }
 
--- a/internal/gateway/discovery/publish.go
+++ b/internal/gateway/discovery/publish.go
@@ -10,10 +10,11 @@
 )
 
 // fromStore names the store in log lines as where something was learnt, fromGlance a
-// glance at it.
+// stale read at it, fromTarget a target that said it of itself.
 const (
-	fromStore  = "store"
-	fromGlance = "glance"
+	fromStore     = "store"
+	fromStaleRead = "glance"
+	fromTarget    = "target"
 )
 
 // change changes the catalog and says what of it changed.
@@ -43,6 +44,20 @@
 	}
 }
 
+// Drain takes in that targets said themselves, in answers, that they leave.
+func (f *Follower) Drain(lives []catalog.Life) {
+	lives = slices.DeleteFunc(lives, f.Snapshot().IsLeaving) // they say so in each answer
+	if len(lives) == 0 {
+		return
+	}
+	f.apply(fromTarget, func(c *catalog.Catalog) (changed catalog.Changed) {
+		for _, life := range lives {
+			changed.Targets = c.Drain(life) || changed.Targets
+		}
+		return changed
+	})
+}
+
 // decode puts the catalog's configuration in force; the lock is held.
 func (f *Follower) decode(from string) {
 	table, err := f.options.Decode(f.catalog.Config())
@@ -59,11 +74,13 @@
 func (f *Follower) publish(from string) {
 	before := f.believed.Load().ByService()
 	targets, evacuated := map[string][]catalog.Target{}, map[string]int{}
+	leaving := map[catalog.Life]bool{}
 	known := map[string][]catalog.Target{}
 	for _, t := range f.catalog.Targets() {
 		known[t.Service] = append(known[t.Service], t)
 		switch {
 		case t.Leaving:
+			leaving[t.Life()] = true
 		case f.catalog.IsEvacuated(t.Hall):
 			evacuated[t.Service]++
 		default:
@@ -71,7 +88,7 @@
 		}
 	}
 	assigned := f.assign(known, targets)
-	f.believed.Store(snapshot.New(f.table, targets).WithEvacuated(evacuated).WithRollouts(assigned))
+	f.believed.Store(snapshot.New(f.table, targets).WithEvacuated(evacuated).WithRollouts(assigned).WithLeaving(leaving))
 	f.logTargets(from, before, targets)
 	if f.table != nil && f.catalog.HasTargets() {
 		f.once.Do(func() { close(f.ready) })
@@ -101,14 +118,14 @@
 	return f.view.First(f.options.Clock(), n)
 }
 
-// Ranked is First as word that may be passed on to other gateways.
+// Ranked is First as sightings that may be passed on to other gateways.
 func (f *Follower) Ranked(n int) []peers.Sighting {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.view.Ranked(f.options.Clock(), n)
 }
 
-// Sighted takes in whom another gateway has heard of.
+// Sighted takes in whom another gateway has learnt of.
 func (f *Follower) Sighted(sightings []peers.Sighting) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/discovery/read.go
+++ b/internal/gateway/discovery/read.go
@@ -147,10 +147,10 @@
 // Results of a call to the store, and the calls that are no watches, as metrics name
 // them.
 const (
-	callPing     = "ping"
-	callGlance   = "glance"
-	callAnswered = "answered"
-	callFailed   = "failed"
+	callPing      = "ping"
+	callStaleRead = "glance"
+	callAnswered  = "answered"
+	callFailed    = "failed"
 )
 
 // end works in how a call of a watch ended.
@@ -166,7 +166,7 @@
 		f.setFailing(w, nil)
 		f.wakeIfOld(f.fresh.Answered(w.state, now, f.options.Self.ID))
 	case errors.Is(err, ErrGone):
-		// The list that is asked for next tells whether the store is back.
+		// The list that is asked for next shows whether the store is back.
 		f.options.Metrics.StoreCall(w.name, callAnswered)
 	case errors.Is(err, errRestoring):
 		f.options.Metrics.StoreCall(w.name, callAnswered)
--- a/internal/gateway/discovery/region.go
+++ b/internal/gateway/discovery/region.go
@@ -47,7 +47,7 @@
 	return peer.ID != "" && f.inOtherRegion(peer) && f.knows()
 }
 
-// newsFor is what is told to a neighbour in another region beside this gateway's position;
+// newsFor is what is sent to a neighbour in another region beside this gateway's position;
 // nothing where much may be missing there, or where the configuration could not be packed:
 // it is asked for then. The lock is held.
 func (f *Follower) newsFor(n *neighbour) catalog.Delta {
@@ -69,7 +69,7 @@
 	return news
 }
 
-// takeNews takes in what a caller told beside its position, unless something that comes
+// takeNews takes in what a caller sent beside its position, unless something that comes
 // before it is missing here: calls on one connection may overtake each other.
 func (f *Follower) takeNews(args UpdateArgs) error {
 	news := args.News
--- a/internal/gateway/discovery/region_test.go
+++ b/internal/gateway/discovery/region_test.go
@@ -59,7 +59,7 @@
 	g.Expect(f.position()).To(Equal(second.At), "old news changes nothing")
 }
 
-func TestNewsIsToldToOtherRegionsAlone(t *testing.T) {
+func TestUpdatesAreSentToOtherRegionsAlone(t *testing.T) {
 	g := NewWithT(t)
 	f := inNorth(t)
 	behind := f.position()
--- a/internal/gateway/discovery/regions_test.go
+++ b/internal/gateway/discovery/regions_test.go
@@ -82,7 +82,7 @@
 	source := a.source()
 	source.Config = answeredLater(a, source.Config)
 	source.Targets = answeredLater(a, source.Targets)
-	source.Glance = answeredLater(a, source.Glance)
+	source.StaleRead = answeredLater(a, source.StaleRead)
 	source.WatchConfig = watchedLater(a, source.WatchConfig)
 	source.WatchTargets = watchedLater(a, source.WatchTargets)
 	ping := source.Ping
@@ -144,7 +144,7 @@
 	return regions
 }
 
-func TestAFleetOverRegionsHearsOfAChange(t *testing.T) {
+func TestAFleetOverRegionsLearnsOfAChange(t *testing.T) {
 	size, regions := fleetSize(93), fromEnvironment("REGIONS", 3)
 	for _, wide := range widths() {
 		overRegions(t, size, regions, 0, wide, func(g *WithT, fleet *regional) {
--- a/internal/gateway/discovery/rewind.go
+++ b/internal/gateway/discovery/rewind.go
@@ -8,7 +8,7 @@
 
 // A store may come back from a copy that is some seconds old: it lacks what was written
 // since, and has back what had gone. What its operator and the targets wrote they write
-// again; until they have, its word is taken for those that are known and no others
+// again; until they have, its updates are taken for those that are known and no others
 // (core/gateway/catalog), and then all is read again.
 
 // rereadFactor is by how much longer than the time after which entries of live targets are
--- a/internal/gateway/discovery/role.go
+++ b/internal/gateway/discovery/role.go
@@ -68,7 +68,7 @@
 // rank is this gateway's place in the order of readers; the lock is held.
 func (f *Follower) rank(now time.Time) int { return f.view.Rank(now) }
 
-// noteTry notes that this gateway begins to call the store, so that others that hear of
+// noteTry notes that this gateway begins to call the store, so that others that learn of
 // it wait; the lock is held.
 func (f *Follower) noteTry(now time.Time) {
 	f.tried = reader.Try{ID: f.options.Self.ID, Number: now.UnixNano()}
--- a/internal/gateway/discovery/rollout_test.go
+++ b/internal/gateway/discovery/rollout_test.go
@@ -78,8 +78,8 @@
 		defer a.store.mu.Unlock()
 		return discovery.List[catalog.Rollout]{Revision: a.store.revision, Items: a.store.allRollouts()}, nil
 	}
-	source.GlanceRollouts = func(ctx context.Context) (discovery.List[catalog.Rollout], error) {
-		a.store.glances.Add(1)
+	source.StaleRollouts = func(ctx context.Context) (discovery.List[catalog.Rollout], error) {
+		a.store.staleReads.Add(1)
 		return source.Rollouts(ctx)
 	}
 	source.WatchRollouts = func(ctx context.Context, from uint64, wait time.Duration) (discovery.Changes[catalog.RolloutChange], error) {
--- a/internal/gateway/discovery/saved.go
+++ b/internal/gateway/discovery/saved.go
@@ -45,9 +45,9 @@
 type savedDocument struct {
 	// WrittenAt is when it was written, in ms of the time of day of the gateway that did.
 	WrittenAt int64 `json:"writtenAtMs"`
-	// Quarantined lists the fingerprints that the words amount to.
-	Quarantined []string          `json:"quarantined"`
-	Words       []quarantine.Word `json:"words"`
+	// Quarantined lists the fingerprints that the updates amount to.
+	Quarantined []string            `json:"quarantined"`
+	Updates     []quarantine.Update `json:"words"`
 }
 
 // readSaved is the duty of watching the saved object while the reading falls to this
@@ -127,24 +127,24 @@
 		return
 	}
 	age := max(0, f.options.TimeOfDay().Sub(time.UnixMilli(f.saved.document.WrittenAt)))
-	f.hearFatal(f.saved.document.aged(age), fromStore)
+	f.mergeFatal(f.saved.document.aged(age), fromStore)
 }
 
-// aged are the words some time later.
-func (d savedDocument) aged(later time.Duration) []quarantine.Word {
-	words := slices.Clone(d.Words)
-	for i := range words {
-		words[i].Seen += later
-		words[i].Ends = slices.Clone(words[i].Ends)
-		for j := range words[i].Ends {
-			words[i].Ends[j].Ago += later
+// aged are the updates some time later.
+func (d savedDocument) aged(later time.Duration) []quarantine.Update {
+	updates := slices.Clone(d.Updates)
+	for i := range updates {
+		updates[i].Seen += later
+		updates[i].Ends = slices.Clone(updates[i].Ends)
+		for j := range updates[i].Ends {
+			updates[i].Ends[j].Ago += later
 		}
 	}
-	return words
+	return updates
 }
 
 // noteUnsaved has the next write create the object: it may be gone, and where it is not,
-// the store refuses and tells it.
+// the store refuses and says so.
 func (f *Follower) noteUnsaved() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -191,15 +191,15 @@
 	if !f.saved.known || !f.fresh.Reads(f.options.Clock()) {
 		return object, false
 	}
-	words, prints := f.options.Fatal.QuarantinedWords()
+	updates, prints := f.options.Fatal.QuarantinedUpdates()
 	now := f.options.TimeOfDay()
 	lacks := slices.ContainsFunc(prints, func(print string) bool { return !slices.Contains(f.saved.document.Quarantined, print) })
 	age := now.Sub(time.UnixMilli(f.saved.document.WrittenAt))
-	comes := slices.ContainsFunc(words, func(w quarantine.Word) bool { return w.Seen < saveAgainAfter })
+	comes := slices.ContainsFunc(updates, func(w quarantine.Update) bool { return w.Seen < saveAgainAfter })
 	if !lacks && (age < saveAgainAfter || !comes) {
 		return object, false
 	}
-	body, err := json.Marshal(savedDocument{WrittenAt: now.UnixMilli(), Quarantined: prints, Words: words})
+	body, err := json.Marshal(savedDocument{WrittenAt: now.UnixMilli(), Quarantined: prints, Updates: updates})
 	if err != nil {
 		f.options.Log.Error("quarantine not encoded", "error", err.Error())
 		return object, false
@@ -208,7 +208,7 @@
 }
 
 // saveOnce writes the saved object on condition that nobody else has. What came of it is
-// taken in; a write without an answer may still be done, which the watch then tells.
+// taken in; a write without an answer may still be done, which the watch then reports.
 func (f *Follower) saveOnce(ctx context.Context, object SavedObject) error {
 	ctx, cancel := context.WithTimeout(ctx, f.options.Timing.SilentAfter)
 	defer cancel()
--- a/internal/gateway/discovery/serve.go
+++ b/internal/gateway/discovery/serve.go
@@ -11,14 +11,12 @@
 const (
 	// wholesAtOnce and wholeEvery bound how often all that is known is sent: so many at
 	// once, then one each wholeEvery. Chosen: of 11 kB each, a list of 719 targets, they
-	// take half of a link of 20 Mbit/s; those that were told tell others meanwhile.
+	// take half of a link of 20 Mbit/s; those that were sent it send it to others meanwhile.
 	wholesAtOnce = 4
 	wholeEvery   = 8 * time.Millisecond
 	// oldLookEvery is the time between two looks at a waiting question whose caller's
 	// knowledge has grown old. This gateway's may have become younger by less than wakes
 	// those that wait, and the gain that is worth telling falls with the caller's age.
-	// Chosen: the word passes all steps of a large fleet in a tenth of the time that is
-	// left then; a look takes less than a microsecond.
 	oldLookEvery = 20 * time.Millisecond
 )
 
@@ -73,11 +71,11 @@
 		reply.Members = f.view.Sightings(now, hall)
 	}
 	reply.Age, reply.Origin = f.fresh.Age(now), f.fresh.Origin()
-	reply.Tries = f.tries.Told(now)
+	reply.Tries = f.tries.Published(now)
 	reply.LimitsFor = f.options.LimitsFor()
 	if args.AsksFatal {
-		body, to := f.wordsSince(parseHeardAt(args.FatalAt))
-		reply.Fatal, reply.FatalAt = body, to.Reply()
+		body, to := f.updatesSince(parsePositions(args.FatalAt))
+		reply.Fatal, reply.FatalAt = body, to.reply()
 	}
 	if id, age := f.fresh.Reader(now); age < f.options.Timing.SilentAfter {
 		reply.Reader, reply.ReaderAge = id, age
@@ -111,15 +109,15 @@
 	return err
 }
 
-// noteAsked notes that another gateway asks, what it tells, and whom it has heard of.
+// noteAsked notes that another gateway asks, what it sends, and whom it has seen.
 func (f *Follower) noteAsked(args UpdateArgs) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock()
 	f.asked = now
 	f.meet(now, args.Members, f.view.Called)
-	f.hear(now, args.Tries)
-	f.hearWords(args.Fatal, args.From.ID)
+	f.noteTries(now, args.Tries)
+	f.mergeUpdates(args.Fatal, args.From.ID)
 	if args.From.ID == "" {
 		return
 	}
@@ -130,7 +128,7 @@
 	}
 }
 
-// await waits while there is nothing to tell the caller.
+// await waits while there is nothing to send the caller.
 func (f *Follower) await(args UpdateArgs) {
 	if args.Wait <= 0 {
 		return
@@ -175,14 +173,14 @@
 	return a.At.Lacks(position)
 }
 
-// hasAnswer says whether there is something to answer now: an update, a word that
+// hasAnswer says whether there is something to answer now: an update, news that
 // confirms the caller's old knowledge, a try to read the store, a request that ends targets or
-// a target's limit that it has not heard of, or that this gateway leaves; the lock is held.
+// a target's limit that it has not learnt of, or that this gateway leaves; the lock is held.
 func (f *Follower) hasAnswer(args UpdateArgs, asked time.Time) bool {
 	now := f.options.Clock()
 	ahead := args.lacks(f.catalog.Position())
 	confirms := f.fresh.Confirms(now, older(args.Age, now.Sub(asked)))
 	tries := f.tries.Lacking(now, args.Tries)
-	words := args.AsksFatal && f.lacksWords(parseHeardAt(args.FatalAt))
-	return ahead || confirms || tries || words || f.view.Self().Leaving
+	updates := args.AsksFatal && f.lacksUpdates(parsePositions(args.FatalAt))
+	return ahead || confirms || tries || updates || f.view.Self().Leaving
 }
--- a/internal/gateway/discovery/serve_test.go
+++ b/internal/gateway/discovery/serve_test.go
@@ -26,7 +26,7 @@
 	g.Expect(f.hasAnswer(fresh, asked)).To(BeTrue())
 	now = now.Add(time.Minute)
 	g.Expect(f.hasAnswer(fresh, asked)).To(BeFalse(), "both are old: the caller asks others as well, and hears from whoever is first")
-	f.hear(now, []reader.Try{{ID: "other"}})
+	f.noteTries(now, []reader.Try{{ID: "other"}})
 	g.Expect(f.hasAnswer(fresh, asked)).To(BeTrue(), "somebody tries to read")
 	fresh.Tries = []reader.Try{{ID: "other"}}
 	g.Expect(f.hasAnswer(fresh, now)).To(BeFalse(), "it knows that")
--- /dev/null
+++ b/internal/gateway/discovery/signals_test.go
@@ -0,0 +1,112 @@
+package discovery_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
+)
+
+// untilAll is how long it takes until something holds at all gateways.
+func untilAll(gateways []*gateway, holds func(g *gateway) bool) time.Duration {
+	_, all := untilHalfAndAll(gateways, holds)
+	return all
+}
+
+// untilHalfAndAll is how long it takes until something holds at half of the gateways, and at all.
+func untilHalfAndAll(gateways []*gateway, holds func(g *gateway) bool) (half, all time.Duration) {
+	began := time.Now()
+	left := slices.Clone(gateways)
+	for {
+		left = slices.DeleteFunc(left, holds)
+		if half == 0 && 2*len(left) <= len(gateways) {
+			half = time.Since(began)
+		}
+		if len(left) == 0 || time.Since(began) >= patience {
+			return half, time.Since(began)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Each gateway of a large fleet found out for itself that a target asks for back-off, by a request
+// that was turned away.
+func TestAFleetLearnsThatATargetAsksForBackOffWithinMoments(t *testing.T) {
+	resting := catalog.Target{ID: "t1", Service: "shop", Born: 1}
+	serving := []catalog.Target{resting, {ID: "t2", Service: "shop", Born: 1}}
+	for _, size := range []int{3, 17, fleetSize(100)} {
+		measure(t, size, 2, func(g *WithT, fleet *bigFleet) {
+			holds := func(gw *gateway) bool { return gw.signals.Avoided(serving)[resting.Life()] }
+			fleet.gateways[0].signals.Observe(resting, signal.Signals{BackOff: 5 * time.Second})
+			time.Sleep(time.Second)
+			g.Expect(slices.IndexFunc(fleet.gateways[1:], holds)).To(Equal(-1), "it asked one gateway alone")
+			fleet.gateways[1].signals.Observe(resting, signal.Signals{BackOff: 5 * time.Second})
+			bytes := fleet.fabric.all.Load()
+			half, took := untilHalfAndAll(fleet.gateways, holds)
+			sent := float64(fleet.fabric.all.Load()-bytes) / float64(size)
+			fleet.t.Logf("%d gateways: known to half after %v, to all after %v, %.0f bytes a gateway meanwhile", size, half, took, sent)
+			g.Expect(took).To(BeNumerically("<", 100*time.Millisecond))
+			time.Sleep(4500 * time.Millisecond)
+			g.Expect(slices.IndexFunc(fleet.gateways[2:], holds)).To(Equal(-1), "it lapses everywhere")
+			g.Expect(fleet.gateways[1].signals.Left(resting.Life())).To(BeNumerically(">", 0), "this one was asked itself, and for longer")
+			g.Expect(fleet.gateways[2].signals.Left(resting.Life())).To(BeZero())
+		})
+	}
+}
+
+// A target says to one gateway alone that it leaves, and its entry does not.
+func TestAFleetLearnsThatATargetLeavesWithinMoments(t *testing.T) {
+	for _, size := range []int{3, 17, fleetSize(100)} {
+		measure(t, size, 2, func(g *WithT, fleet *bigFleet) {
+			for i := range 300 { // all tell when they started
+				fleet.store.setLife(fmt.Sprint("t", i), 1, "10.0.0.1:80", false)
+			}
+			time.Sleep(2 * time.Second)
+			g.Expect(untilAll(fleet.gateways, func(gw *gateway) bool { return gw.believes("t1", "10.0.0.1:80") })).To(BeNumerically("<", 2*time.Second))
+			leaving := catalog.Target{ID: "t1", Service: "shop", Born: 1}
+			fleet.gateways[0].signals.Observe(leaving, signal.Signals{Leaving: true})
+			half, took := untilHalfAndAll(fleet.gateways, func(gw *gateway) bool { return gw.Snapshot().IsLeaving(leaving.Life()) })
+			fleet.t.Logf("%d gateways: known to half after %v, to all after %v", size, half, took)
+			g.Expect(took).To(BeNumerically("<", 100*time.Millisecond))
+			fleet.store.setLife("t1", 2, "10.0.0.2:80", false)
+			g.Expect(untilAll(fleet.gateways, func(gw *gateway) bool { return gw.believes("t1", "10.0.0.2:80") })).To(BeNumerically("<", 2*time.Second))
+		})
+	}
+}
+
+// All targets of a large service ask whichever gateway they turn away.
+func TestTargetsThatAllAskForBackOffTakeFewBytesBetweenGateways(t *testing.T) {
+	const targets, seconds = 120, 10
+	for _, size := range []int{18, fleetSize(100)} {
+		measure(t, size, 1, func(g *WithT, fleet *bigFleet) {
+			random := rand.New(rand.NewPCG(fleet.seed, 7))
+			bytes, writes := fleet.fabric.all.Load(), fleet.fabric.writes.Load()
+			for range 10 * seconds * targets {
+				target := catalog.Target{ID: "t" + strconv.Itoa(random.IntN(targets)), Service: "shop", Born: 1}
+				at := fleet.gateways[random.IntN(size)].signals
+				if at.Left(target.Life()) == 0 {
+					at.Observe(target, signal.Signals{BackOff: 3 * time.Second})
+				}
+				time.Sleep(time.Second / (10 * targets))
+			}
+			rate := func(now, before int64) float64 { return float64(now-before) / seconds / float64(size) }
+			inBytes, inWrites := rate(fleet.fabric.all.Load(), bytes), rate(fleet.fabric.writes.Load(), writes)
+			last := catalog.Target{ID: "last", Service: "shop", Born: 1}
+			holds := func(gw *gateway) bool { return gw.signals.Avoided([]catalog.Target{last, {ID: "t"}})[last.Life()] }
+			fleet.gateways[0].signals.Observe(last, signal.Signals{BackOff: 5 * time.Second})
+			fleet.gateways[1].signals.Observe(last, signal.Signals{BackOff: 5 * time.Second})
+			half, all := untilHalfAndAll(fleet.gateways, holds)
+			fleet.t.Logf("%d gateways: a second and gateway %.0f bytes in %.0f writes; the last known to half after %v, to all after %v", size, inBytes, inWrites, half, all)
+			g.Expect(inBytes).To(BeNumerically("<", 45000), "however large the fleet is")
+			g.Expect(inWrites).To(BeNumerically("<", 100))
+			g.Expect(all).To(BeNumerically("<", 1500*time.Millisecond))
+		})
+	}
+}
