--- a/internal/gateway/discovery/source.go
+++ b/internal/gateway/discovery/source.go
@@ -57,12 +57,12 @@
 // Record is what came of recording a rollout's progress.
 type Record struct {
 	End RecordEnd
-	// Rollout is the rollout as it is now, where the store told it; nil where it did not.
+	// Rollout is the rollout as it is now, where the store reported it; nil where it did not.
 	Rollout *catalog.Rollout
 }
 
-// Glance is what the store held up to some seconds ago.
-type Glance struct {
+// StaleRead is what the store held up to some seconds ago.
+type StaleRead struct {
 	// Config is nil where there was none yet.
 	Config  *ConfigObject
 	Targets []catalog.Target
@@ -75,41 +75,41 @@
 	WatchConfig  func(ctx context.Context, from uint64, wait time.Duration) (Newest[ConfigObject], error)
 	Targets      func(ctx context.Context) (List[catalog.Target], error)
 	WatchTargets func(ctx context.Context, from uint64, wait time.Duration) (Changes[catalog.Change], error)
-	// Evacuations, WatchEvacuations and GlanceEvacuations are nil where no hall is ever
+	// Evacuations, WatchEvacuations and StaleEvacuations are nil where no hall is ever
 	// evacuated, which saves the calls.
 	Evacuations      func(ctx context.Context) (List[catalog.Evacuation], error)
 	WatchEvacuations func(ctx context.Context, from uint64, wait time.Duration) (Changes[catalog.EvacuationChange], error)
-	// GlanceEvacuations are those of some seconds ago.
-	GlanceEvacuations func(ctx context.Context) (List[catalog.Evacuation], error)
-	// Rollouts, WatchRollouts and GlanceRollouts are nil where no rollout is ever ordered.
-	Rollouts       func(ctx context.Context) (List[catalog.Rollout], error)
-	WatchRollouts  func(ctx context.Context, from uint64, wait time.Duration) (Changes[catalog.RolloutChange], error)
-	GlanceRollouts func(ctx context.Context) (List[catalog.Rollout], error)
+	// StaleEvacuations are those of some seconds ago.
+	StaleEvacuations func(ctx context.Context) (List[catalog.Evacuation], error)
+	// Rollouts, WatchRollouts and StaleRollouts are nil where no rollout is ever ordered.
+	Rollouts      func(ctx context.Context) (List[catalog.Rollout], error)
+	WatchRollouts func(ctx context.Context, from uint64, wait time.Duration) (Changes[catalog.RolloutChange], error)
+	StaleRollouts func(ctx context.Context) (List[catalog.Rollout], error)
 	// RecordRollout records the progress of a rollout (its State and what follows it) on
 	// condition that the object's revision is still that of the rollout. The error says
 	// why an end is not RecordDone.
 	RecordRollout func(ctx context.Context, r catalog.Rollout) (Record, error)
 	// Saved, WatchSaved and Save are nil where nothing is saved. Save writes the object on
-	// condition of its revision and returns it as it is now, where the store told it.
+	// condition of its revision and returns it as it is now, where the store reported it.
 	Saved      func(ctx context.Context) (Newest[SavedObject], error)
 	WatchSaved func(ctx context.Context, from uint64, wait time.Duration) (Newest[SavedObject], error)
 	Save       func(ctx context.Context, o SavedObject) (*SavedObject, error)
-	// Glance is what the store held up to some seconds ago, at a small part of the cost
+	// StaleRead is what the store held up to some seconds ago, at a small part of the cost
 	// of the calls above.
-	Glance func(ctx context.Context) (Glance, error)
+	StaleRead func(ctx context.Context) (StaleRead, error)
 	// Ping shows that the store can be reached, by the cheapest call there is.
 	Ping func(ctx context.Context) error
 }
 
 // WithoutEvacuations is the source where no hall is ever evacuated.
 func (s Source) WithoutEvacuations() Source {
-	s.Evacuations, s.WatchEvacuations, s.GlanceEvacuations = nil, nil, nil
+	s.Evacuations, s.WatchEvacuations, s.StaleEvacuations = nil, nil, nil
 	return s
 }
 
 // WithoutRollouts is the source where no rollout is ever ordered.
 func (s Source) WithoutRollouts() Source {
-	s.Rollouts, s.WatchRollouts, s.GlanceRollouts, s.RecordRollout = nil, nil, nil, nil
+	s.Rollouts, s.WatchRollouts, s.StaleRollouts, s.RecordRollout = nil, nil, nil, nil
 	return s
 }
 
--- a/internal/gateway/fatal/fatal.go
+++ b/internal/gateway/fatal/fatal.go
@@ -4,7 +4,7 @@
 // It owns the ledger (core/gateway/quarantine, which has the rule) under one lock, the log
 // lines of what is quarantined, and nothing that must last. The data path
 // (internal/gateway/forward) notes ends and answers and asks for verdicts; the exchange
-// between gateways (internal/gateway/discovery) passes word on.
+// between gateways (internal/gateway/discovery) passes updates on.
 //
 // # Usage
 //
@@ -23,6 +23,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/changes"
 	"github.com/sprucecrank/sprucecrank/core/gateway/fingerprint"
 	"github.com/sprucecrank/sprucecrank/core/gateway/quarantine"
 )
@@ -65,9 +66,9 @@
 	return r
 }
 
-// OnNews has a function called, without any lock held, once there is something that other
-// gateways should hear of. It must be set before the register is used by others.
-func (r *Register) OnNews(notify func()) { r.notify = notify }
+// OnUpdate has a function called, without any lock held, once there is something that other
+// gateways should learn of. It must be set before the register is used by others.
+func (r *Register) OnUpdate(notify func()) { r.notify = notify }
 
 // Verdict is that on a request. Its fingerprint is taken only where anything is known: that
 // reads its body once more.
@@ -102,51 +103,51 @@
 	r.note(func(now time.Time) bool { return r.ledger.NoteRefused(now, request) })
 }
 
-// note changes the ledger, and has others hear of it if it is news.
-func (r *Register) note(change func(now time.Time) (isNews bool)) {
+// note changes the ledger, and notifies others if that is new.
+func (r *Register) note(change func(now time.Time) (isNew bool)) {
 	r.mu.Lock()
-	isNews := change(r.options.Clock())
+	isNew := change(r.options.Clock())
 	r.publish(fromOwn)
 	r.mu.Unlock()
-	if isNews {
+	if isNew {
 		r.notify()
 	}
 }
 
-// Tick forgets what has lapsed and tells what was held back; it should be called each
+// Tick forgets what has lapsed and reports what was held back; it should be called each
 // second.
 func (r *Register) Tick() { r.note(func(now time.Time) bool { return r.ledger.Tick(now) }) }
 
-// Merge takes in what another gateway told and says whether any of it is news here.
-func (r *Register) Merge(words []quarantine.Word, from string) bool {
-	if len(words) == 0 {
+// Merge takes in what another gateway reported and says whether any of it is news here.
+func (r *Register) Merge(updates []quarantine.Update, from string) bool {
+	if len(updates) == 0 {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	isNews := r.ledger.Merge(r.options.Clock(), words)
-	if isNews {
+	isNew := r.ledger.Merge(r.options.Clock(), updates)
+	if isNew {
 		r.publish(from)
 	}
-	return isNews
+	return isNew
 }
 
 // Since lists what changed since a position, and how far that comes.
-func (r *Register) Since(at quarantine.Position) ([]quarantine.Word, quarantine.Position) {
+func (r *Register) Since(at changes.Position) ([]quarantine.Update, changes.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.ledger.Since(r.options.Clock(), at)
 }
 
 // Position is how far the register has come.
-func (r *Register) Position() quarantine.Position {
+func (r *Register) Position() changes.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.ledger.Position()
 }
 
-// QuarantinedWords is all that is known of quarantined requests, with their fingerprints.
-func (r *Register) QuarantinedWords() (words []quarantine.Word, prints []string) {
+// QuarantinedUpdates is all that is known of quarantined requests, with their fingerprints.
+func (r *Register) QuarantinedUpdates() (updates []quarantine.Update, prints []string) {
 	quarantined := r.verdicts.Load().Quarantined()
 	if len(quarantined) == 0 {
 		return nil, nil
@@ -158,7 +159,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.ledger.Words(r.options.Clock(), contents), prints
+	return r.ledger.Updates(r.options.Clock(), contents), prints
 }
 
 // Quarantined is how many requests are quarantined.
--- a/internal/gateway/forward/allowed_test.go
+++ b/internal/gateway/forward/allowed_test.go
@@ -15,6 +15,24 @@
 // Whatever makes a request look for another target, it reaches none outside the regions
 // that its route allows, not even by a probe.
 func TestNoWayLeadsOutOfTheRegionsThatARouteAllows(t *testing.T) {
+	noWayLeadsOut(t, func(f *regionFixture, allowed []string) { f.regions = allowed })
+}
+
+// A workspace allowed some regions alone, and its requests went to all.
+func TestNoWayLeadsOutOfTheRegionsThatAWorkspaceAllows(t *testing.T) {
+	noWayLeadsOut(t, func(f *regionFixture, allowed []string) { f.workspaceRegions = allowed })
+}
+
+// Both bind where both name regions.
+func TestNoWayLeadsOutOfTheRegionsThatRouteAndWorkspaceAllow(t *testing.T) {
+	noWayLeadsOut(t, func(f *regionFixture, allowed []string) {
+		f.regions, f.workspaceRegions = append([]string{"south"}, allowed...), append([]string{"east"}, allowed...)
+	})
+}
+
+// noWayLeadsOut has what a test says allow some regions.
+func noWayLeadsOut(t *testing.T, allow func(f *regionFixture, allowed []string)) {
+	t.Helper()
 	for name, c := range map[string]struct {
 		allowed []string
 		change  func(near *site)
@@ -51,7 +69,7 @@
 					}
 					near.runs.Store(0)
 					c.change(near)
-					f.regions = c.allowed
+					allow(f, c.allowed)
 					f.show(near.Target, far.Target)
 					if c.gone {
 						f.show(far.Target)
--- a/internal/gateway/forward/balancer.go
+++ b/internal/gateway/forward/balancer.go
@@ -19,7 +19,10 @@
 }
 
 func newBalancer(o Options) *balancer {
-	return &balancer{options: o, services: newRegistry(o.Retry, o.Log), places: newPlaces(o.Places, o.Log)}
+	b := &balancer{options: o, services: newRegistry(o.Retry, o.Log), places: newPlaces(o.Places, o.Log)}
+	o.Pool.OnSignals(o.Signals.Observe)
+	o.Pool.SetGate(b.gate)
+	return b
 }
 
 // history is how the sends of a request ended so far.
@@ -109,6 +112,8 @@
 		return 0 // the key will be no better later
 	case verdict.ReasonTargetsSpent:
 		return max(failure.RetryAfter(), refusal.RetryAfter(req.deadline.Client().Sub(b.options.Clock()), b.options.Draw()))
+	case verdict.ReasonTargetsBackOff:
+		return refusal.AfterOpening(failure.RetryAfter(), req.deadline.Client().Sub(b.options.Clock()), b.options.Draw())
 	}
 	if failure.Reason() == verdict.ReasonShed && svc.room(b.options.Clock()).IsOpen() {
 		return refusal.AtOnce(b.options.Draw())
--- a/internal/gateway/forward/fatal_test.go
+++ b/internal/gateway/forward/fatal_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/changes"
 	"github.com/sprucecrank/sprucecrank/core/gateway/fingerprint"
 	"github.com/sprucecrank/sprucecrank/core/gateway/quarantine"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
@@ -160,7 +161,7 @@
 	return f.options.Fatal, logged
 }
 
-// Word of the third end may come while a request waits for a target that has room.
+// Update of the third end may come while a request waits for a target that has room.
 func TestARequestThatWaitsIsRefusedOnceItIsQuarantined(t *testing.T) {
 	g := NewWithT(t)
 	s := newStandin(t, "s1", "shop", "a", breakOff)
@@ -233,8 +234,8 @@
 				cancel()
 			}
 			g.Expect(register.Quarantined()).To(BeZero())
-			words, _ := register.Since(quarantine.Position{})
-			g.Expect(words).To(BeEmpty())
+			updates, _ := register.Since(changes.Position{})
+			g.Expect(updates).To(BeEmpty())
 		})
 	}
 }
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -36,6 +36,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/quota"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/signals"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
 	"github.com/sprucecrank/sprucecrank/verdict"
@@ -64,6 +65,8 @@
 	Gateways func() int
 	// Current says whether what is believed was confirmed lately.
 	Current func() bool
+	// Signals are what targets said of themselves; nil for what this handler sees alone.
+	Signals *signals.Register
 	Pool    *upstream.Pool
 	Retry   Retry
 	// Fatal knows which requests end the targets that run them; nil for what this handler
@@ -130,6 +133,9 @@
 	if o.TrustsKeys == nil {
 		o.TrustsKeys = func() bool { return true }
 	}
+	if o.Signals == nil {
+		o.Signals = signals.New(signals.Options{Clock: o.Clock, Log: o.Log})
+	}
 	if o.Gateways == nil {
 		o.Gateways = func() int { return 1 }
 	}
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -48,6 +48,8 @@
 	// that it does not answer probes.
 	warmup atomic.Int64
 	silent atomic.Bool
+	// leaving says that it leaves, in all its answers.
+	leaving atomic.Bool
 	// limit is what it names as its limit; nil for none. probes counts those that it got, and
 	// probeTakes is how long its answer to one takes.
 	limit      atomic.Pointer[string]
@@ -81,6 +83,9 @@
 	if limit := s.limit.Load(); limit != nil {
 		w.Header().Set(names.Limit, *limit)
 	}
+	if s.leaving.Load() {
+		w.Header().Set(names.Leaving, "1")
+	}
 	if r.URL.Path == "/health" {
 		s.probes.Add(1)
 		if s.silent.Load() {
@@ -259,6 +264,33 @@
 	g.Expect(left).To(And(BeNumerically(">", 0), BeNumerically("<=", 600)))
 }
 
+func TestNoEncodingIsAskedForBesideTheClients(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandin(t, "s1", "shop", "a", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Encoding", "br")
+		_, _ = io.WriteString(w, "as it is")
+	})
+	f := newFixture(t, s).start()
+	got := f.send(t.Context(), http.MethodGet, readPath, "Accept-Encoding", "br")
+	g.Expect(got.err).NotTo(HaveOccurred())
+	g.Expect(s.header(got.id).Values("Accept-Encoding")).To(Equal([]string{"br"}))
+	g.Expect(got.header.Values("Content-Encoding")).To(Equal([]string{"br"}))
+	g.Expect(got.body).To(Equal("as it is"))
+}
+
+// The load that a target reports beside an answer is the gateway's, not the client's.
+func TestALoadReportBesideAnAnswerIsKeptFromClients(t *testing.T) {
+	g := NewWithT(t)
+	s := newStandin(t, "s1", "shop", "a", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(names.Load, "0,0,3,100")
+		ok(w, r)
+	})
+	f := newFixture(t, s).start()
+	got := f.read()
+	g.Expect(got.status).To(Equal(http.StatusOK))
+	g.Expect(got.header).NotTo(HaveKey(http.CanonicalHeaderKey(names.Load)))
+}
+
 func TestAnUnsafeRequestIsSentOnceUnlessItCertainlyDidNotRun(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/internal/gateway/forward/log.go
+++ b/internal/gateway/forward/log.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -41,6 +42,8 @@
 	Hedge bool `json:"hedge"`
 	// Result is the status of the target's answer, or why there was none.
 	Result string `json:"result"`
+	// RetryAfterMS is for how long the target asked to be sent nothing in its answer.
+	RetryAfterMS float64 `json:"retry_after_ms,omitempty"`
 	// TargetEnded says that the target broke the send off and nobody listened at its
 	// address afterwards.
 	TargetEnded bool `json:"target_ended,omitempty"`
@@ -66,10 +69,51 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-// sendLog collects the sends of one request; a hedge adds to it beside the first.
+// PassedOver is a target that a request passed over by what the target said of itself.
+type PassedOver struct {
+	Target string `json:"target"`
+	// BackOff says that the target asked for back-off; else it has no credit by the limit that it
+	// names.
+	BackOff bool `json:"back_off,omitempty"`
+	// LeftMS is for how much longer; left out where that is not known.
+	LeftMS float64 `json:"left_ms,omitempty"`
+}
+
+// maxPassedOver is how many targets that were passed over a line names.
+const maxPassedOver = 3
+
+// sendLog collects the sends of one request, and the targets that were passed over; a hedge adds
+// to it beside the first.
 type sendLog struct {
-	mu    sync.Mutex
-	sends []Send
+	mu         sync.Mutex
+	sends      []Send
+	passedOver []PassedOver
+}
+
+// passOver notes which of some targets are closed, the first time that any is.
+func (l *sendLog) passOver(targets []catalog.Target, closed map[catalog.Life]closure) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.passedOver) > 0 {
+		return
+	}
+	for _, t := range targets {
+		c, ok := closed[t.Life()]
+		if !ok {
+			continue
+		}
+		l.passedOver = append(l.passedOver, PassedOver{Target: t.ID, BackOff: c.backingOff, LeftMS: milliseconds(c.left)})
+		if len(l.passedOver) == maxPassedOver {
+			return
+		}
+	}
+}
+
+// listPassedOver are the targets that were passed over.
+func (l *sendLog) listPassedOver() []PassedOver {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.passedOver
 }
 
 func (l *sendLog) add(s Send) {
@@ -122,7 +166,7 @@
 }
 
 // maxAttributes is how many a line has at most.
-const maxAttributes = 18
+const maxAttributes = 19
 
 // attributes are those of a line that tell what was done for a request.
 func (r *request) attributes(status int, held time.Duration) []slog.Attr {
@@ -143,6 +187,9 @@
 	if probed := r.probed.Load(); probed > 0 {
 		list = append(list, slog.Int64("probed", probed), slog.Int64("idle", r.idle.Load()))
 	}
+	if passedOver := r.sendLog.listPassedOver(); len(passedOver) > 0 {
+		list = append(list, slog.Any("passed_over", passedOver))
+	}
 	if sends := r.sendLog.list(); len(sends) > 0 {
 		list = append(list, slog.Any("sends", sends))
 	}
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -28,13 +28,13 @@
 		}
 		decision := b.decide(req, svc, deadlines, best, within)
 		if decision.Action() == placement.Take {
-			if b.admitTo(ctx, req, best) {
+			if b.gate(best.target.Life()) == nil && b.admitTo(ctx, req, best) {
 				return best, nil
 			}
 			b.release(best)
 			if deadlines.SearchEnded(b.options.Clock()) {
-				_, creditIn := b.spent(req, b.places.allowed(req.route, b.targets(req)))
-				return nil, placement.RefusalOfSpent(creditIn)
+				closed := b.countClosed(req, b.places.allowed(req, b.targets(req)))
+				return nil, placement.RefusalOfSpent(closed.opensIn)
 			}
 			continue // at once: it is passed over now
 		}
@@ -64,12 +64,13 @@
 	now := b.options.Clock()
 	believed := b.options.Snapshot()
 	known := believed.Targets(req.service)
-	allowed := b.places.allowed(req.route, known)
+	allowed := b.places.allowed(req, known)
 	state := placement.State{
 		Now: now, Deadlines: deadlines, Targets: len(allowed), Barred: len(known) - len(allowed), Evacuated: believed.Evacuated(req.service),
 		Within: within, Yield: svc.yields(now, req.priority()),
 	}
-	state.Spent, state.CreditIn = b.spent(req, allowed)
+	closed := b.countClosed(req, allowed)
+	state.Closed, state.OpensIn, state.BackingOff = closed.count, closed.opensIn, closed.backingOff
 	if best != nil {
 		state.Best = &best.Candidate
 	}
--- a/internal/gateway/forward/places.go
+++ b/internal/gateway/forward/places.go
@@ -7,7 +7,6 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
-	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 )
 
 // assumedTrip stands for the time there and back to a region until that is measured, by
@@ -60,15 +59,16 @@
 	return hall
 }
 
-// allowed are the targets in regions that a route allows.
-func (p *places) allowed(route *routing.Route, targets []catalog.Target) []catalog.Target {
-	if route.Regions == nil {
+// allowed are the targets in regions that the route and the workspace of a request allow.
+func (p *places) allowed(req *request, targets []catalog.Target) []catalog.Target {
+	w := req.caller.Load().workspace
+	if req.route.Regions == nil && w.AllowsAll() {
 		return targets
 	}
 	m := p.current()
 	var allowed []catalog.Target
 	for _, t := range targets {
-		if route.Allows(m.Region(t.Hall)) {
+		if region, known := m.Region(t.Hall); req.route.Allows(region, known) && w.Allows(region, known) {
 			allowed = append(allowed, t)
 		}
 	}
--- a/internal/gateway/forward/probe.go
+++ b/internal/gateway/forward/probe.go
@@ -76,14 +76,15 @@
 // repeats, hedges and requests on trial alike, so that none gets past what its route
 // allows.
 func (b *balancer) order(req *request, svc *service, targets []catalog.Target, avoid []catalog.Life) *placement.Order {
-	now := b.options.Clock()
+	now, avoided := b.options.Clock(), b.options.Signals.Avoided(targets)
 	filter := placement.Filter{
 		Tier: b.places.tier, Region: b.places.region, Trip: b.places.measured, Avoid: avoid,
-		Ejected: func(life catalog.Life) bool { return svc.isEjected(now, life) },
+		Ejected: func(life catalog.Life) bool { return svc.isEjected(now, life) || avoided[life] },
 		Cold:    func(targets []catalog.Target) int { return svc.countCold(now, targets) },
 	}
 	if closed := b.closed(req); len(closed) > 0 {
-		filter.Spent = func(life catalog.Life) bool {
+		req.sendLog.passOver(targets, closed)
+		filter.Closed = func(life catalog.Life) bool {
 			_, ok := closed[life]
 			return ok
 		}
@@ -92,7 +93,7 @@
 		idle := b.options.Pool.Idle()
 		filter.Connected = func(life catalog.Life) bool { return idle[life] > 0 }
 	}
-	order := placement.NewOrder(b.places.allowed(req.route, targets), filter, rand.Shuffle)
+	order := placement.NewOrder(b.places.allowed(req, targets), filter, rand.Shuffle)
 	svc.reached(now, order.Reach())
 	return order
 }
@@ -153,11 +154,15 @@
 	return best
 }
 
-// probe asks one target for its health and load; nil if it did not answer.
+// probe asks one target for its health and load; nil if it did not answer, or is to be sent
+// nothing.
 func (b *balancer) probe(ctx context.Context, req *request, svc *service, target catalog.Target) *candidate {
+	if b.gate(target.Life()) != nil {
+		return nil
+	}
 	conn, health, ok := b.askHealth(ctx, req, target)
 	if !ok {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && b.gate(target.Life()) == nil {
 			svc.probeFailed(b.options.Clock(), target.Life())
 		}
 		return nil
--- a/internal/gateway/forward/region_test.go
+++ b/internal/gateway/forward/region_test.go
@@ -22,6 +22,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
+	"github.com/sprucecrank/sprucecrank/core/gateway/workspace"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 )
@@ -109,8 +110,13 @@
 	log     bytes.Buffer
 	next    int
 	regions []string // those that the route allows
+	// workspaceRegions are those that the client's workspace allows; nil where no key is asked for.
+	workspaceRegions []string
 }
 
+// harbourKey is the key that clients show.
+const harbourKey = "k-1"
+
 func (f *regionFixture) Write(line []byte) (int, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -167,7 +173,11 @@
 		Name: readPath, Host: "shop.example", Prefix: readPath, Repeatable: true, Objective: lookup, Timeout: time.Second, MaxAttempts: 2,
 		Shares: []routing.Share{{Service: "shop", Weight: 1}}, Regions: f.regions,
 	}
-	table := routing.New(routing.Config{Version: 7, Routes: []routing.Route{route}, Services: []routing.Service{{Name: "shop", HealthPath: "/health"}}})
+	config := routing.Config{Version: 7, Routes: []routing.Route{route}, Services: []routing.Service{{Name: "shop", HealthPath: "/health"}}}
+	if f.workspaceRegions != nil {
+		config.Workspaces = []workspace.Config{{Name: "harbour", Keys: []string{harbourKey}, Regions: f.workspaceRegions}}
+	}
+	table := routing.New(config)
 	f.view = snapshot.New(table, map[string][]catalog.Target{"shop": targets})
 }
 
@@ -183,6 +193,7 @@
 	r := httptest.NewRequest(http.MethodGet, "http://shop.example"+path, nil)
 	r.Header.Set(names.RequestID, id)
 	r.Header.Set(names.Deadline, "1500")
+	r.Header.Set("Authorization", names.KeyScheme+" "+harbourKey)
 	began, w := time.Now(), httptest.NewRecorder()
 	f.handler.ServeHTTP(w, r)
 	return w.Code, time.Since(began)
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -59,6 +59,9 @@
 	if chosen.credit == nil && b.options.Quota.TargetRate(chosen.target.Life()) > 0 {
 		return verdict.New(verdict.NotRun, verdict.ReasonShed, "the target named a limit while the request was on its way to it")
 	}
+	if failure := b.gate(chosen.target.Life()); failure != nil {
+		return failure
+	}
 	return b.barred(req)
 }
 
--- a/internal/gateway/forward/sending.go
+++ b/internal/gateway/forward/sending.go
@@ -50,6 +50,9 @@
 		s.svc.answered(s.req.route, estimate.Answer{Took: max(took-s.chosen.Trip, 0), Bytes: result.answer.BytesRead(), Report: s.chosen.Report, Cold: s.chosen.Cold})
 	}
 	described := s.balancer.describe(s.chosen, s.began, now, result.name())
+	if result.answer != nil {
+		described.RetryAfterMS = milliseconds(result.answer.Signals().BackOff)
+	}
 	described.TargetEnded = s.balancer.learnFatal(s.req, target, result, now.Sub(s.began))
 	s.req.sendLog.add(described)
 	options.Metrics.Send(s.req.service, result.name(), s.chosen.Tier.String(), s.first)
--- a/internal/gateway/forward/warmup.go
+++ b/internal/gateway/forward/warmup.go
@@ -54,7 +54,7 @@
 func (s *service) toldWarmup(now time.Time, t catalog.Target, remaining time.Duration) (cold bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.turns.Told(now, t.Life(), remaining)
+	s.turns.Observe(now, t.Life(), remaining)
 	return s.turns.IsCold(now, t.Life(), t.Cold)
 }
 
--- a/internal/gateway/metrics/gauges.go
+++ b/internal/gateway/metrics/gauges.go
@@ -9,9 +9,9 @@
 
 // gauges show the State of the moment when they are read.
 type gauges struct {
-	version, evacuated, far, active, held, quarantined, limited metric.Int64ObservableGauge
-	age, trip                                                   metric.Float64ObservableGauge
-	dropped                                                     metric.Int64ObservableCounter
+	version, evacuated, far, active, held, quarantined, limited, backingOff, leaving metric.Int64ObservableGauge
+	age, trip                                                                        metric.Float64ObservableGauge
+	dropped                                                                          metric.Int64ObservableCounter
 }
 
 // observe sets the gauges up; state is read at each scrape.
@@ -23,7 +23,7 @@
 	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g.observe(o, state())
 		return nil
-	}, g.version, g.age, g.evacuated, g.far, g.trip, g.active, g.held, g.quarantined, g.limited, g.dropped)
+	}, g.version, g.age, g.evacuated, g.far, g.trip, g.active, g.held, g.quarantined, g.limited, g.backingOff, g.leaving, g.dropped)
 	return err
 }
 
@@ -51,6 +51,8 @@
 		{&g.active, "sprucecrank.gateway.requests.active", "", "Requests under way."},
 		{&g.quarantined, "sprucecrank.gateway.requests.quarantined", "", "Requests that are sent to nobody since targets end under them, by content and caller."},
 		{&g.limited, "sprucecrank.gateway.targets.limited", "", "Targets that are known to name how many requests a second they take."},
+		{&g.backingOff, "sprucecrank.gateway.targets.backing_off", "", "Targets that are sent nothing since they asked this gateway for back-off."},
+		{&g.leaving, "sprucecrank.gateway.targets.leaving", "", "Targets that are known to leave."},
 		{&g.held, "sprucecrank.gateway.answers.held", "By", "Bytes that are held of answers on their way to clients."},
 	} {
 		if *i.set, err = meter.Int64ObservableGauge(i.name, metric.WithUnit(i.unit), metric.WithDescription(i.help)); err != nil {
@@ -89,5 +91,7 @@
 	o.ObserveInt64(g.held, now.AnswerBytes)
 	o.ObserveInt64(g.quarantined, int64(now.Quarantined))
 	o.ObserveInt64(g.limited, now.LimitedTargets)
+	o.ObserveInt64(g.backingOff, int64(now.BackingOff))
+	o.ObserveInt64(g.leaving, int64(now.Leaving))
 	o.ObserveInt64(g.dropped, int64(now.LogDropped))
 }
--- a/internal/gateway/metrics/metrics.go
+++ b/internal/gateway/metrics/metrics.go
@@ -70,6 +70,9 @@
 	Quarantined int
 	// LimitedTargets is how many targets are known to name limits.
 	LimitedTargets int64
+	// BackingOff is how many targets asked this gateway for back-off that still lasts, and Leaving
+	// how many are known to leave.
+	BackingOff, Leaving int
 	// LogDropped is how many log lines found no room.
 	LogDropped uint64
 	// Rollouts are those that are known.
--- a/internal/gateway/quota/fleet_test.go
+++ b/internal/gateway/quota/fleet_test.go
@@ -111,7 +111,7 @@
 		Tolerance: quotaTolerance,
 		Dial:      func(ctx context.Context, _, address string) (net.Conn, error) { return f.dial(ctx, i, address) },
 	})
-	register.OnNews(func() { go f.tell(i, register) })
+	register.OnUpdate(func() { go f.tell(i, register) })
 	server := rpc.NewServer()
 	service := register.Service()
 	if err := server.RegisterName(service.Name, service.Methods); err != nil {
@@ -179,15 +179,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b := f.boxes[i]
-	heard := f.history[0]
+	observed := f.history[0]
 	for _, s := range f.history {
 		if !s.at.After(time.Now().Add(-b.lag)) {
-			heard = s
+			observed = s
 		}
 	}
 	var there []*box
 	for j, other := range f.boxes {
-		if j == i || heard.up[j] && heard.part[j] == heard.part[i] {
+		if j == i || observed.up[j] && observed.part[j] == observed.part[i] {
 			there = append(there, other)
 		}
 	}
--- a/internal/gateway/quota/homes.go
+++ b/internal/gateway/quota/homes.go
@@ -15,14 +15,16 @@
 
 const (
 	// homesCount is how many gateways share the work of being homes: one that goes moves a
-	// fourth of the subjects, and each gateway tells four that it is there.
+	// fourth of the subjects, and each gateway sends four of them heartbeats.
 	homesCount = 4
 	// lookEvery is the pause between two looks at which these are, much less than the time for
 	// which a gateway counts that fell silent.
 	lookEvery = 250 * time.Millisecond
 	// sizeEvery is the least time between two guesses at the fleet's size: each other guess may
-	// have all homes told.
+	// have all homes informed.
 	sizeEvery = time.Second
+	// namedFor is how long a gateway that a home named is not new.
+	namedFor = time.Second
 	// idleEvery is that pause where there are no limits, for few wake-ups. The first request
 	// that one bounds ends it.
 	idleEvery = time.Second
@@ -94,8 +96,8 @@
 	}
 }
 
-// look takes in how the fleet is now, and says whether other gateways should hear of a limit.
-func (r *Register) look(ctx context.Context, there map[uint32]member.Box, size int, ranked []peers.Sighting) (isNews bool) {
+// look takes in how the fleet is now, and says whether other gateways should learn of a limit.
+func (r *Register) look(ctx context.Context, there map[uint32]member.Box, size int, ranked []peers.Sighting) (isNew bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.options.Clock()
@@ -105,7 +107,7 @@
 	r.forget(now)
 	r.relink(ctx, there)
 	if r.isHome || len(r.homes) == 0 {
-		r.ledger.Hear(now, r.standing(now))
+		r.ledger.Observe(now, r.standing(now))
 	}
 	return r.board.Tick(now)
 }
@@ -119,7 +121,7 @@
 	r.size, r.sizedAt = size, now
 	r.ledger.SetFleet(r.size)
 	if r.stands() != before {
-		r.hurry() // else homes would count it as before for a while, beside those that stand for it
+		r.hurry() // else homes would count it as before for a while, beside those that represent it
 	}
 }
 
@@ -164,9 +166,9 @@
 
 // stands is for how many gateways this one stands where parts are measured; 0 if it does not
 // count. The lock is held.
-func (r *Register) stands() int { return quota.StandsFor(r.self, r.size) }
+func (r *Register) stands() int { return quota.SampleWeight(r.self, r.size) }
 
-// beats says whether a home is told that this gateway is there: where it counts, and where
+// beats says whether a home is sent a heartbeat: where it counts, and where
 // the home did not answer last time.
 func (r *Register) beats(l *link) bool {
 	r.mu.Lock()
@@ -174,13 +176,14 @@
 	return r.stands() > 0 || l.failed
 }
 
-// forget drops what is known of the credit of subjects that nobody uses, and of targets that
-// were not met for long; the lock is held.
+// forget drops what is known of the credit of subjects that nobody uses, of targets that were not
+// met for long, and of gateways that homes named; the lock is held.
 func (r *Register) forget(now time.Time) {
 	maps.DeleteFunc(r.borrowers, func(_ quota.Subject, b *quota.Borrower) bool { return b.IsIdle(now) })
+	maps.DeleteFunc(r.namedAt, func(_ uint32, at time.Time) bool { return now.Sub(at) >= namedFor })
 	for life, t := range r.targets {
 		if t.isForgotten(now) {
-			r.told(t, now, quota.Told{}, quota.ViaLapse)
+			r.takeLimit(t, now, quota.Advertised{}, quota.ViaLapse)
 			delete(r.targets, life)
 		}
 	}
@@ -228,7 +231,7 @@
 	l.noteParted(args.Standing)
 	for i, want := range args.Wants {
 		asks, grant := waiting[want.Subject()], reply.Grants[i]
-		asks[0].hear(r, now, grant)
+		asks[0].observe(r, now, grant)
 		goOn := r.borrower(want.Subject()).Take(now, grant, count(asks))
 		for _, a := range asks {
 			a.answer <- answer{granted: a.count <= goOn}
@@ -240,8 +243,8 @@
 // turnAway notes that this gateway does not turn to a home any more, where that may go on
 // counting it; the lock is held.
 func (r *Register) turnAway(l *link) {
-	if !l.refused && !l.hasParted() && l.heard.After(r.left) {
-		r.left = l.heard
+	if !l.refused && !l.hasParted() && l.observed.After(r.left) {
+		r.left = l.observed
 	}
 }
 
@@ -261,7 +264,7 @@
 	failed := err != nil && !errors.Is(err, errUnsettled)
 	l.refused = failed && !errors.Is(err, rpclink.ErrNoAnswer)
 	if !failed {
-		l.heard = r.options.Clock()
+		l.observed = r.options.Clock()
 	}
 	if failed {
 		r.options.Metrics.QuotaAsked(resultFailed)
--- a/internal/gateway/quota/link.go
+++ b/internal/gateway/quota/link.go
@@ -37,7 +37,7 @@
 	limit   quota.Limit
 	version uint64
 	target  *target
-	// count is 1, or 0 where a target's limit is to be told and no request waits.
+	// count is 1, or 0 where a target's limit is to be sent and no request waits.
 	count int
 	// answer has room for the one answer.
 	answer chan answer
@@ -65,14 +65,14 @@
 		return quota.Want{Workspace: a.subject.Workspace, Limit: a.limit, Version: a.version, Count: b.Wanted(waiting)}
 	}
 	named := &a.target.named
-	return quota.Want{Target: a.subject.Target, Limit: named.Told().Limit(), Age: named.Age(now), Count: waiting}
+	return quota.Want{Target: a.subject.Target, Limit: named.Advertised().Limit(), Age: named.Age(now), Count: waiting}
 }
 
-// hear takes in what a home knows of the target's limit that is younger; the register's lock
+// observe takes in what a home knows of the target's limit that is younger; the register's lock
 // is held.
-func (a *ask) hear(r *Register, now time.Time, g quota.Grant) {
+func (a *ask) observe(r *Register, now time.Time, g quota.Grant) {
 	if a.target != nil && g.Newer {
-		r.told(a.target, now.Add(-g.Age), quota.Told{Rate: g.Rate}, quota.ViaHome)
+		r.takeLimit(a.target, now.Add(-g.Age), quota.Advertised{Rate: g.Rate}, quota.ViaHome)
 	}
 }
 
@@ -91,7 +91,7 @@
 	// failed says that the home did not answer last time, refused that nobody listens there any
 	// more, and heard is when it last answered. The register's lock guards them.
 	failed, refused bool
-	heard           time.Time
+	observed        time.Time
 	// parting are the homes that this gateway turns to instead of this one, once it leaves it,
 	// and parted is closed once this one has heard so. The register's lock guards them.
 	parting []uint32
@@ -136,14 +136,14 @@
 	}
 }
 
-// run asks for what waits, and tells the home now and then that this gateway is there.
+// run asks for what waits, and sends the home heartbeats.
 func (l *link) run(ctx context.Context) {
 	defer l.end()
 	if l.register.beats(l) {
 		l.settle(ctx, nil)
 	}
 	for {
-		beat := time.NewTimer(quota.BeatEvery)
+		beat := time.NewTimer(quota.HeartbeatEvery)
 		select {
 		case <-ctx.Done():
 			beat.Stop()
--- a/internal/gateway/quota/part.go
+++ b/internal/gateway/quota/part.go
@@ -16,7 +16,7 @@
 	return ok && box.Peer == l.box.Peer
 }
 
-// part tells the homes that are none of some gateways that this one turns to these from now
+// part informs the homes that are none of some gateways that this one turns to these from now
 // on, and waits for a moment until they have heard so. One that has does not count this
 // gateway any more; beside one that may, the new homes would count it for half, for longer
 // than a second: after all gateways were killed most turn from one home to another.
@@ -39,7 +39,7 @@
 	}
 }
 
-// beginParting has each link that leads to none of some gateways tell so, if its home answers.
+// beginParting has each link that leads to none of some gateways say so, if its home answers.
 func (r *Register) beginParting(there map[uint32]member.Box) (leaving []*link) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -49,7 +49,7 @@
 	}
 	slices.Sort(homes)
 	for _, l := range r.links {
-		if l.failed || l.heard.IsZero() || len(homes) == 0 || l.isTo(there) {
+		if l.failed || l.observed.IsZero() || len(homes) == 0 || l.isTo(there) {
 			continue
 		}
 		l.parting, l.parted = homes, make(chan struct{})
@@ -84,24 +84,31 @@
 }
 
 // hearFirst takes in whom a home takes for gateways that rank first, and has the homes looked
-// for at once, unless there are links to all of them: one that has just ended is named with
-// each answer for some seconds.
+// for at once if any of these is new.
 func (r *Register) hearFirst(first []peers.Sighting) {
-	if r.isLinkedTo(first) {
+	fresh := r.newTo(first)
+	if len(fresh) == 0 {
 		return
 	}
-	r.options.Sighted(first)
+	r.options.Sighted(fresh)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lookNow()
 }
 
-// isLinkedTo says whether there are links to all of some gateways, be it that they don't answer.
-func (r *Register) isLinkedTo(gateways []peers.Sighting) bool {
+// newTo are those of some gateways to which this one has no link, and which no home named in the last
+// second: one that has just ended is named with each answer for some seconds.
+func (r *Register) newTo(gateways []peers.Sighting) (fresh []peers.Sighting) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !slices.ContainsFunc(gateways, func(s peers.Sighting) bool {
+	now := r.options.Clock()
+	for _, s := range gateways {
 		id := quota.ID(s.Box.ID)
-		return id != r.self && r.links[id] == nil
-	})
+		if id == r.self || r.links[id] != nil || now.Sub(r.namedAt[id]) < namedFor {
+			continue
+		}
+		r.namedAt[id] = now
+		fresh = append(fresh, s)
+	}
+	return fresh
 }
--- a/internal/gateway/quota/protocol.go
+++ b/internal/gateway/quota/protocol.go
@@ -13,7 +13,7 @@
 	methodAsk   = serviceName + ".Ask"
 )
 
-// AskArgs tells a home that the caller is there, and asks for credit.
+// AskArgs is a heartbeat, and asks for credit.
 type AskArgs struct {
 	Standing quota.Standing
 	Wants    []quota.Want
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -75,7 +75,7 @@
 	Self member.Box
 	// Homes gives up to n gateways that rank first, this one among them if it does.
 	Homes func(n int) []member.Box
-	// Ranked gives the same as word that may be passed on, and Sighted takes such word in; nil
+	// Ranked gives the same as sightings that may be passed on, and Sighted takes such in; nil
 	// where homes pass none on.
 	Ranked  func(n int) []peers.Sighting
 	Sighted func([]peers.Sighting)
@@ -104,7 +104,7 @@
 	mu        sync.Mutex
 	ledger    *quota.Ledger
 	borrowers map[quota.Subject]*quota.Borrower
-	// targets are those that name limits, or did lately, and board what gateways tell each
+	// targets are those that name limits, or did lately, and board what gateways exchange
 	// other of that.
 	targets map[catalog.Life]*target
 	board   *quota.Board
@@ -129,6 +129,8 @@
 	// ranked are the gateways that rank first, as they were known at a moment.
 	ranked   []peers.Sighting
 	rankedAt time.Time
+	// namedAt is when homes last named gateways that rank first, by the ids of these.
+	namedAt map[uint32]time.Time
 }
 
 // New makes a register that knows no home.
@@ -152,7 +154,7 @@
 	return &Register{
 		options: o, self: self, ledger: quota.NewLedger(self, o.Clock(), o.Tolerance),
 		borrowers: map[quota.Subject]*quota.Borrower{}, targets: map[catalog.Life]*target{}, board: quota.NewBoard(o.Draw()), notify: func() {},
-		links: map[uint32]*link{}, needed: make(chan struct{}, 1),
+		links: map[uint32]*link{}, namedAt: map[uint32]time.Time{}, needed: make(chan struct{}, 1),
 	}
 }
 
@@ -179,7 +181,7 @@
 
 // Admit says whether a request of a workspace, whose limit is that of a version of the
 // configuration, may go on. It asks the workspace's home unless there is credit here. A
-// refusal tells when to come back: once there may be credit again.
+// refusal says when to come back: once there may be credit again.
 func (r *Register) Admit(ctx context.Context, w *workspace.Workspace, version uint64) (*Credit, *verdict.Error) {
 	if r == nil || w == nil || !w.Limit().IsSet() {
 		return nil, nil
@@ -287,13 +289,13 @@
 // askSelf takes credit from the own ledger; the lock is held.
 func (r *Register) askSelf(a *ask) (granted bool, err error) {
 	now := r.options.Clock()
-	r.ledger.Hear(now, r.standing(now))
+	r.ledger.Observe(now, r.standing(now))
 	b := r.borrower(a.subject)
 	grant, ok := r.ledger.Take(now, a.want(now, b, a.count))
 	if !ok {
 		return false, errUnsettled
 	}
-	a.hear(r, now, grant)
+	a.observe(r, now, grant)
 	return b.Take(now, grant, a.count) == a.count, nil
 }
 
--- a/internal/gateway/quota/serve.go
+++ b/internal/gateway/quota/serve.go
@@ -29,7 +29,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.options.Clock()
-	r.ledger.Hear(now, args.Standing)
+	r.ledger.Observe(now, args.Standing)
 	reply := AskReply{Fleet: r.ledger.Fleet(now), First: r.unknownTo(now, args.Standing)}
 	for _, want := range args.Wants {
 		grant, ok := r.ledger.Take(now, want)
@@ -43,7 +43,7 @@
 }
 
 // unknownTo are those of the gateways that rank first that another one does not take for
-// homes; the lock is held. Gateways that start together know few others at first: told by
+// homes; the lock is held. Gateways that start together know few others at first: informed by
 // whom they turn to, they agree on the homes sooner than by the exchange alone, and until they
 // do each home gives out but its part of a limit.
 func (r *Register) unknownTo(now time.Time, s quota.Standing) []peers.Sighting {
--- a/internal/gateway/quota/spread_test.go
+++ b/internal/gateway/quota/spread_test.go
@@ -16,7 +16,7 @@
 		asking, asked := f.drawSome()
 		for _, other := range asked {
 			if asking != nil {
-				asking.HearLimits(other.LimitsFor())
+				asking.ObserveLimits(other.LimitsFor())
 				f.pass(other, asking)
 			}
 		}
@@ -80,12 +80,12 @@
 }
 
 // pass has one gateway hear all that another knows of limits, and says whether any was news.
-func (f *fleet) pass(from, to *quota.Register) (isNews bool) {
+func (f *fleet) pass(from, to *quota.Register) (isNew bool) {
 	for at := ""; ; {
-		body, next := from.Words().Since(at)
-		isNews = to.Words().Merge(body, "gateway") || isNews
+		body, next := from.Updates().Since(at)
+		isNew = to.Updates().Merge(body, "gateway") || isNew
 		if next == at {
-			return isNews
+			return isNew
 		}
 		at = next
 	}
--- a/internal/gateway/quota/targets.go
+++ b/internal/gateway/quota/targets.go
@@ -25,7 +25,7 @@
 	// loggedChange is the least change of a limit that is logged, as a share of it.
 	loggedChange = 0.2
 	// forgetTargetAfter is how long a target is remembered that nobody meets: it is gone by
-	// then, or met again by a probe that tells its limit.
+	// then, or met again by a probe that reports its limit.
 	forgetTargetAfter = 10 * time.Minute
 	// forgetLiftedAfter is the same for a target that names no limit any more, which may name
 	// one again.
@@ -35,7 +35,7 @@
 // target is what is known of one start of a target that names a limit, or did.
 type target struct {
 	life catalog.Life
-	// subject is what its limit bounds: one that starts again has told nothing yet.
+	// subject is what its limit bounds: one that starts again has advertised nothing yet.
 	subject quota.Subject
 	named   quota.Named
 	met     time.Time
@@ -54,7 +54,7 @@
 }
 
 func (t *target) isForgotten(now time.Time) bool {
-	if t.named.Told().Rate == 0 {
+	if t.named.Advertised().Rate == 0 {
 		return now.Sub(t.met) > forgetLiftedAfter
 	}
 	return now.Sub(t.met) > forgetTargetAfter
@@ -78,30 +78,30 @@
 	if r == nil || len(limit) == 0 && r.limited.Load() == 0 {
 		return
 	}
-	told, err := quota.ParseTold(limit)
+	advertised, err := quota.ParseAdvertised(limit)
 	if err != nil {
 		r.options.Log.Warn("limit of a target passed over", "target", life.ID, "value", limit, "error", err.Error())
 		return
 	}
-	if r.noteTold(life, told, via) {
+	if r.noteAdvertised(life, advertised, via) {
 		r.notify()
 	}
 }
 
-// noteTold takes in what a target told, and says whether other gateways should hear of it.
-func (r *Register) noteTold(life catalog.Life, told quota.Told, via quota.Via) (isNews bool) {
+// noteAdvertised takes in what a target advertised, and says whether other gateways should learn of it.
+func (r *Register) noteAdvertised(life catalog.Life, advertised quota.Advertised, via quota.Via) (isNew bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.targets[life]
-	if t == nil && told.Rate == 0 {
+	if t == nil && advertised.Rate == 0 {
 		return false
 	}
 	if t == nil {
 		t = r.addTarget(life)
 	}
 	r.meet(t)
-	r.told(t, t.met, told, via)
-	return r.board.Note(t.met, life, t.named.Told())
+	r.takeLimit(t, t.met, advertised, via)
+	return r.board.Note(t.met, life, t.named.Advertised())
 }
 
 // addTarget notes that a target names a limit, or did; the lock is held.
@@ -119,33 +119,33 @@
 	r.shareUntil = t.met.Add(shareFor)
 }
 
-// told takes in what was told of a target's limit at a moment; the lock is held.
-func (r *Register) told(t *target, at time.Time, told quota.Told, via quota.Via) {
-	before := t.named.Told()
-	if !t.named.Note(at, told, via) {
+// takeLimit takes in what was advertised of a target's limit at a moment; the lock is held.
+func (r *Register) takeLimit(t *target, at time.Time, advertised quota.Advertised, via quota.Via) {
+	before := t.named.Advertised()
+	if !t.named.Note(at, advertised, via) {
 		return
 	}
 	switch {
 	case before.Rate == 0:
 		r.limited.Add(1)
-	case told.Rate == 0:
+	case advertised.Rate == 0:
 		r.limited.Add(-1)
 	}
-	if t.logsAt(told.Rate) {
+	if t.logsAt(advertised.Rate) {
 		level := slog.LevelInfo
 		if via == quota.ViaGateway {
 			level = slog.LevelDebug // those that met the target log it
 		}
-		r.options.Log.Log(context.Background(), level, "limit of a target", "target", t.life.ID, "rate", told.Rate, "before", t.logged, "by", via.String())
-		t.logged = told.Rate
+		r.options.Log.Log(context.Background(), level, "limit of a target", "target", t.life.ID, "rate", advertised.Rate, "before", t.logged, "by", via.String())
+		t.logged = advertised.Rate
 	}
 	if via == quota.ViaAnswer {
 		r.tellHome(t)
 	}
 }
 
-// tellHome has the home of a target hear at once of another limit, by which others may only
-// hear of it: it lends by the one before until then. The lock is held.
+// tellHome sends the home of a target another limit at once, since others may only learn of it
+// from there: it lends by the one before until then. The lock is held.
 func (r *Register) tellHome(t *target) {
 	home, ok := quota.Home(t.subject, r.homes)
 	a := newTargetAsk(t, 0)
@@ -160,11 +160,11 @@
 	a.answer = make(chan answer, 1)
 	select {
 	case l.asks <- a:
-	default: // the next question tells it
+	default: // the next question reports it
 	}
 }
 
-// LimitsFor is for how much longer gateways share limits of targets; 0 for not. Each must tell
+// LimitsFor is for how much longer gateways share limits of targets; 0 for not. Each must report
 // the homes that it is there, whether it has met such a target or not: they give out the part
 // of a limit that falls to those that turn to them.
 func (r *Register) LimitsFor() time.Duration {
@@ -173,8 +173,8 @@
 	return max(r.shareUntil.Sub(r.options.Clock()), 0)
 }
 
-// HearLimits takes in for how much longer another gateway shares limits of targets.
-func (r *Register) HearLimits(left time.Duration) {
+// ObserveLimits takes in for how much longer another gateway shares limits of targets.
+func (r *Register) ObserveLimits(left time.Duration) {
 	if left <= 0 {
 		return
 	}
@@ -189,7 +189,7 @@
 // limitOf finds a target that names a limit; nil if it names none. The lock is held.
 func (r *Register) limitOf(life catalog.Life) *target {
 	t := r.targets[life]
-	if t == nil || t.named.Told().Rate == 0 {
+	if t == nil || t.named.Advertised().Rate == 0 {
 		return nil
 	}
 	return t
@@ -262,7 +262,7 @@
 	if t == nil {
 		return 0
 	}
-	return t.named.Told().Rate
+	return t.named.Advertised().Rate
 }
 
 // Limited are the targets that name limits, and for how long each has no credit; 0 where there
@@ -276,7 +276,7 @@
 	now := r.options.Clock()
 	limited := map[catalog.Life]time.Duration{}
 	for life, t := range r.targets {
-		if t.named.Told().Rate == 0 {
+		if t.named.Advertised().Rate == 0 {
 			continue
 		}
 		limited[life] = 0
--- a/internal/gateway/quota/targets_test.go
+++ b/internal/gateway/quota/targets_test.go
@@ -46,7 +46,7 @@
 	all      []time.Time
 	passed   []time.Time // requests that went elsewhere
 	// told is when each process first got an answer that names a limit.
-	told map[*quota.Register]time.Time
+	advertised map[*quota.Register]time.Time
 	// untold counts the requests of those that were not told yet.
 	untold int
 }
@@ -63,7 +63,7 @@
 		_, ok := register.AdmitTarget(ctx, life)
 		return ok
 	}
-	n := &inNeed{fleet: f, admits: admits, life: life, inProbes: inProbes, first: time.Now(), told: map[*quota.Register]time.Time{}}
+	n := &inNeed{fleet: f, admits: admits, life: life, inProbes: inProbes, first: time.Now(), advertised: map[*quota.Register]time.Time{}}
 	n.name(rate)
 	return n
 }
@@ -123,8 +123,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.all = append(n.all, time.Now())
-	told, ok := n.told[register]
-	if !n.inProbes && (!ok || time.Since(told) < limitTold) {
+	advertised, ok := n.advertised[register]
+	if !n.inProbes && (!ok || time.Since(advertised) < limitTold) {
 		n.untold++
 		return
 	}
@@ -134,8 +134,8 @@
 func (n *inNeed) answered(register *quota.Register, limit []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, ok := n.told[register]; !ok && limit != nil {
-		n.told[register] = time.Now()
+	if _, ok := n.advertised[register]; !ok && limit != nil {
+		n.advertised[register] = time.Now()
 	}
 }
 
--- a/internal/gateway/quota/views_test.go
+++ b/internal/gateway/quota/views_test.go
@@ -88,7 +88,7 @@
 	mine, theirs := asks.Sightings(now, ""), asked.Sightings(now, "")
 	asked.Called(now, mine[0].Box)
 	asked.Sighted(now, mine[1:])
-	asks.Heard(now, theirs[0].Box)
+	asks.Observe(now, theirs[0].Box)
 	asks.Sighted(now, theirs[1:])
 }
 
--- a/internal/gateway/upstream/answer.go
+++ b/internal/gateway/upstream/answer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -14,14 +15,15 @@
 // Close must be called once an answer is done with; until then it holds its bytes,
 // and an open one its connection.
 type Answer struct {
-	status int
-	header http.Header
-	notRun bool
-	length int64 // of the body, -1 if the head did not tell it
-	body   []byte
-	room   *Room
-	taken  int   // bytes of room
-	rest   *rest // nil if the body is whole
+	status  int
+	header  http.Header
+	notRun  bool
+	signals signal.Signals
+	length  int64 // of the body, -1 if the head did not tell it
+	body    []byte
+	room    *Room
+	taken   int   // bytes of room
+	rest    *rest // nil if the body is whole
 }
 
 // Status is the HTTP status.
@@ -34,6 +36,9 @@
 // request.
 func (a *Answer) NotRun() bool { return a.notRun }
 
+// Signals are what the target says of itself in the answer.
+func (a *Answer) Signals() signal.Signals { return a.signals }
+
 // Whole says whether the body was read whole.
 func (a *Answer) Whole() bool { return a.rest == nil }
 
--- a/internal/gateway/upstream/exchange.go
+++ b/internal/gateway/upstream/exchange.go
@@ -60,6 +60,9 @@
 // ended, or at once if there is none, whatever came of it. The end of ctx also ends
 // the reading of the rest.
 func (c *Conn) Exchange(ctx context.Context, r Request) (*Answer, *verdict.Error) {
+	if failure := c.pool.gate(c.target.Life()); failure != nil {
+		return nil, failure
+	}
 	c.exchanges++
 	c.reusable = false
 	e := &exchange{conn: c, ctx: ctx, uninterrupted: context.AfterFunc(ctx, c.interrupt)}
@@ -147,11 +150,15 @@
 		if err != nil {
 			return nil, false, err
 		}
+		signals := c.observeRequest(response)
 		framed := isFramed(response)
 		id := response.Header.Get(names.RequestID)
 		if id == r.ID || id == "" && c.exchanges == 1 {
 			c.learnIdle(response.Header)
 			answer, err := c.begin(r, response)
+			if answer != nil {
+				answer.signals = signals
+			}
 			return answer, framed, err
 		}
 		if id == "" {
--- a/internal/gateway/upstream/probe.go
+++ b/internal/gateway/upstream/probe.go
@@ -39,8 +39,12 @@
 // Load is the load that the target reported; ok is false if it reported none.
 func (h Health) Load() (report load.Report, ok bool) { return h.load, h.hasLoad }
 
-// Probe asks the target for its health and load; it ends within the given time.
+// Probe asks the target for its health and load; it ends within the given time. It fails with a
+// *verdict.Error, and with nothing written, where the gate is closed.
 func (c *Conn) Probe(path string, within time.Duration) (Health, error) {
+	if failure := c.pool.gate(c.target.Life()); failure != nil {
+		return Health{}, failure
+	}
 	c.exchanges++
 	c.reusable = false
 	if err := c.net.SetDeadline(time.Now().Add(within)); err != nil {
@@ -62,6 +66,7 @@
 	if id := response.Header.Get(names.Instance); id != "" && id != c.target.ID {
 		return Health{}, errNotItself
 	}
+	c.observeHead(response)
 	if response.Header.Get(names.RequestID) != "" {
 		return Health{}, errSurplus
 	}
--- /dev/null
+++ b/internal/gateway/upstream/signals_test.go
@@ -0,0 +1,131 @@
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+// observed is a pool and what targets said of themselves in answers on its connections.
+func observed() (*upstream.Pool, *[]signal.Signals) {
+	pool, all := newPool(), &[]signal.Signals{}
+	pool.OnSignals(func(_ catalog.Target, s signal.Signals) { *all = append(*all, s) })
+	return pool, all
+}
+
+func TestEachAnswerTellsWhatItsTargetSaysOfItself(t *testing.T) {
+	leaving := names.Leaving + ": 1\r\n"
+	head := func(status int, id, lines string) string {
+		return fmt.Sprintf("HTTP/1.1 %d .\r\n%s: %s\r\nContent-Length: 4\r\n%s\r\n", status, names.RequestID, id, lines)
+	}
+	for name, c := range map[string]struct {
+		answer func(id string) string
+		want   []signal.Signals
+	}{
+		"served":                     {func(id string) string { return whole(id, "body", leaving) }, []signal.Signals{{Leaving: true}}},
+		"served, and says nothing":   {func(id string) string { return whole(id, "body") }, nil},
+		"turned away":                {func(id string) string { return head(503, id, "Retry-After: 2.5\r\n") + "body" }, []signal.Signals{{BackOff: 2500 * time.Millisecond}}},
+		"turned away and leaves":     {func(id string) string { return head(503, id, leaving+"Retry-After: 1\r\n") + "body" }, []signal.Signals{{BackOff: time.Second, Leaving: true}}},
+		"failed":                     {func(id string) string { return head(500, id, leaving) + "body" }, []signal.Signals{{Leaving: true}}},
+		"broken off behind its head": {func(id string) string { return head(200, id, leaving) + "b" }, []signal.Signals{{Leaving: true}}},
+		"a surplus answer before it": {func(id string) string { return whole("other", "late", leaving) + whole(id, "body") }, []signal.Signals{{Leaving: true}}},
+		"another target's":           {func(id string) string { return head(421, id, leaving+"Retry-After: 2\r\n") + "body" }, nil},
+		"of its caller, not of it":   {func(id string) string { return head(429, id, "Retry-After: 2\r\n") + "body" }, nil},
+		"a redirect's time":          {func(id string) string { return head(301, id, "Retry-After: 2\r\n") + "body" }, nil},
+		"a time that is none":        {func(id string) string { return head(503, id, "Retry-After: -2\r\n") + "body" }, nil},
+		"a word that is none":        {func(id string) string { return whole(id, "body", names.Leaving+": perhaps\r\n") }, nil},
+		"does not leave":             {func(id string) string { return whole(id, "body", names.Leaving+": 0\r\n") }, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(conn net.Conn, r *http.Request, _ int32) {
+				write(conn, c.answer(r.Header.Get(names.RequestID)))
+				_ = conn.Close()
+			})
+			pool, all := observed()
+			a, _ := exchange(t, pool, s, request("one"))
+			g.Expect(*all).To(HaveExactElements(c.want))
+			if a != nil && len(c.want) > 0 && name != "a surplus answer before it" {
+				g.Expect(a.Signals()).To(Equal(c.want[0]))
+			}
+		})
+	}
+}
+
+func TestTheAnswerToAProbeTellsWhatItsTargetSaysOfItself(t *testing.T) {
+	for name, c := range map[string]struct {
+		instance string
+		want     []signal.Signals
+	}{
+		"its own":          {"target-1", []signal.Signals{{BackOff: 2 * time.Second, Leaving: true}}},
+		"another target's": {"target-2", nil},
+		"without its name": {"", []signal.Signals{{BackOff: 2 * time.Second, Leaving: true}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(conn net.Conn, _ *http.Request, _ int32) {
+				write(conn, "HTTP/1.1 503 .\r\nContent-Length: 0\r\nRetry-After: 2\r\n"+names.Leaving+": true\r\n"+names.Instance+": "+c.instance+"\r\n\r\n")
+			})
+			pool, all := observed()
+			conn, failure := pool.Get(t.Context(), s.target)
+			g.Expect(failure).To(BeNil())
+			_, err := conn.Probe("/health", 5*time.Second)
+			g.Expect(err != nil).To(Equal(c.want == nil))
+			g.Expect(*all).To(HaveExactElements(c.want))
+		})
+	}
+}
+
+// Nothing reaches a target whose gate is closed, whatever wants to write to it.
+func TestNothingIsWrittenWhereTheGateIsClosed(t *testing.T) {
+	closed := verdict.New(verdict.NotRun, verdict.ReasonShed, "closed")
+	for name, writes := range map[string]func(c *upstream.Conn) error{
+		"a request": func(c *upstream.Conn) error {
+			if _, failure := c.Exchange(context.Background(), request("one")); failure != nil {
+				return failure
+			}
+			return nil
+		},
+		"a probe": func(c *upstream.Conn) error {
+			_, err := c.Probe("/health", 5*time.Second)
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(conn net.Conn, r *http.Request, _ int32) { answer(conn, r) })
+			pool := newPool()
+			shut := true
+			pool.SetGate(func(life catalog.Life) *verdict.Error {
+				g.Expect(life).To(Equal(s.target.Life()))
+				if shut {
+					return closed
+				}
+				return nil
+			})
+			conn, failure := pool.Get(t.Context(), s.target)
+			g.Expect(failure).To(BeNil())
+			g.Expect(writes(conn)).To(Equal(closed))
+			g.Expect(s.requests.Load()).To(BeZero())
+			pool.Put(conn)
+			shut = false
+			conn, _ = pool.Get(t.Context(), s.target)
+			g.Expect(writes(conn)).To(Succeed())
+			g.Expect(s.accepted.Load()).To(Equal(int32(1)), "the connection was kept")
+		})
+	}
+}
+
+func answer(conn net.Conn, r *http.Request) {
+	write(conn, whole(r.Header.Get(names.RequestID), "body"))
+}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -29,12 +29,14 @@
 import (
 	"bufio"
 	"context"
+	"log/slog"
 	"net"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
@@ -73,11 +75,15 @@
 	Room *Room
 	// Opened is called for each new connection.
 	Opened func()
+	// Log may be nil.
+	Log *slog.Logger
 }
 
 // Pool keeps connections to targets between requests.
 type Pool struct {
 	options Options
+	observe func(target catalog.Target, s signal.Signals)
+	gate    func(life catalog.Life) *verdict.Error
 	mu      sync.Mutex
 	idle    map[catalog.Life][]*Conn // latest used last
 }
@@ -102,9 +108,23 @@
 	if o.Opened == nil {
 		o.Opened = func() {}
 	}
-	return &Pool{options: o, idle: map[catalog.Life][]*Conn{}}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Pool{
+		options: o, idle: map[catalog.Life][]*Conn{},
+		observe: func(catalog.Target, signal.Signals) {}, gate: func(catalog.Life) *verdict.Error { return nil },
+	}
 }
 
+// SetGate has gate asked right before anything is written to a target, a request or a probe: where it
+// gives a reason, nothing is. It must be called before any connection is made.
+func (p *Pool) SetGate(gate func(life catalog.Life) *verdict.Error) { p.gate = gate }
+
+// OnSignals has observe called with what the head of an answer says of its target, if anything,
+// before the answer is given out. It must be called before any connection is made.
+func (p *Pool) OnSignals(observe func(target catalog.Target, s signal.Signals)) { p.observe = observe }
+
 // Conn is one connection to one start of a target. One exchange at a time may
 // be made on it.
 type Conn struct {
--- a/internal/gateway/upstream/upstream_test.go
+++ b/internal/gateway/upstream/upstream_test.go
@@ -224,7 +224,7 @@
 	g.Expect(s.accepted.Load()).To(Equal(int32(2)))
 }
 
-func TestATargetsWordOnConnectionsIsHeeded(t *testing.T) {
+func TestATargetsHeadersOnConnectionsAreHeeded(t *testing.T) {
 	for name, header := range map[string]string{"close": "Connection: close\r\n", "idle time over": "Keep-Alive: timeout=1\r\n"} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -80,6 +80,7 @@
 	ReasonUnauthorized    Reason = "key-unknown"
 	ReasonQuota           Reason = "quota-exceeded"
 	ReasonTargetsSpent    Reason = "target-limits"
+	ReasonTargetsBackOff  Reason = "targets-back-off"
 )
 
 // statuses maps each reason to the HTTP status of its answer.
