--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -58,6 +58,14 @@
 done
 sprucecrank once show --service "$once_service" "$key"
 
+echo "== one target asks for back-off and another leaves: requests go to others"
+read -r resting leaving < <(grep -ho '127\.0\.0\.1:90[0-9]*' examples/"$deployment"/*.service.json | sort -u | head -2 | xargs)
+fault() { curl -s -X PUT -H 'Content-Type: application/json' -d "$2" "http://$1/control/faults"; }
+fault "$resting" '{"back_off_s":30}'
+fault "$leaving" '{"leaving":true}'
+sprucecrank-standin load "${boxes[@]}" "${kinds[@]}" --rate 150 --requests 300
+sprucecrank status | grep -E "TARGET|$resting|$leaving"
+
 echo "== a refusal: no service has this path"
 curl -s "http://127.0.0.1:8001/nowhere"
 
