Back-off, limits: the tests that nothing reaches a closed target count what is written to it

Traced with moments at both ends: a probe was written to the target 2.8 ms before the answer came by which it asked for back-off, and its stand-in counted it 2.6 ms after the test had found that nothing was on its way any more, since its goroutine had waited for a processor. The gateway wrote nothing after it was asked: the fault was the test's, which took "none counted while one request was served" for "none on its way".

The tests count at the gateway's end of each connection now, as it is written, and begin once all open connections to the target lie idle: a probe or request holds one from before it asks the gate until it is over. That is stricter: a write that never arrives counts too, and the test of a limit that all targets have reached, which had the same fault, has the same check.

--- a/internal/gateway/forward/backoff_test.go
+++ b/internal/gateway/forward/backoff_test.go
@@ -25,17 +25,6 @@
 	}
 }
 
-// settle waits until nothing is on its way any more to a target that is to get nothing: a probe for
-// which nobody waits may have been written when the answer came.
-func (f *fixture) settle(g *WithT, s *standin) {
-	f.t.Helper()
-	g.Eventually(func() bool {
-		before := s.probes.Load() + s.runs.Load()
-		f.read()
-		return s.probes.Load()+s.runs.Load() == before
-	}, eventual).Should(BeTrue())
-}
-
 // aMinute is longer than any of these tests.
 const aMinute = "60"
 
@@ -54,8 +43,8 @@
 	"a target that looks better":     {func(_, well *standin) { well.setLoad("2,0,3,150") }, http.StatusOK},
 }
 
-// expectNoWayTo plays each way where close has closed one of two targets, and expects that it gets
-// neither a request nor a probe from then on.
+// expectNoWayTo plays each way where close has closed one of two targets, and expects that nothing is
+// written to it from then on, neither a request nor a probe.
 func expectNoWayTo(t *testing.T, start func(t *testing.T, closed, well *standin) *fixture, close func(g *WithT, f *fixture, closed *standin)) {
 	const requests = 12
 	for name, way := range ways {
@@ -68,14 +57,12 @@
 				f.read() // hedges and repeats get a budget
 			}
 			close(g, f, closed)
-			f.settle(g, closed)
+			before := f.writtenTo(g, closed)
 			way.change(closed, well)
-			runs, probes := closed.runs.Load(), closed.probes.Load()
 			for range requests {
 				g.Expect(f.read().status).To(Equal(way.status))
 			}
-			g.Expect(closed.runs.Load()).To(Equal(runs))
-			g.Expect(closed.probes.Load()).To(Equal(probes))
+			g.Expect(f.writtenTo(g, closed)).To(Equal(before))
 		})
 	}
 }
@@ -138,15 +125,14 @@
 	for first.runs.Load()+second.runs.Load() < 2 {
 		f.order()
 	}
-	probes := first.probes.Load() + second.probes.Load()
-	began := time.Now()
+	before, began := f.writtenTo(g, first, second), time.Now()
 	got := f.order()
 	g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 	pause, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(pause).To(BeNumerically("~", 50-time.Since(began).Seconds(), 10), "when the first takes requests, and some time more")
 	g.Expect(pause).To(BeNumerically("<", 60))
-	g.Expect(first.probes.Load() + second.probes.Load()).To(Equal(probes))
+	g.Expect(f.writtenTo(g, first, second)).To(Equal(before))
 	g.Expect(logs.String()).To(ContainSubstring(`"reason":"targets-back-off"`))
 	read, err := timeline.Read(strings.NewReader(logs.String()))
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -151,6 +151,7 @@
 	stop    atomic.Bool
 	url     string
 	next    atomic.Int32
+	wires   sync.Map // of the targets, by address
 }
 
 func newFixture(t testing.TB, targets ...*standin) *fixture {
@@ -164,7 +165,7 @@
 	f.options = forward.Options{
 		Names: names, Places: func() *locality.Map { return locality.New("a", "", nil) }, Snapshot: func() *snapshot.Snapshot { return f.view }, Ready: f.ready,
 		Current: func() bool { return f.current }, ExploreLimit: func() bool { return false },
-		Pool:  upstream.New(upstream.Options{Names: names}),
+		Pool:  upstream.New(upstream.Options{Names: names, Dial: f.dial}),
 		Retry: forward.Retry{Window: 10 * time.Second, Ratio: 0.2},
 	}
 	return f
--- a/internal/gateway/forward/limit_test.go
+++ b/internal/gateway/forward/limit_test.go
@@ -100,13 +100,13 @@
 	for range 4 {
 		f.read() // takes what credit there is
 	}
-	probes := first.probes.Load() + second.probes.Load()
+	before := f.writtenTo(g, first, second)
 	got := f.order()
 	g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 	pause, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(pause).To(BeNumerically(">", 0.15))
-	g.Expect(first.probes.Load() + second.probes.Load()).To(Equal(probes))
+	g.Expect(f.writtenTo(g, first, second)).To(Equal(before))
 	g.Expect(logs.String()).To(ContainSubstring(`"reason":"target-limits"`))
 }
 
