Back-off: a target that asks for very long gets no more than one request before that time is over

Cause: each back-off was cut to an hour, in both daemons by a rule of their own. Of a time above two hours half is held now: one request finds out whether it was meant, and the second comes as the first time ends. A test over seven lengths up to a year plays 20 answers in a row; with the hour it fails from 3 h on ("two requests since an answer").

The rule stands once, in core/backoff (Window), for the gateway's tracker and for the box's judgement of a target, which had the latest end for itself. The folder moved from core/gateway, since both daemons use it.

--- a/core/gateway/backoff/backoff_test.go
+++ b/core/backoff/backoff_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/sprucecrank/sprucecrank/core/gateway/backoff"
+	"github.com/sprucecrank/sprucecrank/core/backoff"
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 )
 
@@ -31,11 +31,13 @@
 		"again, as it ends":   {[]ask{{0, time.Second}, {time.Second, time.Second}}, 2 * time.Second},
 		"zero":                {[]ask{{0, 0}}, 0},
 		"zero while it lasts": {[]ask{{0, 3 * time.Second}, {time.Second, 0}}, 3 * time.Second},
-		"a year":              {[]ask{{0, 365 * 24 * time.Hour}}, time.Hour},
+		"an hour":             {[]ask{{0, time.Hour}}, time.Hour},
+		"an hour and a half":  {[]ask{{0, 90 * time.Minute}}, time.Hour},
+		"a year":              {[]ask{{0, 365 * 24 * time.Hour}}, 365 * 12 * time.Hour},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			tracker, last := backoff.New(), time.Duration(0)
+			tracker, last := backoff.New[catalog.Life](), time.Duration(0)
 			for _, a := range c.asks {
 				tracker.Ask(after(a.at), shop, a.d)
 				last = a.at
@@ -49,9 +51,28 @@
 	}
 }
 
+// A target that goes on asking for the same time gets at most one request between any answer and the
+// end of what it asked for by it.
+func TestATargetThatAsksForVeryLongGetsOneRequestMeanwhile(t *testing.T) {
+	for _, d := range []time.Duration{time.Second, time.Hour, 61 * time.Minute, 2 * time.Hour, 3 * time.Hour, 10 * time.Hour, 365 * 24 * time.Hour} {
+		t.Run(d.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			var window backoff.Window
+			var asked []time.Time
+			for now := start; len(asked) < 20; now = now.Add(window.Left(now)) {
+				for _, before := range asked[max(len(asked)-2, 0):max(len(asked)-1, 0)] {
+					g.Expect(now.Sub(before)).To(BeNumerically(">=", d-time.Nanosecond), "two requests since an answer")
+				}
+				asked = append(asked, now)
+				g.Expect(window.Ask(now, d)).To(BeTrue())
+			}
+		})
+	}
+}
+
 func TestABackOffIsThatOfOneStartOfATarget(t *testing.T) {
 	g := NewWithT(t)
-	tracker := backoff.New()
+	tracker := backoff.New[catalog.Life]()
 	tracker.Ask(start, shop, time.Minute)
 	g.Expect(tracker.Left(start, catalog.Life{ID: shop.ID, Born: 2})).To(BeZero())
 	g.Expect(tracker.Left(start, catalog.Life{ID: "i-2", Born: 1})).To(BeZero())
@@ -59,7 +80,7 @@
 
 func TestOnlyTheAskThatBeginsABackOffIsNews(t *testing.T) {
 	g := NewWithT(t)
-	tracker := backoff.New()
+	tracker := backoff.New[catalog.Life]()
 	g.Expect(tracker.Ask(start, shop, time.Second)).To(BeTrue())
 	g.Expect(tracker.Ask(after(time.Millisecond), shop, 2*time.Second)).To(BeFalse())
 	g.Expect(tracker.Ask(after(3*time.Second), shop, time.Second)).To(BeTrue())
@@ -67,7 +88,7 @@
 
 func TestBackOffsThatHaveEndedAreForgotten(t *testing.T) {
 	g := NewWithT(t)
-	tracker := backoff.New()
+	tracker := backoff.New[catalog.Life]()
 	for born := range int64(100) {
 		tracker.Ask(start, catalog.Life{ID: "i-1", Born: born}, time.Second)
 	}
--- a/core/gateway/backoff/fleet_test.go
+++ b/core/backoff/fleet_test.go
@@ -11,7 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/sprucecrank/sprucecrank/core/gateway/backoff"
+	"github.com/sprucecrank/sprucecrank/core/backoff"
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
 )
@@ -58,7 +58,7 @@
 	random   *rand.Rand
 	targets  []*shedder
 	listed   []catalog.Target // the same
-	trackers []*backoff.Tracker
+	trackers []*backoff.Tracker[catalog.Life]
 	board    *signal.Board
 	// asked is when each gateway was last asked by a target.
 	asked      map[[2]int]time.Duration
@@ -96,7 +96,7 @@
 		s.targets = append(s.targets, &shedder{life: target.Life(), isInNeed: i < inNeed})
 	}
 	for range gateways {
-		s.trackers = append(s.trackers, backoff.New())
+		s.trackers = append(s.trackers, backoff.New[catalog.Life]())
 	}
 	return s
 }
--- a/core/box/health/health.go
+++ b/core/box/health/health.go
@@ -16,7 +16,11 @@
 //	free := tracker.Limit(now) - promised
 package health
 
-import "time"
+import (
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/backoff"
+)
 
 // Result is how a request at a target ended.
 type Result string
@@ -42,7 +46,6 @@
 	firstEjection   = 100 * time.Millisecond
 	longestEjection = 5 * time.Second
 	shedPause       = 20 * time.Millisecond
-	longestBackOff  = time.Hour // then one request finds out
 	smoothing       = 0.3
 	suspectRatio    = 4.0
 	suspectForgives = 500 * time.Millisecond
@@ -57,7 +60,7 @@
 	ejectedFor   time.Duration
 	unreached    bool // no connection could be made the last time
 	shedUntil    time.Time
-	backOffUntil time.Time // by its own word
+	backOff      backoff.Window
 	ratio        float64   // smoothed duration over the usual duration
 	slowAt       time.Time
 }
@@ -118,15 +121,11 @@
 	t.ramp = 1
 }
 
-// BackOff notes that the target asks to be sent nothing for a time. Of several the latest end holds.
-func (t *Tracker) BackOff(now time.Time, d time.Duration) {
-	if until := now.Add(min(d, longestBackOff)); until.After(t.backOffUntil) {
-		t.backOffUntil = until
-	}
-}
+// BackOff notes that the target asks to be sent nothing for a time; 0 for not.
+func (t *Tracker) BackOff(now time.Time, d time.Duration) { t.backOff.Ask(now, d) }
 
 // BacksOff says whether the target has asked to be sent nothing now.
-func (t *Tracker) BacksOff(now time.Time) bool { return now.Before(t.backOffUntil) }
+func (t *Tracker) BacksOff(now time.Time) bool { return t.backOff.Left(now) > 0 }
 
 // Ejected says whether the target is ejected now.
 func (t *Tracker) Ejected(now time.Time) bool { return now.Before(t.ejectedUntil) }
--- a/internal/gateway/signals/signals.go
+++ b/internal/gateway/signals/signals.go
@@ -1,5 +1,5 @@
 // Package signals guards what targets said of themselves in answers to this gateway, and what other
-// gateways share of that: which asked for back-off, and which leave. The rules are core/gateway/backoff's
+// gateways share of that: which asked for back-off, and which leave. The rules are core/backoff's
 // and core/gateway/signal's.
 //
 // A back-off that a target asked of this gateway always holds. A target that asked several others is
@@ -28,7 +28,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sprucecrank/sprucecrank/core/gateway/backoff"
+	"github.com/sprucecrank/sprucecrank/core/backoff"
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
@@ -63,7 +63,7 @@
 	known atomic.Int64
 
 	mu      sync.Mutex
-	tracker *backoff.Tracker
+	tracker *backoff.Tracker[catalog.Life]
 	board   *signal.Board
 	// pending are targets that leave and are not drained yet, and drainedAt is when some last were.
 	pending   map[catalog.Life]struct{}
@@ -83,7 +83,7 @@
 	}
 	return &Register{
 		options: o, notify: func() {}, drain: func([]catalog.Life) {}, wake: make(chan struct{}, 1),
-		tracker: backoff.New(), board: signal.NewBoard(o.Draw()), pending: map[catalog.Life]struct{}{},
+		tracker: backoff.New[catalog.Life](), board: signal.NewBoard(o.Draw()), pending: map[catalog.Life]struct{}{},
 	}
 }
 
