Back-off: clients that are refused while all targets ask for it don't come back as one when it ends

Callers who were refused during a back-off of 3 s were all told its end, and .15 s more at most where they wait for 6 s: those of three seconds came within .15 s, 9.3 times the usual requests in a tenth of a second, and had the targets ask again. Cause: the spread was what the end left of a third of the client's time, mostly nothing. It is half of what the client has left behind the end now.

Nobody is asked to wait longer than a minute for targets that ask for longer: others may be added.

--- a/core/gateway/refusal/refusal.go
+++ b/core/gateway/refusal/refusal.go
@@ -32,6 +32,12 @@
 	// minRetryAfter is the shortest pause: a full service is not free again
 	// before.
 	minRetryAfter = 150 * time.Millisecond
+	// openingShare is the share of the time that a client has left behind an opening over which its
+	// return is spread.
+	openingShare = 0.5
+	// longestOpensIn bounds what a client is asked to wait for targets that take no requests for
+	// long: others may be added meanwhile.
+	longestOpensIn = time.Minute
 	// atOnceFrom and atOnceSpread are when a client should come back whose request targets
 	// shed though others have room: far enough apart that those of one moment don't come
 	// back as one, near enough that nothing is lost of the objective. Chosen: some
@@ -118,11 +124,12 @@
 }
 
 // AfterOpening is when a client should come back that was refused since no target takes requests
-// until some time from now: then or, so that not all come at one moment, somewhat later. left is
-// the time until it stops waiting, draw is uniform in [0, 1).
+// until some time from now: then or later, since all that were refused meanwhile would come at one
+// moment and have the targets ask for back-off again. left is the time until it stops waiting, draw is
+// uniform in [0, 1).
 func AfterOpening(opensIn, left time.Duration, draw float64) time.Duration {
-	longest := time.Duration(longestShare * float64(left))
-	spread := max(longest-opensIn, minRetryAfter)
+	opensIn = min(opensIn, longestOpensIn)
+	spread := max(time.Duration(openingShare*float64(left-opensIn)), minRetryAfter)
 	return opensIn + time.Duration(draw*float64(spread))
 }
 
