--- a/core/box/health/health.go
+++ b/core/box/health/health.go
@@ -61,7 +61,7 @@
 	unreached    bool // no connection could be made the last time
 	shedUntil    time.Time
 	backOff      backoff.Window
-	ratio        float64   // smoothed duration over the usual duration
+	ratio        float64 // smoothed duration over the usual duration
 	slowAt       time.Time
 }
 
