--- a/cmd/sprucecrank-gateway/main.go
+++ b/cmd/sprucecrank-gateway/main.go
@@ -58,7 +58,7 @@
 }
 
 // memoryShare is the share of the memory that the process may use at which the
-// garbage collector begins to work harder. Chosen: the rest is for what it does
+// garbage collector begins to work harder. The rest is for what it does
 // not count, such as stacks of system threads.
 const memoryShare = 0.8
 
--- a/core/gateway/catalog/revision.go
+++ b/core/gateway/catalog/revision.go
@@ -1,6 +1,6 @@
 package catalog
 
-// revisionBits is how many bits of a revision are the store's own. Chosen: a store that does
+// revisionBits is how many bits of a revision are the store's own. A store that does
 // 3,200 writes a second needs five years for them, and the rest counts thousands of lives.
 const revisionBits = 40
 
--- a/core/gateway/catalog/table.go
+++ b/core/gateway/catalog/table.go
@@ -6,7 +6,7 @@
 )
 
 // keptChanges bounds the changes of a table that are kept for gateways that are
-// behind; one that is further behind is sent all. Chosen: minutes of changes.
+// behind; one that is further behind is sent all. These are minutes of changes.
 const keptChanges = 1024
 
 // entryChange is one entry of a table at one revision of the store.
--- a/core/gateway/deadline/deadline.go
+++ b/core/gateway/deadline/deadline.go
@@ -19,8 +19,8 @@
 const (
 	// defaultTimeout holds where the route names no time-out.
 	defaultTimeout = 30 * time.Second
-	// longest is the longest time that a client can be believed to wait. Chosen;
-	// it keeps the sum with a moment from overflowing.
+	// longest is the longest time that a client can be believed to wait; it
+	// keeps the sum with a moment from overflowing.
 	longest = time.Hour
 )
 
--- a/core/gateway/ejection/ejection.go
+++ b/core/gateway/ejection/ejection.go
@@ -7,9 +7,8 @@
 // targets are ejected, core/gateway/placement probes them all the same.
 //
 // The times are short since ejection costs capacity and targets mostly recover
-// within a second. They are chosen, not weighed one by one; no rule broke with them
-// in 96 hunted days (journal/). An open finding: unsafe requests pay for targets
-// that break off now and then and are back too soon (docs/INCIDENTS.md).
+// within a second. Unsafe requests pay for that at targets that break off now and
+// then and are back too soon.
 //
 // # Usage
 //
--- a/core/gateway/estimate/estimate.go
+++ b/core/gateway/estimate/estimate.go
@@ -27,7 +27,7 @@
 )
 
 // UsualSlowness is the slowest target that counts as working at its usual speed.
-// Targets report whole percents and vary by some; 1.2 is chosen, not measured.
+// Targets report whole percents and vary by some.
 const UsualSlowness = 1.2
 
 const (
@@ -38,11 +38,11 @@
 	bytesStep = 0.1
 	// idleStep is how far one probe moves the share of idle targets, and
 	// mostlyIdleShare the share above which one target at a time is probed.
-	// Probing so was measured: docs/DESIGN.md, "one at a time where most are idle".
+	// docs/DESIGN.md, "one at a time where most are idle".
 	idleStep        = 0.05
 	mostlyIdleShare = 0.5
 	// shedStep is how far one send moves the share of sends that targets did not take.
-	// Chosen: eight in a row make it 0.8, one in two keeps it below that.
+	// Eight in a row make it 0.8, one in two keeps it below that.
 	shedStep = 0.2
 	// silentProbes is how many probes in a row without a load report show that a
 	// service reports none.
--- a/core/gateway/estimate/levels.go
+++ b/core/gateway/estimate/levels.go
@@ -3,34 +3,33 @@
 import "github.com/sprucecrank/sprucecrank/core/gateway/load"
 
 const (
-	// levelCount is how many levels of fullness are told apart. Targets of up to 12
+	// levelCount is how many levels of fullness are distinguished. Targets of up to 12
 	// slots with a divisor of it have a level for each slot; with more slots some
 	// share one.
 	levelCount = 12
 	// costMemory is how many answers a cost goes by, and costDoubt how many answers it
-	// takes to outweigh the belief that a level costs nothing. Chosen: single answers
-	// vary by a third, so that 24 of them tell a cost to some hundredths.
+	// takes to outweigh the belief that a level costs nothing. Single answers
+	// vary by a third, so that 24 of them give a cost to some hundredths.
 	costMemory = 24
 	costDoubt  = 1
 	// longestPull bounds what one answer counts for, as a multiple of the cost
-	// believed: a target that hangs tells nothing of its level.
+	// believed: a target that hangs says nothing of its level.
 	longestPull = 3
-	// maxCost bounds what is believed of a level. Last slots were measured to cost 1.7 to
-	// 2.1, full targets up to 3.5 (docs/DESIGN.md, "Which target"); more is chosen.
+	// maxCost bounds what is believed of a level, far above what last slots and full targets cost
+	// (docs/DESIGN.md, "Which target").
 	maxCost = 8
 	// noCost is a level that costs nothing, and mattersFrom the greatest cost that is
-	// taken for none. Measured: docs/EXPERIMENTS.md; with 1.2 a cost of a few answers
-	// that chance made seemed to be one.
+	// taken for none: a few answers vary by that much.
 	noCost      = 1
 	mattersFrom = 1.35
 	// firstLastCost is believed of the last slot before any request took one. 1.25 in
 	// its place was measured and lost (docs/DESIGN.md, "Which target").
 	firstLastCost = 1.15
 	// firstColdCost is how much longer requests are believed to take at a cold target
-	// before any was answered by one. Chosen: the users' take twice as long.
+	// before any was answered by one. The users' take twice as long.
 	firstColdCost = 2
 	// limitGain is by how much more work a target must do when it is held below all
-	// of its slots, for some to be left free. Chosen: below it either is as good.
+	// of its slots, for some to be left free. Below it either is as good.
 	limitGain = 1.0
 )
 
@@ -104,7 +103,7 @@
 	return least
 }
 
-// unknownCost is what is believed of a level where nothing tells of a cost.
+// unknownCost is what is believed of a level whose cost was never observed.
 func unknownCost(level int) float64 {
 	if level == levelCount-1 {
 		return firstLastCost
--- a/core/gateway/estimate/median.go
+++ b/core/gateway/estimate/median.go
@@ -6,8 +6,8 @@
 	// medianStep is how far one duration moves the median, as a share of it.
 	medianStep = 0.06
 	// firstMedianStep is how far the first duration moves it; the steps fall from
-	// there with the number of durations. Measured: docs/DESIGN.md, "learn by
-	// large steps at first".
+	// there with the number of durations (docs/DESIGN.md, "learn by
+	// large steps at first").
 	firstMedianStep = 0.5
 )
 
--- a/core/gateway/fingerprint/fingerprint.go
+++ b/core/gateway/fingerprint/fingerprint.go
@@ -1,4 +1,4 @@
-// Package fingerprint tells whether two attempts carry the same request: what is asked,
+// Package fingerprint decides whether two attempts carry the same request: what is asked,
 // and who asks. Clients give each attempt an id of its own, so that nothing else does.
 //
 // It owns what counts as the same. It does no I/O.
@@ -22,7 +22,7 @@
 // own request taken for another's has to try some 2^63.
 const digits = 16
 
-// Request is what is told of a request to take its fingerprint.
+// Request is what the fingerprint of a request is taken of.
 type Request struct {
 	Method, Host, URI string
 	Body              []byte
@@ -32,7 +32,7 @@
 	Credentials []string
 }
 
-// Fingerprint stands for a request and its caller, by 16 hexadecimal digits each. The
+// Fingerprint identifies a request and its caller, by 16 hexadecimal digits each. The
 // fields are exported for the codec between gateways.
 type Fingerprint struct {
 	// Content is of method, host, URI and body, Caller of address and credentials.
--- a/core/gateway/load/load.go
+++ b/core/gateway/load/load.go
@@ -107,8 +107,8 @@
 func (r Report) LastSlot() bool { return r.slots > 1 && r.Free() <= 1 }
 
 // fullnessWeight is by how much a full target's work is predicted to take longer
-// than an empty one's, so that among equals the emptier is chosen. Chosen small
-// beside what is measured (0.9 to 1.3 with one of three slots taken).
+// than an empty one's, so that among equals the emptier is taken. It is small
+// beside by how much the times of targets with free slots differ.
 const fullnessWeight = 0.1
 
 // Predict is the time until a request would end, were it sent now. usual is how
--- a/core/gateway/locality/trips.go
+++ b/core/gateway/locality/trips.go
@@ -3,7 +3,7 @@
 import "time"
 
 // tripMemory is for how long, at least, the lowest measured time there and back outweighs
-// longer ones that come after it; at most twice as long. Chosen: a way that became longer
+// longer ones that come after it; at most twice as long. A way that became longer
 // is known within a minute, and a few slow probes don't make one longer.
 const tripMemory = 30 * time.Second
 
--- a/core/gateway/outcome/outcome.go
+++ b/core/gateway/outcome/outcome.go
@@ -15,7 +15,7 @@
 
 import "github.com/sprucecrank/sprucecrank/verdict"
 
-// HTTP statuses that tell how a send ended (RFC 9110, 15.5.20 and 15.6).
+// HTTP statuses that say how a send ended (RFC 9110, 15.5.20 and 15.6).
 const (
 	statusMisdirected = 421
 	statusServerError = 500 // and above
@@ -65,7 +65,7 @@
 }
 
 // HasOwnAnswer says whether the target's answer may be given to the client if
-// nothing better comes: it is the target's own word on the request.
+// nothing better comes: it is the target's own answer to the request.
 func (o Outcome) HasOwnAnswer() bool { return o == Served || o == Failed }
 
 // Failure is why an answer should rather be had from another target; nil where
--- a/core/gateway/peers/neighbour.go
+++ b/core/gateway/peers/neighbour.go
@@ -27,7 +27,7 @@
 }
 
 // linksBetween is how many of the gateways that one knows of its hall, itself among
-// them, keep a link to another hall; as many come from others. Chosen: enough that no hall
+// them, keep a link to another hall; as many come from others. They are so many that no hall
 // is without one when a third of the gateways is cut off, few since bytes between halls are
 // paid for. They are the first in an order, since each hall needs one at any time: where
 // each gateway of a hall of ten drew by itself, none had one now and then (with a share of
@@ -36,7 +36,7 @@
 const linksBetween = 5
 
 // linksBetweenRegions is how many of the gateways that one knows of its region, itself
-// among them, keep a link to another region; as many come from others. Chosen: no region is
+// among them, keep a link to another region; as many come from others. No region is
 // without one when a third of the gateways is cut off (0.35^6, 2 in 1,000), and few, since
 // bytes between regions cost several times those between halls.
 const linksBetweenRegions = 3
--- a/core/gateway/peers/peers.go
+++ b/core/gateway/peers/peers.go
@@ -41,11 +41,11 @@
 
 const (
 	// room is how many gateways of the own hall, how many of all others in its region and
-	// how many of other regions are held. Chosen: so many random links that a cut of a third
+	// how many of other regions are held: enough random links that a cut of a third
 	// leaves nobody alone, few enough that looking through them costs microseconds.
 	room = 24
 	// rankedRoom is how many of those that rank first for reading the store are
-	// held beside them, so that all name the same reader and standbys. Chosen: some
+	// held beside them, so that all name the same reader and standbys: some
 	// more than these, as some may be gone.
 	rankedRoom = 6
 	// lostRoom is how many gateways are held that did not answer and that nobody has
--- a/core/gateway/peers/sightings.go
+++ b/core/gateway/peers/sightings.go
@@ -11,7 +11,7 @@
 
 // How many gateways are named to another, beside the one that speaks: those that rank
 // first for reading the store, some of the other's hall, some of all others in the region
-// of the one that speaks and some of other regions. Chosen: some hundreds of bytes,
+// of the one that speaks and some of other regions: some hundreds of bytes,
 // whatever the size of the fleet.
 const (
 	toldRanked  = 4
--- a/core/gateway/placement/contention.go
+++ b/core/gateway/placement/contention.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// contentionMemory is how long a request that found no target counts. Chosen:
+// contentionMemory is how long a request that found no target counts:
 // some rounds of probes.
 const contentionMemory = 500 * time.Millisecond
 
--- a/core/gateway/placement/decide.go
+++ b/core/gateway/placement/decide.go
@@ -9,7 +9,7 @@
 
 const (
 	// searchShare is the share of a route's objective that the search for a
-	// target may take; after it a full service refuses. Chosen: the client must
+	// target may take; after it a full service refuses. The client must
 	// have time left to come back. Waiting so was measured as a whole:
 	// docs/DESIGN.md, "wait for a usual target while there is hope".
 	searchShare = 0.2
@@ -17,7 +17,7 @@
 	// target of usual speed still to answer within the objective.
 	hopeFactor = 1.4
 	// inTimeShare is the share of the objective within which an answer must be
-	// predicted for a target to be taken. Chosen: predictions err.
+	// predicted for a target to be taken. Predictions err.
 	inTimeShare = 0.9
 )
 
--- a/core/gateway/placement/order.go
+++ b/core/gateway/placement/order.go
@@ -11,7 +11,7 @@
 const (
 	// lostShare is the share of the targets that another region has on average below
 	// which the own region has lost most of its own, so that other regions are asked,
-	// too. Chosen: such a region can take little from the others, and a region that is
+	// too. Such a region can take little from the others, and a region that is
 	// merely full never asks them (docs/design/regions.md).
 	lostShare = 1.0 / 3
 	// sameTrip is by how much the time there and back of two regions may differ for
--- a/core/gateway/placement/placement.go
+++ b/core/gateway/placement/placement.go
@@ -100,7 +100,7 @@
 
 const (
 	// hallPenalty is by how much a target in another hall must be faster: the way
-	// there and back, and its bytes, cost. Chosen, not measured on its own.
+	// there and back, and its bytes, cost.
 	hallPenalty = 20 * time.Millisecond
 	// regionPenalty is the same of a target in another region, beside the time there
 	// and back, which Predicted holds: its bytes cost more.
--- a/core/gateway/placement/probe.go
+++ b/core/gateway/placement/probe.go
@@ -11,29 +11,28 @@
 const (
 	// parallelProbes is how many targets are probed at once, as long as none of
 	// those before is idle, and parallelWhenIdle how many where most targets are
-	// idle. Measured: docs/DESIGN.md, "two at a time" and "one at a time where
-	// most are idle".
+	// idle (docs/DESIGN.md, "two at a time" and "one at a time where most are
+	// idle").
 	parallelProbes   = 2
 	parallelWhenIdle = 1
 	// tierProbes bounds the targets of each tier that are probed in one round, and
 	// contendedProbes where requests wait: few targets are idle then, and each probe
-	// takes time from their work. Measured: docs/DESIGN.md, "few while requests wait";
-	// five at once served less.
+	// takes time from their work (docs/DESIGN.md, "few while requests wait").
 	tierProbes      = 4
 	contendedProbes = 2
 	// roundShare is the share of the objective that one round of probes waits for
-	// answers, and minRound the least. Chosen: a probe takes about 6 ms.
+	// answers, and minRound the least. A probe takes about 6 ms.
 	roundShare = 0.08
 	minRound   = 4 * time.Millisecond
 	// maxPause bounds the pause between two rounds, the same share of the
-	// objective. Chosen: a slot turns over in some tens of milliseconds. 25 ms in its
+	// objective. A slot turns over in some tens of milliseconds. 25 ms in its
 	// place probed a full service's targets beyond the users' bound on probes once
 	// slots were left free (docs/EXPERIMENTS.md).
 	maxPause = 50 * time.Millisecond
 	// hallWaitPerKB is how long a request waits for a target of its own hall for
 	// each kilobyte of its usual answer, since bytes between halls are paid for,
-	// and hallWaitShare bounds that as a share of the objective. Measured:
-	// docs/DESIGN.md, "wait for the own hall where answers are long".
+	// and hallWaitShare bounds that as a share of the objective (docs/DESIGN.md,
+	// "wait for the own hall where answers are long").
 	hallWaitPerKB = 12 * time.Millisecond
 	hallWaitShare = 0.12
 	// regionWaitPerKB and regionWaitShare are the same for a target of the own region
--- a/core/gateway/quarantine/quarantine.go
+++ b/core/gateway/quarantine/quarantine.go
@@ -70,7 +70,7 @@
 	sameMoment = 30 * time.Millisecond
 	onTheWay   = 10 * time.Millisecond
 	// maxRequests and maxEnds bound what is kept, to some 2 MB if each place is taken: of the
-	// requests, those with most ends. Chosen: a service of ten targets has 30 requests under
+	// requests, those with most ends. A service of ten targets has 30 requests under
 	// way, all of which a fatal one may take along, and a request that is quarantined after
 	// the third end comes to some dozens while updates of it spread.
 	maxRequests = 256
--- a/core/gateway/reader/reader.go
+++ b/core/gateway/reader/reader.go
@@ -15,10 +15,9 @@
 // to, spares the others the call. This is the timer of reliable multicast's negative
 // acknowledgements.
 //
-// Measured: with two watches a gateway, calls to the store cost users of large fleets
-// more than all that was served earned them; with one reader there were 69 to 82 calls
-// in half a minute in which nothing happened (docs/DESIGN.md, "Costs"). How few read when
-// many fall silent together: internal/gateway/discovery's tests.
+// Two watches a gateway would cost users of large fleets more than all that is served earns them
+// (docs/DESIGN.md, "Costs"). How few read when many fall silent together: internal/gateway/discovery's
+// tests.
 //
 // # Usage
 //
@@ -36,12 +35,11 @@
 const (
 	// readers is how many gateways of the whole fleet read the store, and
 	// standbys how many are the first to do so when these fall silent. Without
-	// any, a reader cut from the store alone broke the rule on configurations on a
-	// hunted day (docs/INCIDENTS.md); that there are two is chosen.
+	// any, a reader cut from the store alone would leave all without its changes.
 	readers  = 1
 	standbys = 2
 	// settleTime is how long a gateway that has just begun looks for others
-	// before it believes that the reading falls to it. Chosen: some exchanges
+	// before it believes that the reading falls to it: some exchanges
 	// with a seed.
 	settleTime = 400 * time.Millisecond
 	// firstSettleTime is that time where the whole fleet is new: no client is
@@ -65,7 +63,7 @@
 	// send it everything.
 	offerTrust = 300 * time.Millisecond
 	// steepness is that of the distribution of delays: e to its power is the number
-	// of gateways of which about one is early. Chosen for some thousands.
+	// of gateways, some thousands, of which about one is early.
 	steepness = 7.5
 	// minFailedHold is for how long tries that failed hold others back at least, and
 	// failedHoldShare how much of the time for which nobody succeeded they do. With
@@ -75,7 +73,7 @@
 	minFailedHold   = 60 * time.Millisecond
 	failedHoldShare = 0.4
 	// followersDelay is how much later gateways that are no readers read targets
-	// after an outage of the store. Chosen: the reader's list is there by then.
+	// after an outage of the store. The reader's list is there by then.
 	followersDelay = 500 * time.Millisecond
 	// never means a time that has not begun.
 	never = time.Duration(math.MaxInt64)
--- a/core/gateway/reader/tries.go
+++ b/core/gateway/reader/tries.go
@@ -10,7 +10,7 @@
 	// enoughTries is how many gateways at once try to read the store for all that can
 	// learn of them. Where all of them are turned away, others follow.
 	enoughTries = 3
-	// tryHold is for how long such a try holds others back. Chosen: a read of all
+	// tryHold is for how long such a try holds others back. A read of all
 	// targets takes a tenth of a second, and what it finds is everywhere soon after.
 	tryHold = 500 * time.Millisecond
 	// keptTries is how many tries are remembered and reported. They are sent for toldFor,
--- a/core/gateway/refusal/refusal.go
+++ b/core/gateway/refusal/refusal.go
@@ -25,8 +25,8 @@
 	// longestShare is the share of the time that a client has left which it
 	// spends waiting at most before it comes back, and shortestShare the share of
 	// that where the draw begins. The clients of one burst are spread over the
-	// time that they have, so that they don't return as one. Measured:
-	// docs/DESIGN.md, "refused clients spread over a third of their time".
+	// time that they have, so that they don't return as one
+	// (docs/DESIGN.md, "refused clients spread over a third of their time").
 	longestShare  = 1.0 / 3
 	shortestShare = 0.3
 	// minRetryAfter is the shortest pause: a full service is not free again
@@ -40,7 +40,7 @@
 	longestOpensIn = time.Minute
 	// atOnceFrom and atOnceSpread are when a client should come back whose request targets
 	// shed though others have room: far enough apart that those of one moment don't come
-	// back as one, near enough that nothing is lost of the objective. Chosen: some
+	// back as one, near enough that nothing is lost of the objective: some
 	// probes' time.
 	atOnceFrom   = 5 * time.Millisecond
 	atOnceSpread = 20 * time.Millisecond
@@ -54,7 +54,7 @@
 )
 
 // PassesOwn says whether a client gets the failure that a target answered, where
-// one did, and none of the gateway's: it is the target's own word on the request.
+// one did, and none of the gateway's: it is the target's own answer to the request.
 // A client that has left gets neither.
 func PassesOwn(failure *verdict.Error) bool { return failure.Reason() != verdict.ReasonClientGone }
 
--- a/core/gateway/retry/hedge.go
+++ b/core/gateway/retry/hedge.go
@@ -9,7 +9,7 @@
 const (
 	// WholeBudget and HedgeBudget are the shares of the budget of second sends
 	// that retries and hedges may use: the rest is kept for requests whose first
-	// send failed. Chosen, not measured on its own.
+	// send failed.
 	WholeBudget = 1.0
 	HedgeBudget = 0.7
 	// overdueFactor is how many times its predicted time a first send may take
@@ -19,8 +19,7 @@
 	overdueFactor = 2.5
 	// hedgeNeeds is how many times its usual time a hedge should have left of the
 	// objective, and hedgeEarliest how many times its own the first send has had
-	// before one is sent: until then most requests end by themselves. Chosen;
-	// hedging as a whole was measured (docs/DESIGN.md, "hedge the overdue").
+	// before one is sent: until then most requests end by themselves.
 	hedgeNeeds    = 1.5
 	hedgeEarliest = 4.0 / 3
 	// searchShare is the pause before another look for a target for a hedge, as a
--- a/core/gateway/retry/retry.go
+++ b/core/gateway/retry/retry.go
@@ -26,7 +26,7 @@
 )
 
 // minTimeShare is the share of the usual time that must be left for a retry: with
-// less no answer could come in time. Chosen: half of the requests take less than
+// less no answer could come in time. Half of the requests take less than
 // the usual time.
 const minTimeShare = 0.5
 
--- a/core/gateway/rollout/age.go
+++ b/core/gateway/rollout/age.go
@@ -22,11 +22,11 @@
 // younger. One that has just begun goes by the record and the wall clock, and of an order
 // without a record knows nothing.
 type Ages struct {
-	orders map[string]heard
+	orders map[string]observed
 }
 
-// heard is what is known of one order's age.
-type heard struct {
+// observed is what is known of one order's age.
+type observed struct {
 	rollout catalog.Rollout
 	// first is when it was learnt of, and least how old it was then at least.
 	first time.Time
@@ -37,7 +37,7 @@
 }
 
 // NewAges makes one that knows of no order.
-func NewAges() *Ages { return &Ages{orders: map[string]heard{}} }
+func NewAges() *Ages { return &Ages{orders: map[string]observed{}} }
 
 // Note takes in an order as it is believed. now carries the readings of the monotonic and
 // the wall clock; confirmed is the latest moment, before this process learnt of the order
@@ -52,7 +52,7 @@
 		}
 	default:
 		bound := min(since(now, confirmed), recordedBound(now, r, confirmed))
-		h = heard{first: now, least: r.Elapsed, by: now, bound: max(bound, r.Elapsed)}
+		h = observed{first: now, least: r.Elapsed, by: now, bound: max(bound, r.Elapsed)}
 	}
 	h.rollout = r
 	a.orders[r.Service] = h
@@ -81,14 +81,14 @@
 }
 
 // tighten takes in a bound that holds now, if it is less than what was known.
-func (h *heard) tighten(now time.Time, bound time.Duration) {
+func (h *observed) tighten(now time.Time, bound time.Duration) {
 	if bound < h.at(now) {
 		h.by, h.bound = now, bound
 	}
 }
 
 // at is how old the order is, by what is known.
-func (h *heard) at(now time.Time) time.Duration {
+func (h *observed) at(now time.Time) time.Duration {
 	passed := now.Sub(h.by)
 	if h.bound > unknownAge-passed {
 		return unknownAge
--- a/core/gateway/rollout/analysis.go
+++ b/core/gateway/rollout/analysis.go
@@ -31,7 +31,7 @@
 	routeOdds     = 5
 	sureRouteOdds = 50
 	// notableShare is the part of a service's sends that a route must have for a proof of its
-	// own. Chosen: less brings no five answers in the time of a stage.
+	// own. Less brings no five answers in the time of a stage.
 	notableShare = 0.05
 	// priorBad and priorGood are what is believed of a version before it is met, in answers:
 	// that one in twenty is bad, with little weight.
--- a/core/gateway/rollout/ledger.go
+++ b/core/gateway/rollout/ledger.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// snapshotEvery is the least time between two snapshots, from which slices are made. Chosen: about the time between two reports of a gateway.
+	// snapshotEvery is the least time between two snapshots, from which slices are made:
+	// about the time between two reports of a gateway.
 	snapshotEvery = 250 * time.Millisecond
 	// snapshotShare is how far apart two neighbouring snapshots may be, as a part of their
 	// age: a dozen for each tenfold age, so that few are kept in a rollout of hours.
--- a/core/gateway/rollout/stages.go
+++ b/core/gateway/rollout/stages.go
@@ -8,7 +8,7 @@
 const (
 	// rampAfter is the part of an order's time after which the first share grows: a version
 	// may turn bad some seconds after its start, and what turns bad before costs little.
-	// Chosen: more is left for what delays, as an unreachable store.
+	// More is left for what delays, as an unreachable store.
 	rampAfter = 0.55
 	// firstPart and middlePart are the parts of the exposure that a bad version may have
 	// which the first and the middle stage use up. Weighed: with a quarter for each, a version that
--- a/core/gateway/snapshot/snapshot.go
+++ b/core/gateway/snapshot/snapshot.go
@@ -34,7 +34,7 @@
 	return &Snapshot{table: table, targets: targets}
 }
 
-// WithEvacuated returns a copy that tells how many targets of each service take no
+// WithEvacuated returns a copy that says how many targets of each service take no
 // requests since their halls are evacuated.
 func (s *Snapshot) WithEvacuated(evacuated map[string]int) *Snapshot {
 	c := *s
@@ -42,7 +42,7 @@
 	return &c
 }
 
-// WithRollouts returns a copy that tells which targets the rollouts under way assign, by
+// WithRollouts returns a copy that says which targets the rollouts under way assign, by
 // service. Targets that are only on trial are in these alone.
 func (s *Snapshot) WithRollouts(rollouts map[string]rollout.Assignment) *Snapshot {
 	c := *s
@@ -50,7 +50,7 @@
 	return &c
 }
 
-// WithLeaving returns a copy that tells which targets leave and take no new requests.
+// WithLeaving returns a copy that says which targets leave and take no new requests.
 func (s *Snapshot) WithLeaving(leaving map[catalog.Life]bool) *Snapshot {
 	c := *s
 	c.leaving = leaving
--- a/core/gateway/warmup/warmup.go
+++ b/core/gateway/warmup/warmup.go
@@ -38,7 +38,7 @@
 
 const (
 	// longestPause bounds the time between two looks for which a share grows: one that
-	// grew for long, in all gateways alike, would be spent by all at once. Chosen: the
+	// grew for long, in all gateways alike, would be spent by all at once. The
 	// span over which what a cold target gets is counted.
 	longestPause = time.Second
 	// forgetAfter is how long what a target said is remembered, and keptTargets how many
--- a/core/gateway/workspace/tally.go
+++ b/core/gateway/workspace/tally.go
@@ -20,7 +20,7 @@
 	outcomes
 )
 
-// maxCounted bounds the workspaces that a Tally counts apart. Chosen: more than any fleet has
+// maxCounted bounds the workspaces that a Tally counts apart: more than any fleet has
 // that is known, few enough that a tally takes a megabyte.
 const maxCounted = 10_000
 
--- a/core/gateway/workspace/workspace.go
+++ b/core/gateway/workspace/workspace.go
@@ -1,9 +1,9 @@
-// Package workspace tells whose requests are whose: a key names the workspace of the
+// Package workspace decides whose requests are whose: a key names the workspace of the
 // caller that shows it.
 //
 // It owns the reading of a key out of a request's header and the keys of one version of
 // the configuration. A Directory never changes once made. Keys are kept as digests alone:
-// neither a dump of the process nor the time that a look-up takes tells anything of a key.
+// neither a dump of the process nor the time that a look-up takes gives away anything of a key.
 // It does no I/O.
 //
 // # Usage
@@ -69,7 +69,7 @@
 	return route
 }
 
-// digest stands for a key.
+// digest identifies a key.
 type digest [sha256.Size]byte
 
 // Directory holds the workspaces of one version of the configuration by their keys.
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -31,10 +31,10 @@
 	// doubles with each failure, up to longestSuspicion.
 	firstSuspicion   = 500 * time.Millisecond
 	longestSuspicion = 10 * time.Second
-	// missingFor keeps a box that a lagging list lacks for a while. Chosen: lists
+	// missingFor keeps a box that a lagging list lacks for a while. Lists
 	// lag by seconds.
 	missingFor = 30 * time.Second
-	// heardFor is how long word from a box itself may be passed on. Chosen: some
+	// heardFor is how long an update from a box itself may be passed on: some
 	// exchanges between gateways, each 1.5 s.
 	heardFor = 5 * time.Second
 )
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -24,10 +24,10 @@
 // Shares of the time for a stop (stop_within_s).
 const (
 	// acceptShare is the share in which clients that have not yet learnt of the
-	// stop are still served. Chosen: the users' platform notices within seconds.
+	// stop are still served. The users' platform notices within seconds.
 	acceptShare = 0.5
 	// endShare is the share after which the process ends, whatever goes on, since
-	// it is killed at the end. Chosen after a process was once still there then.
+	// it is killed at the end.
 	endShare = 0.9
 )
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -105,8 +105,7 @@
 }
 
 // Defaults of what a settings document may leave out, in seconds but for the ratio.
-// Chosen, of the size of the users' deployments, whose settings name them all;
-// a tenth is the share of second sends that the box allows, too.
+// The box allows a tenth of second sends, too.
 const (
 	defaultApplyWithin = 2.0
 	defaultStopWithin  = 6.0
--- a/gateway/timing.go
+++ b/gateway/timing.go
@@ -10,7 +10,7 @@
 // that the ways of hearing it may take, so that two that fail one after the other
 // still fit: a question to another gateway (0.27 with its slack), then the own
 // reading of a standby (0.5) or of any other, one after the other from 0.55 on and all
-// by 0.8. Chosen on paper.
+// by 0.8.
 const (
 	pollShare      = 0.15
 	pollSlackShare = 0.12
@@ -33,10 +33,10 @@
 	watchShare = 0.8
 	// restoreShare is the share of that time after an outage of the store by whose end
 	// targets are read again, however late entries may come back: from its end on, what
-	// the store says must be kept to. Chosen: the rest is for the reading itself.
+	// the store says must be kept to. The rest is for the reading itself.
 	restoreShare = 0.8
 	// watchSlack is how much later than it waits the answer of a watch may come.
-	// Chosen: the store answers in milliseconds.
+	// The store answers in milliseconds.
 	watchSlack = 200 * time.Millisecond
 )
 
--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -26,7 +26,7 @@
 )
 
 const (
-	// minSlept is the shortest sleep that counts. Chosen: far above what two looks at the
+	// minSlept is the shortest sleep that counts: far above what two looks at the
 	// system's clocks differ by, far below any age that decides something.
 	minSlept = 5 * time.Millisecond
 	// checkEvery is how often the system is asked though the time of day gives no reason:
--- a/internal/gateway/delivery/delivery.go
+++ b/internal/gateway/delivery/delivery.go
@@ -49,14 +49,14 @@
 
 const (
 	// lookEvery is the pause between two looks at the rollouts while one is under way.
-	// Chosen: a small part of the seconds within which a bad version must be stopped.
+	// A small part of the seconds within which a bad version must be stopped.
 	lookEvery = 50 * time.Millisecond
 	// idleEvery is that pause while none is. An order that turns up may have come just after
 	// the look before, and is taken to be so much older: a sixth of the 1.5 s that are a
-	// margin before its deadline. Chosen, for few wake-ups where nothing is ordered.
+	// margin before its deadline. It makes few wake-ups where nothing is ordered.
 	idleEvery = 250 * time.Millisecond
 	// answerWithin bounds how long a report may take from the making of the connection to its
-	// answer. Chosen: many times what it usually takes, a small part of the time in which a bad
+	// answer: many times what it usually takes, a small part of the time in which a bad
 	// version must be stopped.
 	answerWithin = 300 * time.Millisecond
 )
--- a/internal/gateway/delivery/due.go
+++ b/internal/gateway/delivery/due.go
@@ -9,15 +9,15 @@
 
 const (
 	// reportEvery is the least time between two reports of a gateway on a rollout.
-	// Chosen: a small part of the seconds within which a bad version must be stopped.
+	// A small part of the seconds within which a bad version must be stopped.
 	reportEvery = 250 * time.Millisecond
 	// reportsASecond bounds what the gateway that decides is sent: where the fleet is
-	// large, reportEvery grows. Chosen: each costs it some tens of microseconds.
+	// large, reportEvery grows. Each costs it some tens of microseconds.
 	reportsASecond = 800
 	// urgentPart is how many times sooner a report of a bad answer, or of a stage, is sent.
 	urgentPart = 5
 	// aliveEvery is how often a gateway reports though there is nothing new: so that it
-	// counts as being there, and hears whether the one that decides is.
+	// counts as being there, and learns whether the one that decides is.
 	aliveEvery = time.Second
 	// silentReports is how many reports of a gateway may be missing before it no longer
 	// counts as being there.
--- a/internal/gateway/delivery/record.go
+++ b/internal/gateway/delivery/record.go
@@ -11,7 +11,7 @@
 
 const (
 	// writeEvery and writesAtOnce bound this gateway's writes: so many at once, then one
-	// each writeEvery, whatever is ordered. Chosen: far below what stores take, far above
+	// each writeEvery, whatever is ordered: far below what stores take, far above
 	// the six or so of a rollout.
 	writeEvery   = 50 * time.Millisecond
 	writesAtOnce = 20
--- a/internal/gateway/discovery/discovery.go
+++ b/internal/gateway/discovery/discovery.go
@@ -3,7 +3,7 @@
 // gateway reads the store; the others learn of updates from each other. Each keeps
 // exchanging with a few others, drawn at random, and both sides of such a link say how far
 // they are; whoever is behind asks for what it lacks, of one of those that have it. A
-// gateway that hears nothing in time reads for itself, so that nobody's knowledge depends
+// gateway that learns nothing in time reads for itself, so that nobody's knowledge depends
 // on the others.
 //
 // It owns the catalog of the process (core/gateway/catalog), the view of the other
@@ -33,7 +33,7 @@
 //	updates.go    what gateways exchange beside the catalog; changelog.go: a list of such changes
 //	announce.go   updates that come one after the other leave together
 //	saved.go      what is saved in the store of requests that end targets
-//	rollout.go    what is told of rollouts to whom decides on them
+//	rollout.go    what is reported of rollouts to whom decides on them
 //
 // # Usage
 //
@@ -274,7 +274,7 @@
 // Ready is closed once a configuration and the targets are known.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
 
-// SetLeaving tells the other gateways that this one stops.
+// SetLeaving notifies the other gateways that this one stops.
 func (f *Follower) SetLeaving() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/discovery/draw.go
+++ b/internal/gateway/discovery/draw.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// neighbours is how many other gateways one keeps exchanging with. Chosen: each is
+	// neighbours is how many other gateways one keeps exchanging with. Each is
 	// linked to six on average, and what is left of them when a third is cut off still
 	// hangs together but for 2 in 1,000.
 	neighbours = 3
@@ -25,7 +25,7 @@
 	firstKeptFor = 1500 * time.Millisecond
 	newFor       = 3 * time.Second
 	// seedStagger is how much later each further seed is asked by a gateway that knows
-	// nothing. Chosen: a seed answers in some milliseconds.
+	// nothing. A seed answers in some milliseconds.
 	seedStagger = 30 * time.Millisecond
 	// hallsPlace is the place that links halls, and regionsPlace the one that links
 	// regions, so that a gateway may do both.
--- a/internal/gateway/discovery/fetch.go
+++ b/internal/gateway/discovery/fetch.go
@@ -14,7 +14,7 @@
 	// neighbours on either side. Another is dropped; it comes again.
 	keptOffers = 8
 	// busyPause is the wait, on average, before a gateway that was busy is asked again.
-	// Chosen: the time for which one is busy with a list of all targets.
+	// The time for which one is busy with a list of all targets.
 	busyPause = 15 * time.Millisecond
 )
 
--- a/internal/gateway/discovery/heal.go
+++ b/internal/gateway/discovery/heal.go
@@ -13,7 +13,7 @@
 	// that nobody has seen since.
 	healEvery = 2 * time.Second
 	// healSeedShare is how often a seed is asked instead: a cut that lasted longer than
-	// what is remembered heals by them. Chosen: of a hundred gateways one asks each
+	// what is remembered heals by them. Of a hundred gateways one asks each
 	// second.
 	healSeedShare = 0.02
 )
--- a/internal/gateway/discovery/links.go
+++ b/internal/gateway/discovery/links.go
@@ -12,8 +12,7 @@
 
 // dialPart is by how much a connection must come quicker than the answer to a question
 // that does not wait, since nobody has to think about it. Where a third is cut off, those
-// inside draw two out of three times a gateway that can't be reached, and lose that time
-// (measured with choices of core/gateway/peers).
+// inside draw two out of three times a gateway that can't be reached, and lose that time.
 const dialPart = 3
 
 const (
--- a/internal/gateway/discovery/neighbour.go
+++ b/internal/gateway/discovery/neighbour.go
@@ -12,13 +12,13 @@
 
 const (
 	// staleFor is how long a neighbour is kept that has grown out of date like this
-	// gateway itself. Chosen: somebody fresher is found in time for two failures.
+	// gateway itself. Somebody fresher is found in time for two failures.
 	staleFor = 500 * time.Millisecond
-	// swapMembersEvery is how often two neighbours swap whom they have seen.
-	// Chosen: below the time for which a sighting counts (core/gateway/peers), in other
+	// swapMembersEvery is how often two neighbours swap whom they have seen:
+	// below the time for which a sighting counts (core/gateway/peers), in other
 	// halls as well.
 	swapMembersEvery = 1500 * time.Millisecond
-	// askFloor is the least time between two questions to a neighbour. Chosen: whatever
+	// askFloor is the least time between two questions to a neighbour. Whatever
 	// two gateways may have to exchange, it can't keep a link or a core busy.
 	askFloor = 20 * time.Millisecond
 	// quietPause is the wait before asking again where nobody could help.
--- a/internal/gateway/discovery/protocol.go
+++ b/internal/gateway/discovery/protocol.go
@@ -49,7 +49,7 @@
 	// FollowsRollouts is the same for the rollouts.
 	FollowsRollouts bool
 	// AsksFatal asks for what the called gateway knows of requests that end targets, and of
-	// limits that targets name, and the caller has not heard: FatalAt is how far it has
+	// limits that targets name, and the caller does not know: FatalAt is how far it has
 	// (positions).
 	AsksFatal bool
 	FatalAt   string
@@ -85,7 +85,7 @@
 	// of.
 	Tries []reader.Try
 	// Fatal is what the caller asked for of requests that end targets and of limits, and
-	// FatalAt how far it has then heard.
+	// FatalAt how far it has then come.
 	Fatal   []byte
 	FatalAt string
 	// LimitsFor is for how much longer gateways share limits that targets name; 0 for not.
--- a/internal/gateway/discovery/read.go
+++ b/internal/gateway/discovery/read.go
@@ -20,7 +20,7 @@
 	maxLook = time.Second
 	// firstRetry is the first pause after a call that failed, and preferredRetry
 	// and otherRetry the longest, for gateways that others turn to first and for
-	// others. Chosen: the store's rates bound what a whole fleet may try.
+	// others. The store's rates bound what a whole fleet may try.
 	firstRetry     = 100 * time.Millisecond
 	preferredRetry = time.Second
 	otherRetry     = 2 * time.Second
--- a/internal/gateway/discovery/region.go
+++ b/internal/gateway/discovery/region.go
@@ -9,7 +9,7 @@
 )
 
 // regionSlack is how much later than from the own region the answer of another region
-// may come, or a connection to it stand. Chosen: the time there and back of the longest
+// may come, or a connection to it stand. The time there and back of the longest
 // ways between two regions; where one is cut off, the few gateways that link regions wait
 // so much longer for an answer that does not come.
 const regionSlack = 400 * time.Millisecond
--- a/internal/gateway/discovery/rewind.go
+++ b/internal/gateway/discovery/rewind.go
@@ -13,7 +13,7 @@
 
 // rereadFactor is by how much longer than the time after which entries of live targets are
 // there again (restore_within_s) the second reading waits: entries of targets that are gone,
-// which nobody renews, lapse meanwhile. Chosen: targets renew theirs some three times before
+// which nobody renews, lapse meanwhile. Targets renew theirs some three times before
 // they lapse, and make them again within one or two.
 const rereadFactor = 2.5
 
--- a/internal/gateway/discovery/serve.go
+++ b/internal/gateway/discovery/serve.go
@@ -10,7 +10,7 @@
 
 const (
 	// wholesAtOnce and wholeEvery bound how often all that is known is sent: so many at
-	// once, then one each wholeEvery. Chosen: of 11 kB each, a list of 719 targets, they
+	// once, then one each wholeEvery. Of 11 kB each, a list of 719 targets, they
 	// take half of a link of 20 Mbit/s; those that were sent it send it to others meanwhile.
 	wholesAtOnce = 4
 	wholeEvery   = 8 * time.Millisecond
--- a/internal/gateway/forward/answer.go
+++ b/internal/gateway/forward/answer.go
@@ -28,7 +28,7 @@
 	}
 	w.WriteHeader(a.Status())
 	if err := give(w, a); err != nil {
-		// The client has left: the request's line tells what it was to get.
+		// The client has left: the request's line says what it was to get.
 		h.options.Log.Debug("answer not taken", "request", req.id, "error", err.Error())
 	}
 	h.report(req, a.Status(), nil)
--- a/internal/gateway/forward/closed.go
+++ b/internal/gateway/forward/closed.go
@@ -38,7 +38,7 @@
 	return closed
 }
 
-// closedCount tells how many targets a request passes over.
+// closedCount is how many targets a request passes over.
 type closedCount struct {
 	// count holds those that the request avoids as well; it is 0 if no target is closed.
 	count      int
--- a/internal/gateway/forward/evidence.go
+++ b/internal/gateway/forward/evidence.go
@@ -12,7 +12,7 @@
 )
 
 // slowFactor is how many times the usual a send takes that counts as slow in comparing
-// two versions. Chosen: a target's last slot costs up to twice the usual time, which says
+// two versions. A target's last slot costs up to twice the usual time, which says
 // nothing of its version; versions that are worth stopping take several times as long.
 const slowFactor = 3
 
--- a/internal/gateway/forward/fatal.go
+++ b/internal/gateway/forward/fatal.go
@@ -40,7 +40,7 @@
 }
 
 // quarantined is the refusal of a request under which targets end; nil for all others. It
-// is asked before each send, first or not: word of the third target may come while a
+// is asked before each send, first or not: an update on the third target may come while a
 // request waits, and each more costs a target.
 func (b *balancer) quarantined(req *request) *verdict.Error {
 	if !b.verdictOn(req).IsQuarantined() {
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -15,7 +15,7 @@
 //
 // It relies on a snapshot of what the process believes (internal/gateway/discovery
 // makes it) and on connections to targets (internal/gateway/upstream). It goes on
-// serving with the latest snapshot when nothing new is heard.
+// serving with the latest snapshot when nothing new is learnt.
 //
 // # Usage
 //
@@ -92,15 +92,14 @@
 }
 
 const (
-	// exploreShare is the share of the searches that explore. Measured:
-	// docs/DESIGN.md, "targets with an idle connection first, three times of
-	// four".
+	// exploreShare is the share of the searches that explore (docs/DESIGN.md, "targets with an
+	// idle connection first, three times of four").
 	exploreShare = 0.25
 	// exploreLimitShare is the share of the requests that may take any free slot.
-	// Chosen: a level's cost is told by some dozens of answers, and each may be late.
+	// A level's cost is told by some dozens of answers, and each may be late.
 	exploreLimitShare = 0.03
 	// readyTimeout is how long a request waits for a process that has just begun
-	// to learn the configuration and the targets. Chosen: one reads the store in
+	// to learn the configuration and the targets. One reads the store in
 	// some tens of milliseconds.
 	readyTimeout = 200 * time.Millisecond
 )
--- a/internal/gateway/forward/log.go
+++ b/internal/gateway/forward/log.go
@@ -168,7 +168,7 @@
 // maxAttributes is how many a line has at most.
 const maxAttributes = 19
 
-// attributes are those of a line that tell what was done for a request.
+// attributes are those of a line that say what was done for a request.
 func (r *request) attributes(status int, held time.Duration) []slog.Attr {
 	list := make([]slog.Attr, 0, maxAttributes)
 	list = append(list,
--- a/internal/gateway/forward/places.go
+++ b/internal/gateway/forward/places.go
@@ -9,8 +9,8 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
 )
 
-// assumedTrip stands for the time there and back to a region until that is measured, by
-// the first connection. Chosen: longer than most, since a probe for which nobody waits
+// assumedTrip is taken for the time there and back to a region until that is measured, by
+// the first connection: longer than most, since a probe for which nobody waits
 // long enough is wasted.
 const assumedTrip = 100 * time.Millisecond
 
--- a/internal/gateway/forward/probe.go
+++ b/internal/gateway/forward/probe.go
@@ -14,7 +14,7 @@
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
-// probeTimeout bounds one health probe; a round does not wait for it. Chosen: far
+// probeTimeout bounds one health probe; a round does not wait for it. It is far
 // above the answer of a live target, below what a hung one may hold.
 const probeTimeout = 250 * time.Millisecond
 
@@ -205,7 +205,7 @@
 	return conn, health, true
 }
 
-// connect takes a connection to a target; a new one tells how far the target is.
+// connect takes a connection to a target; a new one also measures how far the target is.
 func (b *balancer) connect(ctx context.Context, target catalog.Target) (*upstream.Conn, *verdict.Error) {
 	conn, failure := b.options.Pool.Get(ctx, target)
 	if failure != nil {
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -54,7 +54,7 @@
 	caller atomic.Pointer[caller]
 	// credit is what its workspace's quota gave for it; nil where it has none.
 	credit *quota.Credit
-	// fingerprint tells it from others; it is worked out when first asked for.
+	// fingerprint distinguishes it from others; it is worked out when first asked for.
 	fingerprint func() fingerprint.Fingerprint
 }
 
--- a/internal/gateway/forward/warmup.go
+++ b/internal/gateway/forward/warmup.go
@@ -30,7 +30,7 @@
 	return svc.takeTurn(now, b.coldShare(now, req, svc, t))
 }
 
-// isCold says whether a target is cold, by its own word or by its entry.
+// isCold says whether a target is cold, by its own answers or by its entry.
 func (s *service) isCold(now time.Time, t catalog.Target) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/jsoncall/jsoncall.go
+++ b/internal/gateway/jsoncall/jsoncall.go
@@ -8,7 +8,7 @@
 //	caller := jsoncall.New("http://10.0.0.9:8000/objects/")
 //	answer, err := caller.Call(ctx, http.MethodGet, "config", nil, &page)
 //	if answer.Status() == http.StatusGone {
-//		// the server's own word; err says nothing of it
+//		// the server's own answer; err says nothing of it
 //	}
 package jsoncall
 
@@ -26,7 +26,7 @@
 const (
 	// maxAnswer bounds one answer, in bytes; an object of the store has a megabyte at most.
 	maxAnswer = 64 << 20
-	// connectTimeout bounds the making of a connection. Chosen: the store answers in
+	// connectTimeout bounds the making of a connection. The store answers in
 	// milliseconds.
 	connectTimeout = time.Second
 	// keepAlive is the pause between two TCP keep-alive probes, and keepAliveProbes how many
--- a/internal/gateway/metrics/workspaces.go
+++ b/internal/gateway/metrics/workspaces.go
@@ -9,7 +9,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/workspace"
 )
 
-// shownWorkspaces is how many workspaces are shown apart. Chosen: a scrape stays some
+// shownWorkspaces is how many workspaces are shown apart. A scrape stays some
 // kilobytes, however many workspaces there are.
 const shownWorkspaces = 16
 
--- a/internal/gateway/pipeline/answer.go
+++ b/internal/gateway/pipeline/answer.go
@@ -82,7 +82,7 @@
 }
 
 // shortBody is the longest body, in bytes, that is copied behind its head rather
-// than written beside it. Chosen: a copy costs less than a second buffer.
+// than written beside it. A copy costs less than a second buffer.
 const shortBody = 4 << 10
 
 // heads are the buffers of answers that are being written.
@@ -141,7 +141,7 @@
 		h.Del("Content-Length")
 		h.Set("Transfer-Encoding", "chunked")
 	case a.stream != nil:
-		// The handler has told the length.
+		// The handler has given the length.
 	case f.method != http.MethodHead:
 		h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
--- a/internal/gateway/pipeline/conn.go
+++ b/internal/gateway/pipeline/conn.go
@@ -13,7 +13,7 @@
 const (
 	// lingerTime is how long the rest of what a client sends is read after the
 	// last answer, since closing at once would destroy that answer on its way.
-	// Chosen: some round trips.
+	// Some round trips.
 	lingerTime = 500 * time.Millisecond
 	// lingerBytes bounds what is read so, in bytes.
 	lingerBytes = 256 << 10
@@ -38,7 +38,7 @@
 	window   window
 	last     bool          // an answer that closes the connection was written
 	finished bool          // the server shuts down
-	bounded  bool          // a deadline shorter than the idle time stands for reads
+	bounded  bool          // a deadline shorter than the idle time is set for reads
 	idle     time.Duration // how long the connection may rest
 	tail     chan struct{} // closed once the latest request was answered
 	barrier  chan struct{} // closed once the latest request that is not safe was
--- a/internal/gateway/pipeline/head.go
+++ b/internal/gateway/pipeline/head.go
@@ -35,7 +35,7 @@
 	errVersion       = &refused{http.StatusHTTPVersionNotSupported, "the version is neither HTTP/1.0 nor HTTP/1.1"}
 )
 
-// asRefused is the refusal that an error stands for; nil if it stands for none.
+// asRefused is the refusal that an error means; nil if it means none.
 func asRefused(err error) *refused {
 	var r *refused
 	if errors.As(err, &r) {
--- a/internal/gateway/pipeline/input.go
+++ b/internal/gateway/pipeline/input.go
@@ -14,10 +14,10 @@
 
 const (
 	// readBytes is the room for what a connection brings, in bytes; it grows with
-	// a longer head. Chosen: ordinary heads fit.
+	// a longer head. Ordinary heads fit.
 	readBytes = 4 << 10
-	// wholeBytes is the longest body, in bytes, that gets its room at once. Chosen:
-	// a client may announce more than it sends.
+	// wholeBytes is the longest body, in bytes, that gets its room at once.
+	// A client may announce more than it sends.
 	wholeBytes = 64 << 10
 )
 
@@ -127,7 +127,7 @@
 }
 
 // incoming is a request that has arrived whole, but for a body beyond the limit:
-// the handler is told of that by an *http.MaxBytesError when it reads the body.
+// the handler learns of that by an *http.MaxBytesError when it reads the body.
 type incoming struct {
 	*http.Request
 	body    []byte
--- a/internal/gateway/pipeline/pipeline.go
+++ b/internal/gateway/pipeline/pipeline.go
@@ -61,7 +61,7 @@
 	IdleTimeout time.Duration
 }
 
-// Defaults of Limits, until a configuration names others. Chosen: generous beside
+// Defaults of Limits, until a configuration names others. Generous beside
 // any client's needs.
 const (
 	defaultHeadBytes   = 1 << 20
@@ -71,11 +71,11 @@
 
 const (
 	// writeTimeout is how long a client may take to accept one answer; a client
-	// that reads more slowly than that would hold memory for ever. Chosen: an
+	// that reads more slowly than that would hold memory for ever. An
 	// answer of 8 MB over 10 Mbit/s takes 7 s.
 	writeTimeout = 30 * time.Second
 	// acceptPause is the pause after a connection could not be accepted, as when
-	// the process has no file descriptor left. Chosen, as is the poll of Shutdown.
+	// the process has no file descriptor left.
 	acceptPause  = 20 * time.Millisecond
 	shutdownPoll = 10 * time.Millisecond
 )
--- a/internal/gateway/pipeline/window.go
+++ b/internal/gateway/pipeline/window.go
@@ -1,6 +1,6 @@
 package pipeline
 
-// Bounds on what is held for one connection. Chosen: a client sends a few requests
+// Bounds on what is held for one connection. A client sends a few requests
 // behind one another, and answers are some kilobytes long.
 const (
 	// maxInFlight bounds the requests of a connection that are not yet answered.
--- a/internal/gateway/quota/part.go
+++ b/internal/gateway/quota/part.go
@@ -17,7 +17,7 @@
 }
 
 // part informs the homes that are none of some gateways that this one turns to these from now
-// on, and waits for a moment until they have heard so. One that has does not count this
+// on, and waits for a moment until they have learnt so. One that has does not count this
 // gateway any more; beside one that may, the new homes would count it for half, for longer
 // than a second: after all gateways were killed most turn from one home to another.
 func (r *Register) part(ctx context.Context, there map[uint32]member.Box) {
@@ -62,14 +62,14 @@
 	return leaving
 }
 
-// noteParted takes in that the home has heard a standing; the register's lock is held.
+// noteParted takes in that the home has received a standing; the register's lock is held.
 func (l *link) noteParted(s quota.Standing) {
 	if l.parting != nil && !l.hasParted() && slices.Equal(s.Homes, l.parting) {
 		close(l.parted)
 	}
 }
 
-// hasParted says whether the home has heard that this gateway leaves it; the register's lock
+// hasParted says whether the home has learnt that this gateway leaves it; the register's lock
 // is held.
 func (l *link) hasParted() bool {
 	if l.parted == nil {
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -16,7 +16,7 @@
 //
 //	quota.go     admitting a request of a workspace
 //	targets.go   what targets name, and admitting a send to one
-//	words.go     what gateways tell each other of limits that targets name
+//	updates.go   what gateways exchange of limits that targets name
 //	link.go      asking one home, and telling it that this gateway is there
 //	homes.go     the duty of keeping a link to each home; part.go: leaving one
 //	serve.go     answering other gateways; protocol.go: what gateways say to each other
--- a/internal/gateway/upstream/answer.go
+++ b/internal/gateway/upstream/answer.go
@@ -19,7 +19,7 @@
 	header  http.Header
 	notRun  bool
 	signals signal.Signals
-	length  int64 // of the body, -1 if the head did not tell it
+	length  int64 // of the body, -1 if the head did not give it
 	body    []byte
 	room    *Room
 	taken   int   // bytes of room
--- a/internal/gateway/upstream/body.go
+++ b/internal/gateway/upstream/body.go
@@ -8,12 +8,12 @@
 
 const (
 	// wholeBytes is the longest answer that is read whole, so that another target can
-	// be asked if it breaks off. Measured: docs/design/long-answers.md.
+	// be asked if it breaks off (docs/design/long-answers.md).
 	wholeBytes = 32 << 10
-	// pieceBytes is how much of a long answer is passed on at once. Chosen: 13 ms of a
+	// pieceBytes is how much of a long answer is passed on at once. 13 ms of a
 	// link of 10 Mbit/s, and few calls of the system for an answer.
 	pieceBytes = 16 << 10
-	// minPieceBytes is the same where there is no room. Chosen: one packet or two.
+	// minPieceBytes is the same where there is no room. One packet or two.
 	minPieceBytes = 2 << 10
 	// stepBytes is by how much the buffer of an answer of unknown length grows.
 	stepBytes = 8 << 10
--- a/internal/gateway/upstream/exchange.go
+++ b/internal/gateway/upstream/exchange.go
@@ -17,7 +17,7 @@
 const (
 	// writeAtOnce is the largest request, in bytes, that is written before its
 	// answer is looked for; a larger one is written beside it, since a target may
-	// answer before it has read a long body. Chosen: it fits any socket's buffer.
+	// answer before it has read a long body. It fits any socket's buffer.
 	writeAtOnce = 2 << 10
 	// maxSurplus bounds the answers of other requests that are dropped.
 	maxSurplus = 4
@@ -107,7 +107,7 @@
 	return verdict.New(verdict.MayHaveRun, verdict.ReasonClientGone, "nobody wants the rest of the answer")
 }
 
-// interrupt ends reads and writes that are under way, and tells the target at once
+// interrupt ends reads and writes that are under way, and has the target notice at once
 // that nobody waits any more, also while no read is under way. How closing goes says
 // nothing: the connection is not used again.
 func (c *Conn) interrupt() { _ = c.net.Close() }
@@ -185,7 +185,7 @@
 	}
 }
 
-// isFramed says whether the end of an answer can be told without the end of its
+// isFramed says whether the end of an answer can be found without the end of its
 // connection.
 func isFramed(r *http.Response) bool {
 	return !r.Close && (r.ContentLength >= 0 || len(r.TransferEncoding) > 0)
--- a/internal/gateway/upstream/refuses.go
+++ b/internal/gateway/upstream/refuses.go
@@ -9,12 +9,12 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 )
 
-// refusesTimeout bounds Refuses, which whoever waits for a failed send pays for. Chosen:
-// a refusal takes one way there and back, some milliseconds within a region.
+// refusesTimeout bounds Refuses, which whoever waits for a failed send pays for.
+// A refusal takes one way there and back, some milliseconds within a region.
 const refusesTimeout = 100 * time.Millisecond
 
 // Refuses says whether nobody listens at a target's address: its process has ended. One
-// that has fallen silent, or can't be reached, is not told from one that lives. A
+// that has fallen silent, or can't be reached, is not distinguished from one that lives. A
 // connection that could be made is kept for requests.
 func (p *Pool) Refuses(ctx context.Context, target catalog.Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusesTimeout)
--- a/internal/gateway/upstream/signals.go
+++ b/internal/gateway/upstream/signals.go
@@ -17,7 +17,7 @@
 	return c.observeHead(response)
 }
 
-// observeHead tells what the head of an answer says of the target, also where its body breaks off.
+// observeHead reports what the head of an answer says of the target, also where its body breaks off.
 func (c *Conn) observeHead(response *http.Response) signal.Signals {
 	s := c.signals(response)
 	if !s.IsZero() {
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -42,8 +42,8 @@
 )
 
 const (
-	// defaultIdle is how long a connection may stay idle where targets don't say.
-	// Chosen: shorter than servers usually keep one.
+	// defaultIdle is how long a connection may stay idle where targets don't say:
+	// shorter than servers usually keep one.
 	defaultIdle = 4 * time.Second
 	// idleShare is the share of a target's own idle time that is used, so that a
 	// request is not sent into a connection that is being closed.
@@ -54,7 +54,7 @@
 	maxAnswerBytes = 8 << 20
 	// roomBytes is the room for answers where none is given.
 	roomBytes = 64 << 20
-	// dialTimeout bounds the making of a connection. Chosen: one takes about 1 ms.
+	// dialTimeout bounds the making of a connection. One takes about 1 ms.
 	dialTimeout = time.Second
 )
 
