Box: a back-off that can't be read is logged

Operators of a box saw nothing where a target's Retry-After was garbage: the reader of its answers has no logger and passed it over. It returns the error now, and the handler and the prober log it as the gateway does (test: probes go on and a line names target and value; before there was none). A client whose request was shed is asked to wait a minute at most, as the gateway's are.

--- a/box/box.go
+++ b/box/box.go
@@ -166,7 +166,7 @@
 	s, o := b.settings, b.options
 	b.compiler = newCompiler(b.log)
 	b.prober = probe.New(probe.Options{
-		Home: b.home, Telemetry: b.telemetry, Clock: o.Clock, MaxBoxes: s.MaxBoxes,
+		Home: b.home, Telemetry: b.telemetry, Clock: o.Clock, Log: b.log, MaxBoxes: s.MaxBoxes,
 		IsHome: b.isHome, Dial: o.DialTarget,
 	})
 	b.follower = follow.New(follow.Options{
--- a/internal/box/entry/once.go
+++ b/internal/box/entry/once.go
@@ -70,23 +70,23 @@
 	began := h.options.Clock()
 	rep, failure := h.send(ctx, x, slot.Target())
 	if failure != nil {
-		return nil, outcome(nil, resultOfFailure(failure), h.options.Clock().Sub(began)), failure
+		return nil, h.outcome(nil, resultOfFailure(failure), h.options.Clock().Sub(began)), failure
 	}
 	defer func() { _ = rep.response.Body.Close() }()
 	if rep.shed {
-		return nil, outcome(rep.response, health.Shed, 0), shedFailure(rep.response)
+		return nil, h.outcome(rep.response, health.Shed, 0), shedFailure(rep.response)
 	}
 	body, err := io.ReadAll(io.LimitReader(rep.response.Body, mostOnceAnswer+1))
 	took := h.options.Clock().Sub(began)
 	if err != nil {
 		f := verdict.New(verdict.MayHaveRun, verdict.ReasonTargetFailed, "the target's answer broke off").WithCause(err)
-		return nil, outcome(rep.response, health.Failed, took), f
+		return nil, h.outcome(rep.response, health.Failed, took), f
 	}
 	if len(body) > mostOnceAnswer {
 		f := verdict.New(verdict.Ran, verdict.ReasonAnswerTooLarge, "the operation ran, but its answer is too large to pass on whole")
-		return nil, outcome(rep.response, health.OK, took), f
+		return nil, h.outcome(rep.response, health.OK, took), f
 	}
-	return answerOf(rep.response, body), outcome(rep.response, resultOf(rep), took), nil
+	return answerOf(rep.response, body), h.outcome(rep.response, resultOf(rep), took), nil
 }
 
 func answerOf(r *http.Response, body []byte) *once.Answer {
--- a/internal/box/entry/send.go
+++ b/internal/box/entry/send.go
@@ -28,6 +28,8 @@
 	maxHeaderBytes  = 64 << 10
 	// shedPauseDefault is when to come back after a target shed the request.
 	shedPauseDefault = 200 * time.Millisecond
+	// longestShedPause bounds that pause where the target asks for a long one: others may be added.
+	longestShedPause = time.Minute
 )
 
 // Dial opens a connection to a target; tests put delays and cuts here.
@@ -202,17 +204,20 @@
 
 func shedFailure(r *http.Response) *verdict.Error {
 	pause := shedPauseDefault
-	if d := backOff(r); d > 0 {
-		pause = d
+	if d, err := headers.BackOff(r, time.Now()); err == nil && d > 0 {
+		pause = min(d, longestShedPause)
 	}
 	return verdict.New(verdict.NotRun, verdict.ReasonShed, "the target refused the request for its load").WithRetryAfter(pause)
 }
 
 // outcome describes how a try ended to the home's ledger.
-func outcome(r *http.Response, result health.Result, took time.Duration) ledger.Outcome {
+func (h *Handler) outcome(r *http.Response, result health.Result, took time.Duration) ledger.Outcome {
 	o := ledger.Outcome{Result: result, Took: took}
-	if r != nil {
-		ReadTargetState(r, &o)
+	if r == nil {
+		return o
+	}
+	if err := ReadTargetState(r, &o); err != nil {
+		h.options.Log.Warn("back-off of a target passed over", "target", r.Request.URL.Host, "error", err.Error())
 	}
 	return o
 }
@@ -241,22 +246,15 @@
 	}
 }
 
-// ReadTargetState adds what a target's answer says of its start and of leaving. A
-// start that is left out or no number is 0: it tells no life from another.
-func ReadTargetState(r *http.Response, o *ledger.Outcome) {
+// ReadTargetState adds what a target's answer says of its start, of leaving and of back-off. A
+// start that is left out or no number is 0: it tells no life from another. It fails if the
+// back-off that the target asks for can't be read; then it asks for none.
+func ReadTargetState(r *http.Response, o *ledger.Outcome) (err error) {
 	h := r.Header
 	if start, err := strconv.ParseUint(h.Get(HeaderTargetStart), 10, 64); err == nil {
 		o.Start = start
 	}
 	o.Leaving = h.Get(HeaderTargetState) == TargetLeaving
-	o.BackOff = backOff(r)
-}
-
-// backOff is for how long a target asks to be sent nothing. What can't be read asks for nothing.
-func backOff(r *http.Response) time.Duration {
-	d, err := headers.BackOff(r, time.Now())
-	if err != nil {
-		return 0
-	}
-	return d
+	o.BackOff, err = headers.BackOff(r, time.Now())
+	return err
 }
--- a/internal/box/entry/tries.go
+++ b/internal/box/entry/tries.go
@@ -212,5 +212,5 @@
 	if t.reply != nil {
 		response = t.reply.response
 	}
-	h.options.Broker.Release(t.slot, outcome(response, result, h.options.Clock().Sub(t.began)))
+	h.options.Broker.Release(t.slot, h.outcome(response, result, h.options.Clock().Sub(t.began)))
 }
--- a/internal/box/probe/probe.go
+++ b/internal/box/probe/probe.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -46,6 +47,7 @@
 	Home      *home.Home
 	Telemetry *telemetry.Telemetry
 	Clock     func() time.Time
+	Log       *slog.Logger
 	// MaxBoxes is the greatest number of boxes at any moment; each owns an
 	// equal share of every target's budget.
 	MaxBoxes int
@@ -191,7 +193,9 @@
 	if response.StatusCode >= http.StatusInternalServerError {
 		o.Result = health.Failed
 	}
-	entry.ReadTargetState(response, &o)
+	if err := entry.ReadTargetState(response, &o); err != nil {
+		p.options.Log.Warn("back-off of a target passed over", "target", address, "error", err.Error())
+	}
 	return o
 }
 
--- a/internal/box/probe/probe_test.go
+++ b/internal/box/probe/probe_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -57,7 +59,7 @@
 }
 
 // withProber runs f beside the prober of a box that is the home of one target.
-func withProber(t *testing.T, f func(g *WithT, target *target)) {
+func withProber(t *testing.T, log *slog.Logger, f func(g *WithT, target *target)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		metrics, err := telemetry.New(telemetry.Options{})
@@ -70,7 +72,7 @@
 		h.Configure(services)
 		target := newTarget()
 		p := probe.New(probe.Options{
-			Home: h, Telemetry: metrics, Clock: time.Now, MaxBoxes: 1, Dial: target.dial,
+			Home: h, Telemetry: metrics, Clock: time.Now, Log: log, MaxBoxes: 1, Dial: target.dial,
 			IsHome: func(*policy.Service) bool { return true },
 		})
 		p.Configure(services)
@@ -85,7 +87,7 @@
 }
 
 func TestATargetThatAsksForBackOffIsNotProbedUntilThen(t *testing.T) {
-	withProber(t, func(g *WithT, target *target) {
+	withProber(t, slog.New(slog.DiscardHandler), func(g *WithT, target *target) {
 		target.say("503 Service Unavailable", "Retry-After: 8\r\n")
 		time.Sleep(4 * time.Second)
 		g.Expect(target.probes.Load()).To(Equal(int64(1)), "the one that was told to back off")
@@ -97,8 +99,18 @@
 	})
 }
 
+func TestABackOffThatCannotBeReadIsLoggedAndPassedOver(t *testing.T) {
+	var logs bytes.Buffer
+	withProber(t, slog.New(slog.NewJSONHandler(&logs, nil)), func(g *WithT, target *target) {
+		target.say("503 Service Unavailable", "Retry-After: soon\r\n")
+		time.Sleep(9 * time.Second)
+		g.Expect(target.probes.Load()).To(BeNumerically(">=", 3))
+	})
+	NewWithT(t).Expect(logs.String()).To(ContainSubstring(`"msg":"back-off of a target passed over","target":"` + address + `"`))
+}
+
 func TestATargetThatNobodyVisitsIsProbed(t *testing.T) {
-	withProber(t, func(g *WithT, target *target) {
+	withProber(t, slog.New(slog.DiscardHandler), func(g *WithT, target *target) {
 		time.Sleep(9 * time.Second)
 		g.Expect(target.probes.Load()).To(BeNumerically(">=", 3))
 	})
