--- a/internal/gateway/discovery/updates.go
+++ b/internal/gateway/discovery/updates.go
@@ -98,7 +98,7 @@
 // lacksUpdates says whether there are updates that a gateway lacks that was sent those so
 // far.
 func (f *Follower) lacksUpdates(at positions) bool {
-	for i := range f.told(at) {
+	for i := range f.kindsFor(at) {
 		if !covers(at.updates[i], f.announcedOf(i)) {
 			return true
 		}
@@ -106,8 +106,8 @@
 	return f.options.Fatal.Position() != at.fatal
 }
 
-// told are the kinds of updates that a gateway is sent.
-func (f *Follower) told(at positions) []Updates {
+// kindsFor are the kinds of updates that a gateway is sent.
+func (f *Follower) kindsFor(at positions) []Updates {
 	return f.options.Updates[:min(len(f.options.Updates), len(at.updates))]
 }
 
@@ -117,7 +117,7 @@
 	to := positions{fatal: fatal}
 	isNew := len(updates) > 0
 	var bodies [][]byte
-	for i, kind := range f.told(at) {
+	for i, kind := range f.kindsFor(at) {
 		body, position := kind.Since(at.updates[i])
 		bodies, to.updates = append(bodies, body), append(to.updates, position)
 		isNew = isNew || len(body) > 0
--- a/internal/gateway/signals/signals.go
+++ b/internal/gateway/signals/signals.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// OnUpdate has a function called, without any lock held, once there is something to be shared. It must be set before the register is used.
+// OnUpdate has a function called, without any lock held, once there is something to be shared. It
+// must be set before the register is used.
 func (r *Register) OnUpdate(notify func()) { r.notify = notify }
 
 // OnLeaving has a function called, without any lock held, with targets that say that they leave, at
