Links between gateways: the reply of a call that was given up is not read

The link's rule, "reply may be looked at only where there is no error", was left to its two callers, and both broke it by copying. Call returns the reply itself now, or the zero value with an error.

--- a/internal/gateway/delivery/report.go
+++ b/internal/gateway/delivery/report.go
@@ -9,6 +9,7 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/rollout"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/rpclink"
 )
 
 // Directions of reports and their results, as metrics name them.
@@ -117,9 +118,7 @@
 	if to.address == d.options.Self.Peer {
 		return d.answer(args), nil
 	}
-	var reply ReportReply
-	err := d.peer.Call(ctx, to.address, methodReport, args, &reply)
-	return reply, err
+	return rpclink.Call[ReportReply](ctx, d.peer, to.address, methodReport, args)
 }
 
 // noteFailed notes that an address did not answer: the pause grows with each time, and the
--- a/internal/gateway/forward/backoff_test.go
+++ b/internal/gateway/forward/backoff_test.go
@@ -158,13 +158,15 @@
 func TestABackOffIsThatOfOneStartOfATarget(t *testing.T) {
 	g := NewWithT(t)
 	s := newStandin(t, "s1", "shop", "a", asksFor(aMinute))
-	f := newFixture(t, s).start()
+	f := newFixture(t, s)
+	view := f.replaceable()
+	f.start()
 	g.Expect(f.order().status).To(Equal(http.StatusServiceUnavailable))
 	s.do = ok
 	g.Expect(f.order().status).To(Equal(http.StatusServiceUnavailable))
 	again := s.Target
 	again.Born++
-	f.view = snapshot.New(newTable(2, timeout), map[string][]catalog.Target{"shop": {again}})
+	view.Store(snapshot.New(newTable(2, timeout), map[string][]catalog.Target{"shop": {again}}))
 	g.Expect(f.order().status).To(Equal(http.StatusOK))
 }
 
--- a/internal/gateway/forward/evacuation_test.go
+++ b/internal/gateway/forward/evacuation_test.go
@@ -43,9 +43,7 @@
 	leaves.setLoad("3,9,3,100")
 	stays.setLoad("3,9,3,100")
 	f := newFixture(t, leaves, stays)
-	var view atomic.Pointer[snapshot.Snapshot]
-	view.Store(f.view)
-	f.options.Snapshot = view.Load
+	view := f.replaceable()
 	f.start()
 	waits := make(chan result)
 	go func() { waits <- f.read() }()
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -185,6 +185,14 @@
 	}, Services: []routing.Service{{Name: "shop", HealthPath: "/health"}, {Name: "farm", HealthPath: "/health"}}})
 }
 
+// replaceable has the gateway serve by a view that a test may replace meanwhile.
+func (f *fixture) replaceable() *atomic.Pointer[snapshot.Snapshot] {
+	view := &atomic.Pointer[snapshot.Snapshot]{}
+	view.Store(f.view)
+	f.options.Snapshot = view.Load
+	return view
+}
+
 // start serves clients as the gateway does.
 func (f *fixture) start() *fixture {
 	f.t.Helper()
--- a/internal/gateway/forward/limit_test.go
+++ b/internal/gateway/forward/limit_test.go
@@ -118,6 +118,7 @@
 	inNeed.setLimit(fewest)
 	f := newFixture(t, inNeed)
 	f.options.Quota = limited(t)
+	view := f.replaceable()
 	f.start()
 	for range 3 {
 		f.read()
@@ -132,7 +133,7 @@
 	inNeed.setLimit("")
 	again := inNeed.Target
 	again.Born++
-	f.view = snapshot.New(newTable(2, timeout), map[string][]catalog.Target{"shop": {again}})
+	view.Store(snapshot.New(newTable(2, timeout), map[string][]catalog.Target{"shop": {again}}))
 	g.Expect(f.read().status).To(Equal(http.StatusOK))
 }
 
--- a/internal/gateway/quota/link.go
+++ b/internal/gateway/quota/link.go
@@ -186,8 +186,7 @@
 		bySubject[a.subject] = append(bySubject[a.subject], a)
 	}
 	args := l.register.question(l, bySubject)
-	var reply AskReply
-	err := l.rpc.Call(ctx, l.box.Peer, methodAsk, args, &reply)
+	reply, err := rpclink.Call[AskReply](ctx, l.rpc, l.box.Peer, methodAsk, args)
 	if err == nil && len(reply.Grants) != len(args.Wants) {
 		err = errUnsettled
 	}
--- a/internal/gateway/rpclink/rpclink.go
+++ b/internal/gateway/rpclink/rpclink.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	link := rpclink.New(dial, 300*time.Millisecond)
-//	err := link.Call(ctx, "10.0.0.7:7000", "Delivery.Report", args, &reply)
+//	reply, err := rpclink.Call[ReportReply](ctx, link, "10.0.0.7:7000", "Delivery.Report", args)
 //	link.Close()
 package rpclink
 
@@ -35,9 +35,18 @@
 	return &Link{dial: dial, within: within}
 }
 
-// Call calls a method at an address. reply may be looked at only where there is no error. An
-// error that the other side answered leaves the connection as it is.
-func (l *Link) Call(ctx context.Context, address, method string, args, reply any) error {
+// Call calls a method at an address and returns its reply, or the zero R with an error: the reply of
+// a call that was given up may still be written to. An error that the other side answered leaves the
+// connection as it is.
+func Call[R any](ctx context.Context, l *Link, address, method string, args any) (R, error) {
+	var reply, none R
+	if err := l.call(ctx, address, method, args, &reply); err != nil {
+		return none, err
+	}
+	return reply, nil
+}
+
+func (l *Link) call(ctx context.Context, address, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, l.within)
 	defer cancel()
 	if err := l.connect(ctx, address); err != nil {
--- /dev/null
+++ b/internal/gateway/rpclink/rpclink_test.go
@@ -0,0 +1,58 @@
+package rpclink_test
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/internal/gateway/rpclink"
+)
+
+// Gateway answers after a time.
+type Gateway struct{ takes time.Duration }
+
+// Decides replies to any question.
+func (g *Gateway) Decides(_ int, reply *bool) error {
+	time.Sleep(g.takes)
+	*reply = true
+	return nil
+}
+
+func call(t *testing.T, takes time.Duration) (decides bool, err error) {
+	t.Helper()
+	server := rpc.NewServer()
+	if err := server.Register(&Gateway{takes: takes}); err != nil {
+		t.Fatal(err)
+	}
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go server.ServeConn(far)
+		return near, nil
+	}
+	link := rpclink.New(dial, 100*time.Millisecond)
+	defer link.Close()
+	return rpclink.Call[bool](t.Context(), link, "10.0.0.7:7000", "Gateway.Decides", 1)
+}
+
+func TestAReplyThatComesTooLateIsNotGivenOut(t *testing.T) {
+	for takes, decides := range map[time.Duration]bool{0: true, 99 * time.Millisecond: true, 101 * time.Millisecond: false} {
+		t.Run(takes.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				got, err := call(t, takes)
+				g.Expect(got).To(Equal(decides))
+				if decides {
+					g.Expect(err).NotTo(HaveOccurred())
+				} else {
+					g.Expect(err).To(MatchError(rpclink.ErrNoAnswer))
+				}
+				time.Sleep(time.Second) // the server has answered by then
+			})
+		})
+	}
+}
--- a/internal/gateway/signals/signals_test.go
+++ b/internal/gateway/signals/signals_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,11 +20,29 @@
 	return catalog.Target{ID: fmt.Sprint("t", i), Service: "shop", Born: 1}
 }
 
-// running is a register whose duties run until the test ends, and what it had drained, by call.
-func running(t *testing.T, self string) (*signals.Register, *[][]catalog.Life) {
+// drains are the targets that a register had drained, by call.
+type drains struct {
+	mu    sync.Mutex
+	calls [][]catalog.Life
+}
+
+func (d *drains) add(lives []catalog.Life) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls = append(d.calls, lives)
+}
+
+func (d *drains) all() [][]catalog.Life {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.calls)
+}
+
+// running is a register whose duties run until the test ends, and what it had drained.
+func running(t *testing.T, self string) (*signals.Register, *drains) {
 	t.Helper()
-	r, drained := signals.New(signals.Options{Self: self}), &[][]catalog.Life{}
-	r.OnLeaving(func(lives []catalog.Life) { *drained = append(*drained, lives) })
+	r, drained := signals.New(signals.Options{Self: self}), &drains{}
+	r.OnLeaving(drained.add)
 	ctx, stop := context.WithCancel(t.Context())
 	t.Cleanup(stop)
 	for _, duty := range r.Duties() {
@@ -41,19 +61,19 @@
 		for i := range targets {
 			r.Observe(target(i), signal.Signals{Leaving: true})
 			if i == 0 {
-				g.Expect(*drained).To(Equal([][]catalog.Life{{target(0).Life()}}), "the first at once")
+				g.Expect(drained.all()).To(Equal([][]catalog.Life{{target(0).Life()}}), "the first at once")
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
 		seen := map[catalog.Life]bool{}
-		for _, lives := range *drained {
+		for _, lives := range drained.all() {
 			for _, life := range lives {
 				seen[life] = true
 			}
 		}
 		g.Expect(seen).To(HaveLen(targets), "also those beyond what gateways share")
-		g.Expect(len(*drained)).To(BeNumerically("<=", 2+2*4), "twice a second")
+		g.Expect(len(drained.all())).To(BeNumerically("<=", 2+2*4), "twice a second")
 	})
 }
 
@@ -71,7 +91,7 @@
 		}
 		a.Observe(target(1), signal.Signals{Leaving: true, BackOff: 9 * time.Second})
 		share(a)
-		g.Expect(*drained).To(Equal([][]catalog.Life{{target(1).Life()}}))
+		g.Expect(drained.all()).To(Equal([][]catalog.Life{{target(1).Life()}}))
 		g.Expect(c.Avoided(serving)[target(1).Life()]).To(BeFalse(), "it asked one gateway")
 		b.Observe(target(1), signal.Signals{BackOff: 9 * time.Second})
 		share(b)
