Limits: what a target says of its limit is read at the head of each answer, where its other signals are

A limit that a target named in an answer that broke off behind its head, or in one that came late on a connection that was used again, was not taken in: the two callers of an exchange read the header, each from what it got whole.

--- a/internal/gateway/forward/probe.go
+++ b/internal/gateway/forward/probe.go
@@ -201,7 +201,6 @@
 		return nil, upstream.Health{}, false
 	}
 	b.places.observe(b.options.Clock(), target.Hall, health.Took())
-	b.options.Quota.NoteProbe(target.Life(), health.Limit())
 	return conn, health, true
 }
 
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -41,9 +41,6 @@
 	svc.beginSend(chosen.target)
 	s.judgement = b.judge(req, svc, chosen)
 	result := exchange(ctx, chosen.conn, b.outgoing(req, chosen, s.began))
-	if a := result.answer; a != nil {
-		b.options.Quota.NoteAnswer(chosen.target.Life(), a.Status(), a.Header().Values(b.options.Names.Limit))
-	}
 	s.follow(result)
 	return result
 }
--- a/internal/gateway/quota/quota.go
+++ b/internal/gateway/quota/quota.go
@@ -31,7 +31,7 @@
 //	}
 //	credit.Return() // if the request did not run after all
 //
-//	register.NoteProbe(target.Life(), limit) // likewise NoteAnswer
+//	register.NoteLimit(target.Life(), quota.ViaProbe, limit)
 //	credit, ok := register.AdmitTarget(ctx, target.Life())
 package quota
 
--- a/internal/gateway/quota/targets.go
+++ b/internal/gateway/quota/targets.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"math"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -60,21 +59,9 @@
 	return now.Sub(t.met) > forgetTargetAfter
 }
 
-// NoteAnswer takes in what the answer of a target says of its limit, by the values of the
-// header that names it. A failure that names none says nothing: it may be of a part of the
-// target that knows of no limit.
-func (r *Register) NoteAnswer(life catalog.Life, status int, limit []string) {
-	isMisdirected := status == http.StatusMisdirectedRequest // another target answered
-	if isMisdirected || len(limit) == 0 && status >= http.StatusMultipleChoices {
-		return
-	}
-	r.note(life, limit, quota.ViaAnswer)
-}
-
-// NoteProbe is NoteAnswer of the answer to a health probe.
-func (r *Register) NoteProbe(life catalog.Life, limit []string) { r.note(life, limit, quota.ViaProbe) }
-
-func (r *Register) note(life catalog.Life, limit []string, via quota.Via) {
+// NoteLimit takes in what an answer of a target says of its limit, by the values of the header that
+// names it; none say that it has no limit.
+func (r *Register) NoteLimit(life catalog.Life, via quota.Via, limit []string) {
 	if r == nil || len(limit) == 0 && r.limited.Load() == 0 {
 		return
 	}
--- a/internal/gateway/quota/targets_test.go
+++ b/internal/gateway/quota/targets_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"net"
-	"net/http"
 	"strconv"
 	"sync"
 	"testing"
@@ -15,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	corequota "github.com/sprucecrank/sprucecrank/core/gateway/quota"
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/quota"
 )
@@ -95,9 +95,9 @@
 	}
 	time.Sleep(n.fleet.delay())
 	if n.inProbes {
-		register.NoteProbe(n.life, n.header())
+		register.NoteLimit(n.life, corequota.ViaProbe, n.header())
 	} else {
-		register.NoteProbe(n.life, nil)
+		register.NoteLimit(n.life, corequota.ViaProbe, nil)
 	}
 	if !n.admits(ctx, register) {
 		n.pass()
@@ -108,7 +108,7 @@
 	answer := n.header()
 	time.Sleep(20 * time.Millisecond)
 	n.answered(register, answer)
-	register.NoteAnswer(n.life, http.StatusOK, answer)
+	register.NoteLimit(n.life, corequota.ViaAnswer, answer)
 }
 
 func (n *inNeed) pass() {
@@ -333,7 +333,7 @@
 		}
 		life := catalog.Life{ID: "target-1"}
 		time.Sleep(time.Second)
-		register.NoteProbe(life, []string{"3"})
+		register.NoteLimit(life, corequota.ViaProbe, []string{"3"})
 		register.AdmitTarget(ctx, life)
 		stop()
 		synctest.Wait()
@@ -354,7 +354,7 @@
 			go func() { _ = duty(ctx) }()
 		}
 		life := catalog.Life{ID: "target-1"}
-		register.NoteProbe(life, []string{"3"})
+		register.NoteLimit(life, corequota.ViaProbe, []string{"3"})
 		time.Sleep(9 * time.Minute)
 		g.Expect(register.TargetRate(life)).To(Equal(3.0))
 		g.Expect(register.LimitsFor()).To(BeZero())
@@ -382,7 +382,7 @@
 		}
 		life := catalog.Life{ID: "target-1"}
 		time.Sleep(time.Second)
-		register.NoteAnswer(life, http.StatusOK, []string{"3"})
+		register.NoteLimit(life, corequota.ViaAnswer, []string{"3"})
 		time.Sleep(2 * time.Minute)
 		admitted := false
 		for range 50 {
--- a/internal/gateway/upstream/probe.go
+++ b/internal/gateway/upstream/probe.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/load"
+	"github.com/sprucecrank/sprucecrank/core/gateway/quota"
 )
 
 // errNotItself says that another target answered.
@@ -19,7 +20,6 @@
 	load    load.Report
 	hasLoad bool
 	warmup  time.Duration
-	limit   []string
 	took    time.Duration
 }
 
@@ -29,10 +29,6 @@
 // Warmup is for how much longer the target is cold; 0 for not.
 func (h Health) Warmup() time.Duration { return h.warmup }
 
-// Limit holds the values of the header by which the target names its limit; nil if there is
-// none.
-func (h Health) Limit() []string { return h.limit }
-
 // Took is the time from the question to the answer.
 func (h Health) Took() time.Duration { return h.took }
 
@@ -66,10 +62,11 @@
 	if id := response.Header.Get(names.Instance); id != "" && id != c.target.ID {
 		return Health{}, errNotItself
 	}
-	c.observeHead(response)
 	if response.Header.Get(names.RequestID) != "" {
+		c.observeRequest(response)
 		return Health{}, errSurplus
 	}
+	c.observeHead(response, quota.ViaProbe)
 	c.learnIdle(response.Header)
 	c.reusable = c.net.SetDeadline(time.Time{}) == nil && isFramed(response) && c.reader.Buffered() == 0
 	return c.healthOf(response, began), nil
@@ -78,7 +75,7 @@
 // healthOf reads a target's answer to a question that was asked at began.
 func (c *Conn) healthOf(response *http.Response, began time.Time) Health {
 	names, now := c.pool.options.Names, c.pool.options.Clock()
-	h := Health{healthy: response.StatusCode == http.StatusOK, took: now.Sub(began), limit: response.Header.Values(names.Limit)}
+	h := Health{healthy: response.StatusCode == http.StatusOK, took: now.Sub(began)}
 	if report, err := load.Parse(response.Header.Get(names.Load), now); err == nil {
 		h.load, h.hasLoad = report, true
 	}
--- a/internal/gateway/upstream/signals.go
+++ b/internal/gateway/upstream/signals.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/quota"
 	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
 )
@@ -14,11 +15,12 @@
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		return signal.Signals{}
 	}
-	return c.observeHead(response)
+	return c.observeHead(response, quota.ViaAnswer)
 }
 
 // observeHead reports what the head of an answer says of the target, also where its body breaks off.
-func (c *Conn) observeHead(response *http.Response) signal.Signals {
+func (c *Conn) observeHead(response *http.Response, via quota.Via) signal.Signals {
+	c.observeLimit(response, via)
 	s := c.signals(response)
 	if !s.IsZero() {
 		c.pool.observe(c.target, s)
@@ -26,6 +28,17 @@
 	return s
 }
 
+// observeLimit reports what the head of an answer says of the target's limit. A failed request that names
+// none says nothing: its answer may be of a part of the target that knows of no limit.
+func (c *Conn) observeLimit(response *http.Response, via quota.Via) {
+	values := response.Header.Values(c.pool.options.Names.Limit)
+	failed := response.StatusCode >= http.StatusMultipleChoices
+	if via == quota.ViaAnswer && failed && len(values) == 0 {
+		return
+	}
+	c.pool.limit(c.target.Life(), via, values)
+}
+
 // signals reads the head of an answer.
 func (c *Conn) signals(response *http.Response) (s signal.Signals) {
 	o := c.pool.options
--- a/internal/gateway/upstream/signals_test.go
+++ b/internal/gateway/upstream/signals_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	"github.com/sprucecrank/sprucecrank/core/gateway/quota"
 	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/verdict"
@@ -62,6 +63,76 @@
 	}
 }
 
+// limits are what targets said of their limits, as "via: values".
+func limits(pool *upstream.Pool) *[]string {
+	all := &[]string{}
+	pool.OnLimit(func(_ catalog.Life, via quota.Via, values []string) {
+		*all = append(*all, fmt.Sprint(via, ": ", values))
+	})
+	return all
+}
+
+func TestEachAnswerSaysWhetherItsTargetHasALimit(t *testing.T) {
+	limit := names.Limit + ": 3\r\n"
+	head := func(status int, id, lines string) string {
+		return fmt.Sprintf("HTTP/1.1 %d .\r\n%s: %s\r\nContent-Length: 4\r\n%s\r\n", status, names.RequestID, id, lines)
+	}
+	for name, c := range map[string]struct {
+		answer func(id string) string
+		want   []string
+	}{
+		"served":                       {func(id string) string { return whole(id, "body", limit) }, []string{"answer: [3]"}},
+		"served, and names none":       {func(id string) string { return whole(id, "body") }, []string{"answer: []"}},
+		"two":                          {func(id string) string { return whole(id, "body", limit, limit) }, []string{"answer: [3 3]"}},
+		"failed":                       {func(id string) string { return head(500, id, limit) + "body" }, []string{"answer: [3]"}},
+		"failed, and names none":       {func(id string) string { return head(500, id, "") + "body" }, nil},
+		"broken off behind its head":   {func(id string) string { return head(200, id, limit) + "b" }, []string{"answer: [3]"}},
+		"a surplus answer before it":   {func(id string) string { return whole("other", "late", limit) + head(500, id, "") + "body" }, []string{"answer: [3]"}},
+		"another target's":             {func(id string) string { return head(421, id, limit) + "body" }, nil},
+		"another target's, names none": {func(id string) string { return head(421, id, "") + "body" }, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(conn net.Conn, r *http.Request, _ int32) {
+				write(conn, c.answer(r.Header.Get(names.RequestID)))
+				_ = conn.Close()
+			})
+			pool := newPool()
+			all := limits(pool)
+			_, _ = exchange(t, pool, s, request("one"))
+			g.Expect(*all).To(HaveExactElements(c.want))
+		})
+	}
+}
+
+func TestTheAnswerToAProbeSaysWhetherItsTargetHasALimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		lines  string
+		want   []string
+	}{
+		"named":                   {200, names.Limit + ": 3\r\n", []string{"probe: [3]"}},
+		"none":                    {200, "", []string{"probe: []"}},
+		"ill, and names none":     {503, "", []string{"probe: []"}},
+		"another target's":        {200, names.Limit + ": 3\r\n" + names.Instance + ": target-2\r\n", nil},
+		"of a request before":     {200, names.Limit + ": 3\r\n" + names.RequestID + ": other\r\n", []string{"answer: [3]"}},
+		"another's of one before": {421, names.Limit + ": 3\r\n" + names.RequestID + ": other\r\n", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := serve(t, func(conn net.Conn, _ *http.Request, _ int32) {
+				write(conn, fmt.Sprintf("HTTP/1.1 %d .\r\nContent-Length: 0\r\n%s\r\n", c.status, c.lines))
+			})
+			pool := newPool()
+			all := limits(pool)
+			conn, failure := pool.Get(t.Context(), s.target)
+			g.Expect(failure).To(BeNil())
+			_, _ = conn.Probe("/health", 5*time.Second)
+			g.Expect(*all).To(HaveExactElements(c.want))
+		})
+	}
+}
+
 func TestTheAnswerToAProbeTellsWhatItsTargetSaysOfItself(t *testing.T) {
 	for name, c := range map[string]struct {
 		instance string
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -36,6 +36,7 @@
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	"github.com/sprucecrank/sprucecrank/core/gateway/quota"
 	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
 	"github.com/sprucecrank/sprucecrank/verdict"
@@ -83,6 +84,7 @@
 type Pool struct {
 	options Options
 	observe func(target catalog.Target, s signal.Signals)
+	limit   func(life catalog.Life, via quota.Via, values []string)
 	gate    func(life catalog.Life) *verdict.Error
 	mu      sync.Mutex
 	idle    map[catalog.Life][]*Conn // latest used last
@@ -113,7 +115,8 @@
 	}
 	return &Pool{
 		options: o, idle: map[catalog.Life][]*Conn{},
-		observe: func(catalog.Target, signal.Signals) {}, gate: func(catalog.Life) *verdict.Error { return nil },
+		observe: func(catalog.Target, signal.Signals) {}, limit: func(catalog.Life, quota.Via, []string) {},
+		gate: func(catalog.Life) *verdict.Error { return nil },
 	}
 }
 
@@ -125,6 +128,13 @@
 // before the answer is given out. It must be called before any connection is made.
 func (p *Pool) OnSignals(observe func(target catalog.Target, s signal.Signals)) { p.observe = observe }
 
+// OnLimit has observe called with what the head of an answer says of the limit of its target, by the values of
+// the header that names it, before the answer is given out: none say that it has no limit. It must be
+// called before any connection is made.
+func (p *Pool) OnLimit(observe func(life catalog.Life, via quota.Via, values []string)) {
+	p.limit = observe
+}
+
 // Conn is one connection to one start of a target. One exchange at a time may
 // be made on it.
 type Conn struct {
