Box: the test of expired records makes its keys by its own time

Found by running tests twice in one process: red each second time (0 of 432 deleted). uuid.NewV7 never goes back within a process, so that keys of a second run in virtual time bear the end of the first. Keys are made of the test's time; the checks are the same. No product code.

--- a/internal/box/oncerun/clean_test.go
+++ b/internal/box/oncerun/clean_test.go
@@ -16,13 +16,25 @@
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
+// keyAt is a key that was made at a moment. uuid.NewV7 never goes back within a process, as the time of
+// a test does.
+func keyAt(at time.Time) string {
+	const version7 = 7 << 4
+	id, ms := uuid.New(), at.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	id[6] = version7 | id[6]&0x0f
+	return id.String()
+}
+
 // TestOnlyRecordsOfExpiredKeysAreDeleted makes a key every ten minutes for three
 // days: a record goes only when its key is refused as expired already.
 func TestOnlyRecordsOfExpiredKeysAreDeleted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		records := map[string]string{}
 		for range 3 * 24 * 6 {
-			key := uuid.Must(uuid.NewV7()).String()
+			key := keyAt(time.Now())
 			records[once.ObjectKey("haul", "mill", key)] = key
 			time.Sleep(10 * time.Minute)
 		}
