--- a/internal/gateway/upstream/signals_test.go
+++ b/internal/gateway/upstream/signals_test.go
@@ -24,11 +24,13 @@
 	return pool, all
 }
 
+// head is that of an answer to a request whose body is of four bytes, with more lines.
+func head(status int, id, lines string) string {
+	return fmt.Sprintf("HTTP/1.1 %d .\r\n%s: %s\r\nContent-Length: 4\r\n%s\r\n", status, names.RequestID, id, lines)
+}
+
 func TestEachAnswerTellsWhatItsTargetSaysOfItself(t *testing.T) {
 	leaving := names.Leaving + ": 1\r\n"
-	head := func(status int, id, lines string) string {
-		return fmt.Sprintf("HTTP/1.1 %d .\r\n%s: %s\r\nContent-Length: 4\r\n%s\r\n", status, names.RequestID, id, lines)
-	}
 	for name, c := range map[string]struct {
 		answer func(id string) string
 		want   []signal.Signals
@@ -74,9 +76,6 @@
 
 func TestEachAnswerSaysWhetherItsTargetHasALimit(t *testing.T) {
 	limit := names.Limit + ": 3\r\n"
-	head := func(status int, id, lines string) string {
-		return fmt.Sprintf("HTTP/1.1 %d .\r\n%s: %s\r\nContent-Length: 4\r\n%s\r\n", status, names.RequestID, id, lines)
-	}
 	for name, c := range map[string]struct {
 		answer func(id string) string
 		want   []string
