internal/gateway/forward: a test of back-off runs in virtual time

All requests probe the target now before the first of them is turned away, in virtual time. As strict: all are served, at most two reach the target, and at least one does.

--- a/internal/gateway/forward/backoff_test.go
+++ b/internal/gateway/forward/backoff_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -95,22 +96,34 @@
 
 // A request that had chosen a target when it asked another one for back-off is not sent to it.
 func TestRequestsThatChoseATargetTogetherDoNotAllReachIt(t *testing.T) {
-	const together = 20
-	g := NewWithT(t)
-	resting, well := newStandin(t, "resting", "shop", "a", asksFor(aMinute)), newStandin(t, "well", "shop", "a", ok)
-	resting.setLoad("0,0,100,100")
-	well.setLoad("0,0,100,100")
-	well.probeTakes = 20 * time.Millisecond
-	f := newFixture(t, resting, well).start()
-	statuses := make(chan int, together)
-	for range together {
-		go func() { statuses <- f.read().status }()
-		time.Sleep(5 * time.Millisecond)
-	}
-	for range together {
-		g.Expect(<-statuses).To(Equal(http.StatusOK))
-	}
-	g.Expect(resting.runs.Load()).To(BeNumerically("<=", 2))
+	const (
+		together = 20
+		apart    = 250 * time.Microsecond
+		// probeTakes is so long that all requests have probed the target before the first of them
+		// is turned away.
+		probeTakes = together*apart + time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		resting, well := newSite("resting", "a", 0), newSite("well", "a", 0)
+		resting.do = asksFor(aMinute)
+		resting.setLoad("0,0,100,100")
+		well.setLoad("0,0,100,100")
+		resting.probeTakes, well.probeTakes = probeTakes, 4*probeTakes
+		inRegions(t, []*site{resting, well}, func(g *WithT, f *regionFixture) {
+			statuses := make(chan int, together)
+			for i := range together {
+				go func() {
+					status, _ := f.get(readPath, fmt.Sprint("request-", i))
+					statuses <- status
+				}()
+				time.Sleep(apart)
+			}
+			for range together {
+				g.Expect(<-statuses).To(Equal(http.StatusOK))
+			}
+			g.Expect(resting.runs.Load()).To(And(BeNumerically(">=", 1), BeNumerically("<=", 2)))
+		})
+	})
 }
 
 // Where all targets asked for back-off, a request is refused at once, without a probe, and told to
