Second sends: no span is allowed what was earned before it

What users saw: more arrivals beyond the first of their request than a fifth of the requests and 62, in some span of 10 s.

Cause: each process bounded its second sends by the requests of the 10 s before each of them. In the 10 s that begin with the first second send fewer requests may come: a burst spent what another burst had earned 7 s before.

TestBurstDoesNotSpendTheBudgetOfAnEarlierBurst (271 too many) and TestNoSpanOfAFleetExceedsTheBudget (9 to 87 too many) failed before.

Change: a token bucket for each service, refilled by each request with the ratio and holding one token at most; hedges have a bucket of their own beside it, for their share. It holds for every span of any length, and the bounds of processes add up whatever each of them sees. It needs no clock, so the test that a step of the wall clock does not clear the counts has lost its subject; the setting retry_window_s has no use any more and is passed over.

--- a/core/gateway/budget/budget.go
+++ b/core/gateway/budget/budget.go
@@ -3,97 +3,87 @@
 //
 // It owns the bound alone; core/gateway/retry decides when a second send is worthwhile.
 // Each process has its own budget for each service; because it counts only its own
-// requests, the totals over all processes keep the same ratio without coordination. It
-// does no I/O and reads no clock; times should carry Go's monotonic reading, so that a
-// change of the wall clock does not clear the counts.
+// requests, the bounds of all processes add up without coordination: in any span, however
+// long and wherever it begins, all of them make at most the ratio of the requests that they
+// got in it, plus one second send for each process. It does no I/O and needs no clock.
 //
 // # Usage
 //
-//	b := budget.New(10*time.Second, 0.2, 1) // a fifth of the requests, and one more
-//	b.RecordRequest(now)
-//	if b.Spend(now, 1) {
-//		// one second send
+//	b := budget.New(0.2, 0.7) // a fifth of the requests; seven tenths of it for hedges
+//	b.RecordRequest()
+//	if b.SpendRetry() {
+//		// one retry
 //	}
 package budget
 
-import "time"
+// capacity is how many tokens a bucket holds. Tokens that were saved by earlier requests
+// would allow more second sends in a span than its requests do: one for each process is
+// what the users' bound leaves in the largest fleets.
+const capacity = 1.0
 
-// windowSteps is the number of steps in which a Window slides. One more step is kept:
-// second sends are counted for at least the whole length, requests for at most the whole
-// length, so that the bound holds for every span, wherever in a step it begins.
-const (
-	windowSteps = 20
-	keptSteps   = windowSteps + 1
-)
-
-// Window bounds second sends: in every span of its length they are at most a ratio of the
-// requests in that span, plus a fixed allowance. Each process has its own; because it
-// counts only its own requests, the totals over all processes keep the same ratio without
-// coordination.
-type Window struct {
-	ratio       float64
-	allowance   float64
-	stepLength  time.Duration
-	startedAt   time.Time // time of the first event
-	currentStep int64
-	requests    [keptSteps]int
-	secondSends [keptSteps]int
+// Budget bounds the second sends of one service. It is not safe for concurrent use.
+type Budget struct {
+	secondSends bucket
+	hedges      bucket
+	used        int
 }
 
-// New returns a budget for spans of the given length.
-func New(length time.Duration, ratio, allowance float64) *Window {
-	return &Window{ratio: ratio, allowance: allowance, stepLength: length / windowSteps}
+// New returns a budget of a ratio of the requests, of which hedges may use a share. The rest
+// is reserved for retries.
+func New(ratio, hedgeShare float64) *Budget {
+	return &Budget{secondSends: newBucket(ratio), hedges: newBucket(ratio * hedgeShare)}
 }
 
 // RecordRequest counts a request, whatever its result.
-func (w *Window) RecordRequest(now time.Time) {
-	w.advance(now)
-	w.requests[w.currentStep%keptSteps]++
+func (b *Budget) RecordRequest() {
+	b.secondSends.earn()
+	b.hedges.earn()
 }
 
-// Spend takes one second send from the budget and reports whether it could: no more than
-// the given share of the budget may be used afterwards.
-func (w *Window) Spend(now time.Time, share float64) bool {
-	w.advance(now)
-	if !w.CanSpend(share) {
+// SpendRetry takes a retry from the budget and reports whether it could.
+func (b *Budget) SpendRetry() bool {
+	if !b.secondSends.hasToken() {
 		return false
 	}
-	w.secondSends[w.currentStep%keptSteps]++
+	b.spend()
 	return true
 }
 
-// CanSpend reports whether Spend would have succeeded at the time of the latest call of
-// Spend or RecordRequest.
-func (w *Window) CanSpend(share float64) bool {
-	return float64(w.total(&w.secondSends)+1) <= share*w.Allowed()
+// SpendHedge takes a hedge from the budget and reports whether it could.
+func (b *Budget) SpendHedge() bool {
+	if !b.CanSpendHedge() {
+		return false
+	}
+	b.hedges.take()
+	b.spend()
+	return true
 }
 
-// Allowed returns how many second sends the current span may hold.
-func (w *Window) Allowed() float64 {
-	oldest := w.requests[(w.currentStep+1)%keptSteps]
-	return w.ratio*float64(w.total(&w.requests)-oldest) + w.allowance
+// CanSpendHedge reports whether SpendHedge would succeed.
+func (b *Budget) CanSpendHedge() bool { return b.secondSends.hasToken() && b.hedges.hasToken() }
+
+func (b *Budget) spend() {
+	b.secondSends.take()
+	b.used++
 }
 
-// Used returns how many second sends the current span holds.
-func (w *Window) Used() int { return w.total(&w.secondSends) }
+// Used returns the number of second sends so far.
+func (b *Budget) Used() int { return b.used }
 
-func (w *Window) total(counts *[keptSteps]int) int {
-	sum := 0
-	for _, n := range counts {
-		sum += n
-	}
-	return sum
-}
+// Allowed returns how many second sends there may be so far: those that were made, and what
+// is left.
+func (b *Budget) Allowed() float64 { return float64(b.used) + b.secondSends.tokens }
 
-// advance clears the counts that are older than the window.
-func (w *Window) advance(now time.Time) {
-	if w.startedAt.IsZero() {
-		w.startedAt = now
-	}
-	step := int64(now.Sub(w.startedAt) / w.stepLength) // by the monotonic clock, if now has its reading
-	for i := max(w.currentStep+1, step-keptSteps+1); i <= step; i++ {
-		w.requests[i%keptSteps] = 0
-		w.secondSends[i%keptSteps] = 0
-	}
-	w.currentStep = max(w.currentStep, step)
+// bucket is a token bucket that each request refills by a part of a token.
+type bucket struct {
+	perRequest float64
+	tokens     float64
 }
+
+func newBucket(perRequest float64) bucket { return bucket{perRequest: perRequest, tokens: capacity} }
+
+func (b *bucket) earn() { b.tokens = min(b.tokens+b.perRequest, capacity) }
+
+func (b *bucket) hasToken() bool { return b.tokens >= 1 }
+
+func (b *bucket) take() { b.tokens-- }
--- a/core/gateway/budget/spans_test.go
+++ b/core/gateway/budget/spans_test.go
@@ -21,27 +21,25 @@
 
 // fleet is some processes, each with its own budget, and what all of them did.
 type fleet struct {
-	budgets               []*budget.Window
+	budgets               []*budget.Budget
 	requests, secondSends []time.Time
 }
 
 func newFleet() *fleet {
 	f := &fleet{}
 	for range fleetSize {
-		f.budgets = append(f.budgets, newBudget())
+		f.budgets = append(f.budgets, budget.New(fleetRatio, hedgeShare))
 	}
 	return f
 }
 
-func newBudget() *budget.Window { return budget.New(fleetWindow, fleetRatio, 1) }
-
 func (f *fleet) request(process int, now time.Time) {
-	f.budgets[process].RecordRequest(now)
+	f.budgets[process].RecordRequest()
 	f.requests = append(f.requests, now)
 }
 
 func (f *fleet) spend(process int, now time.Time) {
-	if f.budgets[process].Spend(now, 1) {
+	if f.budgets[process].SpendRetry() {
 		f.secondSends = append(f.secondSends, now)
 	}
 }
--- a/core/gateway/retry/hedge.go
+++ b/core/gateway/retry/hedge.go
@@ -7,10 +7,8 @@
 )
 
 const (
-	// RetryBudgetShare and HedgeBudgetShare are the shares of the budget of second sends
-	// that retries and hedges may use: the rest is reserved for requests whose first send
-	// failed.
-	RetryBudgetShare = 1.0
+	// HedgeBudgetShare is the share of the budget of second sends that hedges may use: the
+	// rest is reserved for requests whose first send failed.
 	HedgeBudgetShare = 0.7
 	// overdueFactor is how many times its predicted time a first send may take before its
 	// target is assumed to be lost. Of 2,918 sends while targets were mostly idle, none to
--- a/e2e/gateway/process_test.go
+++ b/e2e/gateway/process_test.go
@@ -163,7 +163,7 @@
 	p.t.Helper()
 	document := storetest.Object{
 		"id": p.id, "hall": "hall-a", "store": storeAddress, "seeds": seeds,
-		"apply_within_s": 2, "stop_within_s": 6, "retry_ratio": 0.2, "retry_window_s": 10,
+		"apply_within_s": 2, "stop_within_s": 6, "retry_ratio": 0.2,
 	}
 	for name, address := range p.addresses {
 		document[name] = address
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,7 +155,7 @@
 		Names: o.Wire.Headers, Places: g.localityMap.Load, Snapshot: g.discovery.Snapshot, Current: g.discovery.Current,
 		Gateways: g.discovery.GatewayCount, Fatal: g.fatal, Quota: g.quota, TrustsKeys: g.trustsKeys,
 		Signals: g.signals, Ready: g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
-		Retry: forward.Retry{Window: seconds(s.RetryWindow), Ratio: s.RetryRatio},
+		Retry: forward.Retry{Ratio: s.RetryRatio},
 	})
 	if s.Rollout != nil {
 		g.delivery = delivery.New(g.deliveryOptions(self, *s.Rollout))
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -67,10 +67,9 @@
 	// StopWithin is the time from the signal to stop until the process is
 	// killed, in seconds.
 	StopWithin float64 `json:"stop_within_s"`
-	// RetryRatio and RetryWindow bound second sends to a share of the requests
-	// in each span of RetryWindow seconds.
-	RetryRatio  float64 `json:"retry_ratio"`
-	RetryWindow float64 `json:"retry_window_s"`
+	// RetryRatio bounds second sends to a share of the requests in each span of time,
+	// beyond one second send of each gateway.
+	RetryRatio float64 `json:"retry_ratio"`
 	// LogLevel is debug, info, warn or error; empty for info.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -111,14 +110,13 @@
 	defaultWatchTrust  = 3.0
 	defaultRestore     = 2.0
 	defaultRetryRatio  = 0.1
-	defaultRetryWindow = 10.0
 )
 
 // ParseSettings parses and validates a settings document.
 func ParseSettings(raw []byte) (Settings, error) {
 	s := Settings{
 		ApplyWithin: defaultApplyWithin, StopWithin: defaultStopWithin, WatchTrust: defaultWatchTrust,
-		RestoreWithin: defaultRestore, RetryRatio: defaultRetryRatio, RetryWindow: defaultRetryWindow, LogLevel: "info",
+		RestoreWithin: defaultRestore, RetryRatio: defaultRetryRatio, LogLevel: "info",
 	}
 	if err := json.Unmarshal(raw, &s); err != nil {
 		return s, fmt.Errorf("the settings are not the JSON document that docs/OPERATIONS.md shows: %w", err)
@@ -153,7 +151,7 @@
 		value float64
 	}{
 		{"apply_within_s", s.ApplyWithin}, {"stop_within_s", s.StopWithin}, {"watch_trust_s", s.WatchTrust},
-		{"restore_within_s", s.RestoreWithin}, {"retry_window_s", s.RetryWindow},
+		{"restore_within_s", s.RestoreWithin},
 	} {
 		if field.value <= 0 {
 			return fmt.Errorf("settings field %s is %v; give seconds above 0", field.name, field.value)
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -13,7 +13,7 @@
 	d := map[string]any{
 		"id": "gateway-1", "hall": "hall-a", "listen": "10.0.0.1:80", "ready_listen": "10.0.0.1:81",
 		"peer_listen": "10.0.0.1:82", "store": "10.0.0.9:83", "apply_within_s": 2, "watch_trust_s": 3,
-		"stop_within_s": 6, "retry_ratio": 0.2, "retry_window_s": 10, "a_field_of_a_later_version": true,
+		"stop_within_s": 6, "retry_ratio": 0.2, "a_field_of_a_later_version": true,
 	}
 	change(d)
 	raw, err := json.Marshal(d)
--- a/internal/gateway/forward/balancer.go
+++ b/internal/gateway/forward/balancer.go
@@ -54,7 +54,7 @@
 // decisions allow.
 func (b *balancer) run(ctx context.Context, req *request) (*upstream.Answer, *verdict.Error) {
 	svc := b.services.get(req.service)
-	svc.countRequest(b.options.Clock())
+	svc.countRequest()
 	var past history
 	for {
 		chosen, failure := b.place(ctx, req, svc)
@@ -83,7 +83,7 @@
 		Sends: int(req.sends.Load()), MaxAttempts: req.route.MaxAttempts,
 		Left: req.deadline.Request().Sub(now), Usual: svc.usual(req.route),
 	})
-	return decision == retry.SendAgain && !b.verdictOn(req).IsSuspect() && svc.spendRetry(now)
+	return decision == retry.SendAgain && !b.verdictOn(req).IsSuspect() && svc.spendRetry()
 }
 
 // giveUp ends a request with the failure that a target answered, or with one of
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -44,9 +44,8 @@
 
 // Retry configures second sends.
 type Retry struct {
-	// Window is the span over which they are counted.
-	Window time.Duration
-	// Ratio is the greatest share of second sends among the requests.
+	// Ratio is the greatest share of second sends among the requests of any span of time,
+	// beyond one second send.
 	Ratio float64
 }
 
--- a/internal/gateway/forward/hedge.go
+++ b/internal/gateway/forward/hedge.go
@@ -135,7 +135,7 @@
 		return nil
 	}
 	suits := retry.SuitsHedge(&found.Candidate, overdue) && !found.Cold
-	if !suits || ctx.Err() != nil || !b.admitTo(ctx, r.req, found) || !r.svc.spendHedge(b.options.Clock()) {
+	if !suits || ctx.Err() != nil || !b.admitTo(ctx, r.req, found) || !r.svc.spendHedge() {
 		b.release(found)
 		return nil
 	}
--- a/internal/gateway/forward/service.go
+++ b/internal/gateway/forward/service.go
@@ -21,11 +21,6 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/warmup"
 )
 
-// budgetAllowance is how many second sends a process may make beyond the ratio,
-// so that a quiet one can make any. The bound on the fleet allows it: one a
-// process is far below a share of its requests.
-const budgetAllowance = 1
-
 // registry holds the services that requests have named.
 type registry struct {
 	retry  Retry
@@ -74,7 +69,7 @@
 	log  *slog.Logger
 
 	mu         sync.Mutex
-	budget     *budget.Window
+	budget     *budget.Budget
 	exhausted  bool // the latest retry that was asked for found no budget
 	estimate   *estimate.Service
 	ejections  *ejection.Tracker
@@ -88,34 +83,34 @@
 func newService(name string, r Retry, log *slog.Logger) *service {
 	return &service{
 		name: name, log: log, evidence: newEvidence(),
-		budget:   budget.New(r.Window, r.Ratio, budgetAllowance),
+		budget:   budget.New(r.Ratio, retry.HedgeBudgetShare),
 		estimate: estimate.New(), ejections: ejection.New(), contention: placement.NewContention(),
 		turns:  warmup.New(rand.Float64()),
 		active: map[catalog.Life]int{},
 	}
 }
 
-func (s *service) countRequest(now time.Time) {
+func (s *service) countRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.RecordRequest(now)
+	s.budget.RecordRequest()
 }
 
 // spendRetry takes a retry from the budget of second sends.
-func (s *service) spendRetry(now time.Time) bool {
+func (s *service) spendRetry() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	granted := s.budget.Spend(now, retry.RetryBudgetShare)
+	granted := s.budget.SpendRetry()
 	s.noteBudget(!granted)
 	return granted
 }
 
 // spendHedge takes a hedge from the budget of second sends. That none is left
 // for hedges does not mean that the budget is exhausted.
-func (s *service) spendHedge(now time.Time) bool {
+func (s *service) spendHedge() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	granted := s.budget.Spend(now, retry.HedgeBudgetShare)
+	granted := s.budget.SpendHedge()
 	if granted {
 		s.noteBudget(false)
 	}
@@ -126,7 +121,7 @@
 func (s *service) canSpendHedge() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.CanSpend(retry.HedgeBudgetShare)
+	return s.budget.CanSpendHedge()
 }
 
 // noteBudget logs when the budget of second sends is exhausted, and when it no
