internal/gateway/upstream: an abandoned request does not arrive after a cut

What callers saw: nothing; targets got requests that had been given up, once the way to them was whole again, beside those sent since. They count as second sends of that moment, and an order ran after its caller had been told that it may have.

Cause: a connection was closed in order, also with a request on it that nobody waits for any more: what a cut holds up of it is delivered when the cut heals. The same holds for what a killed process leaves behind.

Change: connections to targets are reset when they are closed, by the process or by its end (SO_LINGER of 0). The fault proxy tells a reset from a close now.

--- a/e2e/gateway/process_test.go
+++ b/e2e/gateway/process_test.go
@@ -64,6 +64,8 @@
 	// leaving says that it leaves, in all its answers, and toldLeaving how many of them did.
 	leaving     atomic.Bool
 	sentLeaving atomic.Int64
+	// probed is called before a health probe is answered; nil for nothing.
+	probed atomic.Pointer[func()]
 }
 
 func newTargetServer(t *testing.T, id string, runs *sync.Map, work time.Duration) *targetServer {
@@ -91,6 +93,9 @@
 	}
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", b.id)
+		if probed := b.probed.Load(); probed != nil {
+			(*probed)()
+		}
 		return
 	}
 	limit.arrived()
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -192,6 +192,9 @@
 	defer cancel()
 	start := p.options.Clock()
 	raw, err := p.options.Dial(ctx, "tcp", target.Address)
+	if err == nil {
+		err = resetOnClose(raw)
+	}
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no connection to the target could be made").WithCause(err)
 	}
@@ -203,6 +206,21 @@
 	}, nil
 }
 
+// resetOnClose has the connection reset when it is closed, also by the end of the process:
+// what a network partition holds up of an abandoned request is dropped then, and does not
+// reach the target once the partition has healed.
+func resetOnClose(conn net.Conn) error {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := tcp.SetLinger(0); err != nil {
+		_ = tcp.Close()
+		return err
+	}
+	return nil
+}
+
 // Put returns a connection to the pool, or closes it if it can't be reused.
 func (p *Pool) Put(c *Conn) {
 	if !c.reusable {
--- a/internal/standin/faultproxy/faultproxy.go
+++ b/internal/standin/faultproxy/faultproxy.go
@@ -7,6 +7,7 @@
 //	p, err := faultproxy.New("127.0.0.1:7000")
 //	p.Set(faultproxy.Fault{HoldAnswers: true}) // cut one way
 //	p.Set(faultproxy.Fault{})                  // healed: what was held back arrives
+//	                                           // unless its sender reset the connection
 //	p.Reset()
 package faultproxy
 
@@ -14,6 +15,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Fault is what a proxy does to connections, open ones among them.
@@ -28,8 +31,12 @@
 	Refuse bool
 }
 
-// bufferSize is the largest piece of bytes that is passed on at once.
-const bufferSize = 16 << 10
+const (
+	// bufferSize is the largest piece of bytes that is passed on at once.
+	bufferSize = 16 << 10
+	// tcpClose is the state of a socket whose connection was reset (TCP_CLOSE of Linux).
+	tcpClose = 7
+)
 
 // Proxy passes connections on to one address.
 type Proxy struct {
@@ -41,6 +48,7 @@
 	changed chan struct{} // closed and renewed when the fault changes
 	conns   map[*net.TCPConn]bool
 	closed  bool
+	held    int // pieces that are held back
 }
 
 // New listens on a free port of loopback and passes connections on to target.
@@ -70,6 +78,13 @@
 	p.changed = make(chan struct{})
 }
 
+// Held returns the number of pieces of bytes that are held back.
+func (p *Proxy) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
+}
+
 // Reset ends all open connections with a reset.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -143,26 +158,53 @@
 	_ = conn.Close()
 }
 
-// pass copies one direction of a connection until it ends.
+// pass copies one direction of a connection until it ends. A sender's reset overtakes what
+// is held back; the end of its stream does not.
 func (p *Proxy) pass(from, to *net.TCPConn, held func(Fault) bool) {
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
+		p.hold(1)
+		time.Sleep(p.await(held))
+		p.hold(-1)
+		if isReset(from) {
+			_ = to.SetLinger(0)
+			_ = to.Close()
+			return
+		}
 		if n > 0 {
-			time.Sleep(p.await(held))
 			if _, err := to.Write(buffer[:n]); err != nil {
 				_ = from.Close()
 				return
 			}
 		}
 		if err != nil {
-			p.await(held)
 			_ = to.CloseWrite()
 			return
 		}
 	}
 }
 
+// isReset reports whether the other end has reset a connection that is still open here.
+func isReset(conn *net.TCPConn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false // it is closed here
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == tcpClose
+	})
+	return err == nil && reset
+}
+
+func (p *Proxy) hold(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held += n
+}
+
 // await waits while a direction is held back and returns the delay.
 func (p *Proxy) await(held func(Fault) bool) time.Duration {
 	for {
--- a/internal/standin/faultproxy/faultproxy_test.go
+++ b/internal/standin/faultproxy/faultproxy_test.go
@@ -114,3 +114,28 @@
 	_, err = conn.Read(make([]byte, 1))
 	g.Expect(err).To(HaveOccurred())
 }
+
+func TestHeldBytesArriveAfterACloseButNotAfterAReset(t *testing.T) {
+	for name, c := range map[string]struct {
+		linger  int // seconds; 0 is a reset
+		arrives bool
+	}{"close": {-1, true}, "reset": {0, false}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			p, conn, _, arrived := open(t)
+			p.Set(faultproxy.Fault{HoldRequests: true})
+			_, err := conn.Write([]byte("late\n"))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Eventually(p.Held, eventual).Should(Equal(1))
+			g.Expect(conn.(*net.TCPConn).SetLinger(c.linger)).To(Succeed())
+			g.Expect(conn.Close()).To(Succeed())
+			p.Set(faultproxy.Fault{})
+			g.Eventually(p.Held, eventual).Should(BeZero())
+			if c.arrives {
+				g.Eventually(arrived, eventual).Should(Receive(Equal("late")))
+				return
+			}
+			g.Consistently(arrived).ShouldNot(Receive())
+		})
+	}
+}
