--- a/internal/standin/faultproxy/faultproxy.go
+++ b/internal/standin/faultproxy/faultproxy.go
@@ -13,6 +13,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,13 @@
 	HoldAnswers  bool
 	// Refuse closes new connections at once.
 	Refuse bool
+	// Origins are those to whose connections this is done; nil for all.
+	Origins []string
+}
+
+// affects reports whether the fault is done to connections of an origin.
+func (f Fault) affects(origin string) bool {
+	return f.Origins == nil || slices.Contains(f.Origins, origin)
 }
 
 const (
@@ -45,19 +53,26 @@
 
 	mu      sync.Mutex
 	fault   Fault
-	changed chan struct{} // closed and renewed when the fault changes
-	conns   map[*net.TCPConn]bool
+	changed chan struct{}           // closed and renewed when the fault changes
+	conns   map[*net.TCPConn]string // with their origins
 	closed  bool
 	held    int // pieces that are held back
+	// origin names whose a connection is, by its address.
+	origin func(client net.Addr) string
 }
 
 // New listens on a free port of loopback and passes connections on to target.
 func New(target string) (*Proxy, error) {
+	return NewWithOrigins(target, func(net.Addr) string { return "" })
+}
+
+// NewWithOrigins is New for faults of some origins: origin is called once for each connection.
+func NewWithOrigins(target string, origin func(client net.Addr) string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), conns: map[*net.TCPConn]bool{}}
+	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), conns: map[*net.TCPConn]string{}, origin: origin}
 	go p.accept()
 	return p, nil
 }
@@ -86,10 +101,16 @@
 }
 
 // Reset ends all open connections with a reset.
-func (p *Proxy) Reset() {
+func (p *Proxy) Reset() { p.ResetOf(nil) }
+
+// ResetOf ends the open connections of some origins with a reset; nil for all.
+func (p *Proxy) ResetOf(origins []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for conn := range p.conns {
+	for conn, origin := range p.conns {
+		if !(Fault{Origins: origins}).affects(origin) {
+			continue
+		}
 		_ = conn.SetLinger(0)
 		_ = conn.Close()
 	}
@@ -116,7 +137,9 @@
 }
 
 func (p *Proxy) serve(client *net.TCPConn) {
-	if !p.add(client) {
+	origin := p.origin(client.RemoteAddr())
+	if !p.add(client, origin) {
+		_ = client.SetLinger(0)
 		_ = client.Close()
 		return
 	}
@@ -127,7 +150,7 @@
 		return
 	}
 	server := conn.(*net.TCPConn)
-	if !p.add(server) {
+	if !p.add(server, origin) {
 		_ = server.Close()
 		return
 	}
@@ -135,19 +158,19 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		p.pass(client, server, func(f Fault) bool { return f.HoldRequests })
+		p.pass(client, server, func(f Fault) bool { return f.HoldRequests && f.affects(origin) })
 	}()
-	p.pass(server, client, func(f Fault) bool { return f.HoldAnswers })
+	p.pass(server, client, func(f Fault) bool { return f.HoldAnswers && f.affects(origin) })
 	<-done
 }
 
-func (p *Proxy) add(conn *net.TCPConn) bool {
+func (p *Proxy) add(conn *net.TCPConn, origin string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.fault.Refuse {
+	if p.closed || p.fault.Refuse && p.fault.affects(origin) {
 		return false
 	}
-	p.conns[conn] = true
+	p.conns[conn] = origin
 	return true
 }
 
