Requests are relayed by a gateway that reaches no target

Cause: a gateway served a request itself or not at all. It went on searching where no target answered, and then dialled one target after the other, each for a second.

Change: core/gateway/relay notices that no target of a service answers (three have failed for 0.3 s) and chooses another gateway, any of the region, which serves the request by its own state, on an address of its own (relay_listen). It is sent on once; a gateway that reaches no target either says so at once and is passed over for 0.25 to 4 s; 64 relayed requests at most are served at a time, more are refused at once and go to another gateway. What travels: the time left, the sends made, the service drawn, the oldest configuration that may be used, the client's address. Credit, the earning of second sends and the reports stay where the request was taken; an answer lost on the way may have run. One request each 0.2 s looks for a target, so that traffic returns as it comes. Logs: paths to targets, relayed, sends[].gateway; metric relayed.

--- a/core/gateway/outcome/outcome.go
+++ b/core/gateway/outcome/outcome.go
@@ -68,6 +68,9 @@
 // better one arrives: it is the target's own answer to the request.
 func (o Outcome) HasTargetAnswer() bool { return o == Served || o == Failed }
 
+// IsAnswer reports whether the target answered, whatever the answer.
+func (o Outcome) IsAnswer() bool { return o != Broken && o != Abandoned }
+
 // Failure returns why another target should be tried; nil if there is no reason to, and
 // for sends without an answer, which have a failure of their own.
 func (o Outcome) Failure() *verdict.Error {
--- a/core/gateway/peers/peers.go
+++ b/core/gateway/peers/peers.go
@@ -190,6 +190,15 @@
 	return out
 }
 
+// Relays lists the other gateways that may be called now and that relay requests.
+func (v *View) Relays(now time.Time) []member.Box {
+	var out []member.Box
+	for _, e := range v.sorted(func(e *entry) bool { return e.usable(now) && e.Relay != "" }) {
+		out = append(out, e.Box)
+	}
+	return out
+}
+
 // IsUsable reports whether another gateway may be called now.
 func (v *View) IsUsable(now time.Time, id string) bool {
 	e, ok := v.entries[id]
--- /dev/null
+++ b/core/gateway/relay/relay_test.go
@@ -0,0 +1,109 @@
+package relay_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
+	"github.com/sprucecrank/sprucecrank/core/gateway/relay"
+	"github.com/sprucecrank/sprucecrank/core/member"
+)
+
+var start = time.Unix(1000, 0)
+
+func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func life(i int) catalog.Life { return catalog.Life{ID: fmt.Sprint("t", i)} }
+
+func TestPathsAreCutOnceNoneOfSeveralTargetsAnswers(t *testing.T) {
+	g := NewWithT(t)
+	p := relay.NewPaths()
+	g.Expect(p.AreCut(start, 10)).To(BeFalse())
+	p.RecordFailure(start, life(1))
+	p.RecordFailure(start, life(1))
+	p.RecordFailure(start, life(2))
+	g.Expect(p.AreCut(after(1000), 10)).To(BeFalse(), "two targets may be down")
+	g.Expect(p.AreCut(after(1000), 2)).To(BeTrue(), "all of two")
+	p.RecordFailure(after(100), life(3))
+	g.Expect(p.AreCut(after(299), 10)).To(BeFalse(), "the process may have stood still")
+	g.Expect(p.AreCut(after(300), 10)).To(BeTrue())
+	p.RecordAnswer()
+	g.Expect(p.AreCut(after(2000), 10)).To(BeFalse())
+}
+
+func TestOneRequestAnIntervalLooksForATargetThatIsBack(t *testing.T) {
+	g := NewWithT(t)
+	p := relay.NewPaths()
+	p.RecordFailure(start, life(1))
+	tries := 0
+	for ms := range 5000 {
+		if p.TryNow(after(ms)) {
+			tries++
+		}
+	}
+	g.Expect(tries).To(BeNumerically("~", 5000/200, 3))
+}
+
+func newFleet(halls ...string) (fleet []member.Box) {
+	for i, hall := range halls {
+		fleet = append(fleet, member.Box{ID: fmt.Sprint("g", i), Hall: hall})
+	}
+	return fleet
+}
+
+// tiers puts hall a into the own hall, b into its region, and c into another.
+func tiers(hall string) locality.Tier {
+	return map[string]locality.Tier{"a": locality.OwnHall, "b": locality.OwnRegion, "c": locality.OtherRegion}[hall]
+}
+
+func TestRelayedRequestsAreSpreadOverTheRegion(t *testing.T) {
+	g := NewWithT(t)
+	gateways := relay.NewGateways(tiers)
+	random := rand.New(rand.NewPCG(1, 1))
+	counts := map[string]int{}
+	for range 4000 {
+		via, ok := gateways.Choose(start, newFleet("a", "b", "b", "b", "c"), random.IntN)
+		g.Expect(ok).To(BeTrue())
+		counts[via.ID]++
+	}
+	for _, id := range []string{"g0", "g1", "g2", "g3"} {
+		g.Expect(counts[id]).To(BeNumerically("~", 1000, 150), id)
+	}
+	g.Expect(counts).NotTo(HaveKey("g4"), "another region")
+}
+
+func TestGatewaysThatCouldNotServeArePassedOver(t *testing.T) {
+	g := NewWithT(t)
+	gateways, fleet := relay.NewGateways(tiers), newFleet("a", "c")
+	choose := func(ms int) string {
+		via, _ := gateways.Choose(after(ms), fleet, func(int) int { return 0 })
+		return via.ID
+	}
+	gateways.RecordFailure(start, "g0")
+	gateways.RecordFailure(start, "g0")
+	g.Expect(choose(249)).To(Equal("g1"), "another region where none is left in the own")
+	g.Expect(choose(250)).To(Equal("g0"))
+	gateways.RecordFailure(after(250), "g0")
+	g.Expect(choose(749)).To(Equal("g1"), "twice as long")
+	g.Expect(choose(750)).To(Equal("g0"))
+	gateways.RecordServed("g0")
+	gateways.RecordBusy(after(800), "g0")
+	g.Expect(choose(849)).To(Equal("g1"))
+	g.Expect(choose(850)).To(Equal("g0"))
+	gateways.RecordFailure(after(900), "g0")
+	gateways.RecordFailure(after(900), "g1")
+	g.Expect(choose(901)).To(BeEmpty())
+}
+
+func TestRecordsOfGatewaysAreBounded(t *testing.T) {
+	gateways := relay.NewGateways(tiers)
+	for i := range 100_000 {
+		gateways.RecordFailure(after(i), fmt.Sprint("g", i))
+	}
+	NewWithT(t).Expect(gateways.Len()).To(BeNumerically("<=", 256))
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -47,6 +47,9 @@
 	// Start increases with each start of the box.
 	Start   uint64 `json:"start"`
 	Leaving bool   `json:"leaving"`
+	// Relay is where other gateways send requests whose targets they can't reach; empty for
+	// nowhere.
+	Relay string `json:"relay,omitempty"`
 }
 
 type entry struct {
--- a/e2e/gateway/cutoff_test.go
+++ b/e2e/gateway/cutoff_test.go
@@ -22,6 +22,8 @@
 	t.Helper()
 	for i, b := range d.targets {
 		d.store.Remove(storetest.Servers, b.id)
+		b.http.CloseClientConnections()
+		b.http.Close()
 		d.targets[i] = newTargetServer(t, "i-behind-"+b.id, &d.runs, b.work)
 		way, err := faultproxy.NewWithOrigins(d.targets[i].address(), func(client net.Addr) string {
 			return originOf(client, func() []*process { return d.gateways })
--- a/e2e/gateway/process_test.go
+++ b/e2e/gateway/process_test.go
@@ -154,7 +154,7 @@
 func newProcess(t *testing.T, id, storeAddress string, seeds *[]string) *process {
 	t.Helper()
 	p := &process{t: t, id: id, addresses: map[string]string{}}
-	for _, name := range []string{"listen", "ready_listen", "peer_listen"} {
+	for _, name := range []string{"listen", "ready_listen", "peer_listen", "relay_listen"} {
 		p.addresses[name] = freeAddress(t)
 	}
 	*seeds = append(*seeds, p.addresses["peer_listen"])
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,6 +97,7 @@
 		return nil, trace.Wrap(err)
 	}
 	g.listenMetrics(s)
+	g.listenRelay(s)
 	if err := g.assemble(s); err != nil {
 		g.listeners.close()
 		return nil, trace.Wrap(err)
@@ -138,6 +139,9 @@
 	}
 	o := g.options
 	self := member.Box{ID: s.ID, Peer: s.peerAddress(), Hall: s.Hall, Start: uint64(o.Clock().UnixNano())}
+	if g.listeners.relay != nil {
+		self.Relay = g.listeners.relay.Addr().String()
+	}
 	g.fatal = fatal.New(fatal.Options{Clock: o.Clock, Log: g.log})
 	g.quota = quota.New(g.quotaOptions(self, s.QuotaTolerance))
 	g.signals = signals.New(signals.Options{Self: s.ID, Clock: o.Clock, Log: g.log})
@@ -156,6 +160,9 @@
 		Gateways: g.discovery.GatewayCount, Fatal: g.fatal, Quota: g.quota, TrustsKeys: g.trustsKeys,
 		Signals: g.signals, Ready: g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
 		Retry: forward.Retry{Ratio: s.RetryRatio},
+		Relay: forward.Relay{Self: s.ID, Gateways: g.discovery.Relays, Pool: upstream.New(upstream.Options{
+			Names: o.Wire.Headers, Clock: o.Clock, Budget: g.responseMemory, Log: g.log,
+		})},
 	})
 	if s.Rollout != nil {
 		g.delivery = delivery.New(g.deliveryOptions(self, *s.Rollout))
--- a/gateway/listeners.go
+++ b/gateway/listeners.go
@@ -10,6 +10,7 @@
 type listeners struct {
 	clients, ready, peers net.Listener
 	metrics               net.Listener // nil if metrics are not served
+	relay                 net.Listener // nil if no requests are relayed
 }
 
 // open opens the sockets that a gateway requires.
@@ -44,10 +45,22 @@
 	}
 }
 
+// listenRelay opens the socket for requests of other gateways. The gateway serves clients even
+// if that port is in use.
+func (g *Gateway) listenRelay(s Settings) {
+	if s.RelayListen == "" {
+		return
+	}
+	var err error
+	if g.listeners.relay, err = net.Listen("tcp", s.RelayListen); err != nil {
+		g.log.Error("no requests are relayed", "relay_listen", s.RelayListen, "error", err.Error())
+	}
+}
+
 // close closes the open sockets. Errors are ignored, since the process fails to start
 // anyway.
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.clients, l.ready, l.peers, l.metrics} {
+	for _, listener := range []net.Listener{l.clients, l.ready, l.peers, l.metrics, l.relay} {
 		if listener != nil {
 			_ = listener.Close()
 		}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// addRelay adds the server for requests of other gateways, and returns it; nil where there is
+// none.
+func (g *Gateway) addRelay(group *run.Group, drained <-chan struct{}) *pipeline.Server {
+	if g.listeners.relay == nil {
+		return nil
+	}
+	relay := pipeline.New(pipeline.Options{Handler: g.forward.Relayed(), Safe: g.forward.Repeatable, Stopping: g.stopping.Load, Log: g.log})
+	group.Add(func() error {
+		return lifecycle.ServeUntilDrained(relay.Serve, g.listeners.relay, drained)
+	}, func(error) { _ = relay.Close() })
+	return relay
+}
+
 func addServer(group *run.Group, server *http.Server, listener net.Listener) {
 	group.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
 }
@@ -88,18 +101,19 @@
 		Stopping: g.stopping.Load, Log: g.log,
 	})
 	drained := make(chan struct{})
+	relay := g.addRelay(group, drained)
 	group.Add(func() error {
 		return lifecycle.ServeUntilDrained(clients.Serve, g.listeners.clients, drained)
 	}, func(error) { _ = clients.Close() })
 	group.Add(func() error {
 		defer close(drained)
 		<-ctx.Done()
-		return g.drain(ctx, clients)
+		return g.drain(ctx, clients, relay)
 	}, func(error) { stop() })
 }
 
 // drain shuts the gateway down gracefully.
-func (g *Gateway) drain(ctx context.Context, clients *pipeline.Server) error {
+func (g *Gateway) drain(ctx context.Context, clients, relay *pipeline.Server) error {
 	within := seconds(g.settings.Load().StopWithin)
 	g.log.Info("stopping", "within_s", within.Seconds(), "active", g.forward.Active())
 	g.stopping.Store(true)
@@ -107,7 +121,11 @@
 	time.Sleep(time.Duration(acceptShare * float64(within)))
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration((forcedStopShare-acceptShare)*float64(within)))
 	defer cancel()
-	if err := clients.Shutdown(ctx); err != nil {
+	err := clients.Shutdown(ctx)
+	if relay != nil {
+		err = errors.Join(err, relay.Shutdown(ctx))
+	}
+	if err != nil {
 		g.metrics.Cut(g.forward.Active())
 		g.log.Error("requests were still in flight when the time for stopping ran out", "active", g.forward.Active(), "error", err.Error())
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -31,6 +31,9 @@
 	// PeerAdvertise is the address under which other gateways reach PeerListen;
 	// empty where that is PeerListen itself.
 	PeerAdvertise string `json:"peer_advertise,omitempty"`
+	// RelayListen is the address on which requests of other gateways are served that can't
+	// reach their targets; empty for none.
+	RelayListen string `json:"relay_listen,omitempty"`
 	// MetricsListen is the address on which metrics are served; empty for none.
 	MetricsListen string `json:"metrics_listen,omitempty"`
 	// FirstStart says that the whole fleet is starting for the first time.
--- a/internal/cli/report/service.go
+++ b/internal/cli/report/service.go
@@ -133,6 +133,9 @@
 	s.idle += line.Idle
 	first := true
 	for _, send := range line.Sends {
+		if send.Gateway != "" {
+			continue // another gateway reports what it sent
+		}
 		if send.Tier != "" {
 			s.tiers[send.Tier]++
 		}
--- a/internal/gateway/discovery/publish.go
+++ b/internal/gateway/discovery/publish.go
@@ -118,6 +118,13 @@
 	return f.view.TopRanked(f.options.Clock(), n)
 }
 
+// Relays lists the other gateways that are known to relay requests, a bounded number of them.
+func (f *Follower) Relays() []member.Box {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Relays(f.options.Clock())
+}
+
 // TopRankedSightings returns the gateways of TopRanked as sightings that may be forwarded
 // to other gateways.
 func (f *Follower) TopRankedSightings(n int) []peers.Sighting {
--- a/internal/gateway/forward/answer.go
+++ b/internal/gateway/forward/answer.go
@@ -19,6 +19,7 @@
 	out.Del(h.options.Names.Load)
 	out.Del(h.options.Names.Limit)
 	out.Del(h.options.Names.Leaving)
+	out.Del(headerRelayReason) // it would read as a refusal of this gateway's
 	if !a.Buffered() {
 		h.stream(w, req, a)
 		return
@@ -47,6 +48,9 @@
 	out := w.Header()
 	out.Set(h.options.Names.RequestID, req.id)
 	out.Set(verdict.Header, f.Verdict().String())
+	if req.relayed != nil {
+		out.Set(headerRelayReason, string(f.Reason()))
+	}
 	if pause := f.RetryAfter(); pause > 0 {
 		out.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
 	}
--- a/internal/gateway/forward/balancer.go
+++ b/internal/gateway/forward/balancer.go
@@ -16,10 +16,12 @@
 	options  Options
 	services *registry
 	places   *places
+	relays   *relays
 }
 
 func newBalancer(o Options) *balancer {
 	b := &balancer{options: o, services: newRegistry(o.Retry, o.Log), places: newPlaces(o.Places, o.Log)}
+	b.relays = newRelays(o.Relay, b.places)
 	o.Pool.OnSignals(o.Signals.Observe)
 	o.Pool.OnLimit(o.Quota.ObserveLimit)
 	o.Pool.SetGate(b.gate)
@@ -54,10 +56,24 @@
 // decisions allow.
 func (b *balancer) run(ctx context.Context, req *request) (*upstream.Answer, *verdict.Error) {
 	svc := b.services.get(req.service)
-	svc.countRequest()
+	if req.relayed == nil {
+		svc.countRequest() // one that was relayed counts where it was taken
+	}
 	var past history
 	for {
 		chosen, failure := b.place(ctx, req, svc)
+		if failure == errNoneAnswers {
+			answer, failure, ok := b.relay(ctx, req, svc)
+			if ok && failure == nil {
+				past.drop()
+				return answer, nil
+			}
+			if ok {
+				past.mayHaveRun = past.mayHaveRun || failure.Verdict() != verdict.NotRun
+				return b.giveUp(req, svc, past, failure)
+			}
+			chosen, failure = b.fallback(ctx, req, svc)
+		}
 		if failure != nil {
 			return b.giveUp(req, svc, past, failure)
 		}
@@ -80,7 +96,7 @@
 	now := b.options.Clock()
 	decision := retry.Decide(retry.State{
 		Verdict: failure.Verdict(), Repeatable: req.route.Repeatable,
-		Sends: int(req.sends.Load()), MaxAttempts: req.route.MaxAttempts,
+		Sends: int(req.sends.Load()), MaxAttempts: req.maxAttempts(),
 		Left: req.deadline.Request().Sub(now), Usual: svc.usual(req.route),
 	})
 	return decision == retry.SendAgain && !b.verdictOn(req).IsSuspect() && svc.spendRetry()
--- a/internal/gateway/forward/caller.go
+++ b/internal/gateway/forward/caller.go
@@ -102,6 +102,9 @@
 
 // admit says whether the quota of the request's workspace allows it.
 func (h *Handler) admit(ctx context.Context, req *request) *verdict.Error {
+	if req.relayed != nil {
+		return nil // the gateway that took it has its credit
+	}
 	who := req.caller.Load()
 	credit, failure := h.options.Quota.Admit(ctx, who.workspace, who.table.Version())
 	req.credit = credit
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -71,6 +71,8 @@
 	Signals *signals.Registry
 	Pool    *upstream.Pool
 	Retry   Retry
+	// Relay says which gateways serve requests whose targets this one can't reach.
+	Relay Relay
 	// Fatal knows which requests end the targets that run them; nil for what this handler
 	// sees alone.
 	Fatal *fatal.Register
@@ -111,6 +113,7 @@
 	options  Options
 	balancer *balancer
 	active   atomic.Int64
+	relaying atomic.Int64 // requests that other gateways relayed
 	underWay underWay
 }
 
@@ -178,9 +181,13 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.handle(w, newRequest(r.Header.Get(h.options.Names.RequestID), r, h.options.Clock()))
+}
+
+// handle serves a request of a client or of another gateway.
+func (h *Handler) handle(w http.ResponseWriter, req *request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	req := newRequest(r.Header.Get(h.options.Names.RequestID), r, h.options.Clock())
 	req.exploresLimit = h.options.ExploreLimit()
 	defer func() { req.end() }()
 	answer, failure := h.serve(req)
--- a/internal/gateway/forward/hedge.go
+++ b/internal/gateway/forward/hedge.go
@@ -80,7 +80,7 @@
 // used only where the own has next to no targets.
 func (b *balancer) hedgeDelay(req *request, svc *service, trip time.Duration) (time.Duration, bool) {
 	return retry.HedgeDelay(retry.FirstSend{
-		Repeatable: req.route.Repeatable, Sends: int(req.sends.Load()), MaxAttempts: req.route.MaxAttempts,
+		Repeatable: req.route.Repeatable, Sends: int(req.sends.Load()), MaxAttempts: req.maxAttempts(),
 		Objective: req.route.Objective, Elapsed: b.options.Clock().Sub(req.began), Usual: svc.usual(req.route) + trip,
 	})
 }
--- a/internal/gateway/forward/log.go
+++ b/internal/gateway/forward/log.go
@@ -16,6 +16,9 @@
 type Send struct {
 	Target string `json:"target"`
 	Hall   string `json:"hall"`
+	// Gateway is the one that was to serve the request in place of this one; left out for a
+	// send to a target.
+	Gateway string `json:"gateway,omitempty"`
 	// Version is that of the target's software, Trial the share, in thousandths, that
 	// the version took while it was on trial.
 	Version string `json:"version,omitempty"`
@@ -137,6 +140,8 @@
 const (
 	MessageServed    = "served"
 	MessageNotServed = "not served"
+	// MessageRelayed is that of a request which another gateway took and reports.
+	MessageRelayed = "relayed"
 )
 
 // report counts a request and writes its one line: how it ended and what
@@ -147,8 +152,10 @@
 	if f != nil {
 		reason = string(f.Reason())
 	}
-	h.options.Metrics.Request(req.service, status, reason, held)
-	h.count(req, f)
+	if req.relayed == nil {
+		h.options.Metrics.Request(req.service, status, reason, held)
+		h.count(req, f)
+	}
 	if !h.options.Log.Enabled(context.Background(), slog.LevelInfo) {
 		return
 	}
@@ -162,6 +169,9 @@
 		attributes = append(attributes, slog.String("verdict", f.Verdict().String()), slog.String("reason", reason),
 			slog.Float64("retry_after_ms", milliseconds(f.RetryAfter())), slog.String("cause", f.Error()))
 	}
+	if req.relayed != nil {
+		message, attributes = MessageRelayed, append(attributes, slog.String("relayed_by", req.relayed.gateway))
+	}
 	h.options.Log.LogAttrs(context.Background(), slog.LevelInfo, message, attributes...)
 }
 
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -16,6 +16,9 @@
 		return onTrial, nil
 	}
 	deadlines := placement.NewDeadlines(req.began, req.route.Objective, svc.usual(req.route))
+	if b.skipsSearch(req, svc) {
+		return nil, errNoneAnswers
+	}
 	for {
 		if failure := b.barred(req); failure != nil {
 			return nil, failure
@@ -43,7 +46,7 @@
 			return nil, failure
 		}
 		if decision.Action() == placement.Fallback {
-			return b.fallback(ctx, req, svc)
+			return nil, errNoneAnswers
 		}
 		req.waits++
 		if !pause.For(ctx, placement.Pause(req.route.Objective)) {
@@ -90,9 +93,24 @@
 	return decision
 }
 
-// fallback takes any target that can be reached and takes the request by its limit.
+// errNoneAnswers says that no target answers, so that another gateway is asked or any target
+// taken that can be reached.
+var errNoneAnswers = verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no target answers")
+
+// skipsSearch says whether a search for a target would find none, since no target answers this
+// gateway. A request now and then searches nevertheless.
+func (b *balancer) skipsSearch(req *request, svc *service) bool {
+	now := b.options.Clock()
+	return svc.isCutOff(now, len(b.targets(req))) && !svc.triesNow(now)
+}
+
+// fallback takes any target that can be reached and takes the request by its limit. A gateway
+// that no target answers refuses at once; so does one to which the request was relayed.
 func (b *balancer) fallback(ctx context.Context, req *request, svc *service) (*candidate, *verdict.Error) {
 	failure := verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no target could be reached")
+	if req.relayed != nil || svc.isCutOff(b.options.Clock(), len(b.targets(req))) {
+		return nil, failure
+	}
 	for {
 		reached := b.reachAny(ctx, req, svc)
 		switch {
--- /dev/null
+++ b/internal/gateway/forward/relay.go
@@ -0,0 +1,275 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
+	"github.com/sprucecrank/sprucecrank/core/gateway/outcome"
+	"github.com/sprucecrank/sprucecrank/core/gateway/relay"
+	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
+	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+const (
+	// maxRelayTries bounds the gateways that one request is relayed to, one after the other.
+	maxRelayTries = 4
+	// relayDialTimeout bounds the time to connect to another gateway, which takes a millisecond.
+	relayDialTimeout = 150 * time.Millisecond
+	// maxRelayed is how many relayed requests a gateway serves at the same time: those of a few
+	// gateways like itself. Beyond that its own clients would wait for them.
+	maxRelayed = 64
+)
+
+// Headers of relayed requests, and of their answers. They never leave the fleet.
+const (
+	headerRelayedBy    = "Sprucecrank-Relayed-By"    // the id of the gateway that took the request
+	headerRelayClient  = "Sprucecrank-Relay-Client"  // the address of its client
+	headerRelayService = "Sprucecrank-Relay-Service" // the service that was drawn for it
+	headerRelayConfig  = "Sprucecrank-Relay-Config"  // the oldest configuration that may be used
+	headerRelaySends   = "Sprucecrank-Relay-Sends"   // how often it was sent to targets already
+	headerRelayReason  = "Sprucecrank-Relay-Reason"  // why it was refused
+)
+
+// Relay configures how requests are relayed to other gateways whose targets this one can't
+// reach.
+type Relay struct {
+	// Self is the id of this gateway.
+	Self string
+	// Gateways lists some that relay requests; nil for none.
+	Gateways func() []member.Box
+	// Pool keeps the connections to them.
+	Pool *upstream.Pool
+}
+
+// relays chooses the gateways that serve requests in place of this one.
+type relays struct {
+	options Relay
+	mu      sync.Mutex
+	tried   *relay.Gateways
+}
+
+func newRelays(o Relay, places *places) *relays {
+	if o.Gateways == nil {
+		o.Gateways = func() []member.Box { return nil }
+	}
+	return &relays{options: o, tried: relay.NewGateways(func(hall string) locality.Tier { return places.tier(hall) })}
+}
+
+func (r *relays) choose(now time.Time) (member.Box, bool) {
+	known := r.options.Gateways()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tried.Choose(now, known, rand.IntN)
+}
+
+// record learns from how a relayed request ended.
+func (r *relays) record(now time.Time, via member.Box, failure *verdict.Error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case failure == nil:
+		r.tried.RecordServed(via.ID)
+	case failure.Reason() == verdict.ReasonQueueFull:
+		r.tried.RecordBusy(now, via.ID)
+	case failure.Reason() == verdict.ReasonClientGone, !mayTryAnother(failure):
+	default:
+		r.tried.RecordFailure(now, via.ID)
+	}
+}
+
+// mayTryAnother reports whether another gateway may serve what one refused or could not be
+// asked: the request has not run, and the reason is that gateway's alone.
+func mayTryAnother(failure *verdict.Error) bool {
+	if failure.Verdict() != verdict.NotRun {
+		return false
+	}
+	switch failure.Reason() {
+	case verdict.ReasonUnreachable, verdict.ReasonQueueFull, verdict.ReasonNotReady, verdict.ReasonNoService, verdict.ReasonNoTarget, verdict.ReasonTargetFailed:
+		return true
+	default:
+		return false
+	}
+}
+
+// relay has other gateways serve a request. It reports false where none could be found, and
+// the request was not served: it has not run then.
+func (b *balancer) relay(ctx context.Context, req *request, svc *service) (answer *upstream.Answer, failure *verdict.Error, ok bool) {
+	if req.relayed != nil {
+		return nil, nil, false
+	}
+	for range maxRelayTries {
+		via, found := b.relays.choose(b.options.Clock())
+		if !found {
+			return nil, nil, false
+		}
+		answer, failure = b.relayTo(ctx, req, via)
+		b.relays.record(b.options.Clock(), via, failure)
+		if failure == nil || ctx.Err() != nil || !mayTryAnother(failure) {
+			return answer, failure, true
+		}
+	}
+	return nil, nil, false
+}
+
+// relayTo has one gateway serve a request.
+func (b *balancer) relayTo(ctx context.Context, req *request, via member.Box) (*upstream.Answer, *verdict.Error) {
+	if failure := b.forbiddenNow(req); failure != nil {
+		return nil, failure
+	}
+	began := b.options.Clock()
+	answer, failure := b.exchangeWith(ctx, req, via)
+	result := ""
+	if failure != nil {
+		result = string(failure.Reason())
+	} else {
+		result = strconv.Itoa(answer.Status())
+	}
+	req.sendLog.add(Send{Gateway: via.ID, Hall: via.Hall, Result: result, TookMS: milliseconds(b.options.Clock().Sub(began))})
+	b.options.Metrics.Relayed(req.service, result)
+	return answer, failure
+}
+
+// forbiddenNow is why a request may not be sent on any more; nil if it may.
+func (b *balancer) forbiddenNow(req *request) *verdict.Error {
+	if failure := b.overdue(req); failure != nil {
+		return failure
+	}
+	return b.barred(req)
+}
+
+func (b *balancer) exchangeWith(ctx context.Context, req *request, via member.Box) (*upstream.Answer, *verdict.Error) {
+	pool := b.relays.options.Pool
+	dialCtx, cancel := context.WithTimeout(ctx, relayDialTimeout)
+	defer cancel()
+	conn, failure := pool.Get(dialCtx, catalog.Target{ID: via.ID, Born: int64(via.Start), Hall: via.Hall, Address: via.Relay})
+	if failure != nil {
+		return nil, failure
+	}
+	answer, failure := conn.Exchange(ctx, b.relayRequest(req))
+	if failure != nil {
+		pool.Put(conn)
+		return nil, failure
+	}
+	answer.OnEnd(func(*verdict.Error) { pool.Put(conn) })
+	if refused := refusalOf(answer); refused != nil {
+		answer.Close()
+		return nil, refused
+	}
+	answer.Header().Del(verdict.Header)
+	return answer, nil
+}
+
+// relayRequest makes the request as it goes to another gateway: as the client sent it, with
+// what this one decided.
+func (b *balancer) relayRequest(req *request) upstream.Request {
+	h := req.in.Header.Clone()
+	headers.RemoveHopByHop(h)
+	h.Del("Content-Length")
+	h.Del("Expect")
+	left := max(req.deadline.Request().Sub(b.options.Clock()).Milliseconds(), 1)
+	h.Set(b.options.Names.Deadline, strconv.FormatInt(left, 10))
+	h.Set(headerRelayedBy, b.relays.options.Self)
+	h.Set(headerRelayClient, req.in.RemoteAddr)
+	h.Set(headerRelayService, req.service)
+	h.Set(headerRelayConfig, strconv.FormatUint(req.config, 10))
+	h.Set(headerRelaySends, strconv.Itoa(int(req.sends.Load())))
+	out := upstream.Request{Method: req.in.Method, URI: req.in.RequestURI, Host: req.in.Host, Header: h, Body: req.body, ID: req.id}
+	if req.in.ProtoAtLeast(1, 1) {
+		out.MayStream = func(status int, _ bool) bool { return outcome.FromAnswer(status, false) == outcome.Served }
+	}
+	return out
+}
+
+// refusalOf returns the failure that another gateway answered with; nil for a target's answer.
+func refusalOf(a *upstream.Answer) *verdict.Error {
+	reason := a.Header().Get(headerRelayReason)
+	if reason == "" {
+		return nil
+	}
+	v := verdict.MayHaveRun
+	if a.Header().Get(verdict.Header) == verdict.NotRun.String() {
+		v = verdict.NotRun
+	}
+	failure := verdict.New(v, verdict.Reason(reason), "another gateway could not serve the request")
+	if seconds, err := strconv.ParseFloat(a.Header().Get("Retry-After"), 64); err == nil && seconds > 0 {
+		failure = failure.WithRetryAfter(time.Duration(seconds * float64(time.Second)))
+	}
+	return failure
+}
+
+// relayedFrom is what another gateway decided on a request that it had this one serve.
+type relayedFrom struct {
+	gateway string
+	service string
+	config  uint64
+	sends   int
+}
+
+var errNotRelayed = errors.New("the request was not relayed by a gateway")
+
+// takeRelayed removes the headers of a relayed request and returns what they say.
+func takeRelayed(r *http.Request) (*relayedFrom, error) {
+	take := func(name string) string {
+		value := r.Header.Get(name)
+		r.Header.Del(name)
+		return value
+	}
+	from := &relayedFrom{gateway: take(headerRelayedBy), service: take(headerRelayService)}
+	r.RemoteAddr = take(headerRelayClient)
+	config, errConfig := strconv.ParseUint(take(headerRelayConfig), 10, 64)
+	sends, errSends := strconv.Atoi(take(headerRelaySends))
+	if from.gateway == "" || errConfig != nil || errSends != nil {
+		return nil, errNotRelayed
+	}
+	from.config, from.sends = config, sends
+	return from, nil
+}
+
+// Relayed returns the handler of requests that other gateways relay.
+func (h *Handler) Relayed() http.Handler { return http.HandlerFunc(h.serveRelayed) }
+
+func (h *Handler) serveRelayed(w http.ResponseWriter, r *http.Request) {
+	defer h.relaying.Add(-1)
+	busy := h.relaying.Add(1) > maxRelayed
+	from, err := takeRelayed(r)
+	req := newRequest(r.Header.Get(h.options.Names.RequestID), r, h.options.Clock())
+	req.relayed = from
+	switch {
+	case err != nil:
+		req.relayed = &relayedFrom{}
+		h.refuse(w, req, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "only gateways may send requests here").WithCause(err))
+	case busy:
+		h.refuse(w, req, verdict.New(verdict.NotRun, verdict.ReasonQueueFull, "the gateway serves as many relayed requests as it takes"))
+	default:
+		h.handle(w, req)
+	}
+}
+
+// maxAttempts is how many sends the request may still have, and has had here.
+func (r *request) maxAttempts() int {
+	if r.relayed == nil {
+		return r.route.MaxAttempts
+	}
+	return r.route.MaxAttempts - r.relayed.sends
+}
+
+// drawService is the service of a request: the one that was drawn where it was taken.
+func (h *Handler) drawService(req *request) string {
+	if req.relayed != nil {
+		for _, share := range req.route.Shares {
+			if share.Service == req.relayed.service {
+				return share.Service
+			}
+		}
+	}
+	return req.route.Pick(h.options.Draw())
+}
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -50,6 +50,9 @@
 	// exploresLimit says that it may take a slot that is better left free.
 	exploresLimit bool
 	sendLog       sendLog
+	// relayed is what another gateway decided that had this one serve the request; nil for a
+	// client's.
+	relayed *relayedFrom
 	// caller is whose request it is, by the newest configuration that was asked.
 	caller atomic.Pointer[caller]
 	// credit is what its workspace's quota gave for it; nil where it has none.
@@ -84,6 +87,9 @@
 		return notReady("no configuration is known yet")
 	}
 	req.config = table.Version()
+	if req.relayed != nil && req.config < req.relayed.config {
+		return notReady("the gateway that relayed the request knows a newer configuration")
+	}
 	route, ok := table.Match(req.in.Host, req.in.URL.Path)
 	if !ok && !h.options.Current() {
 		return notReady("no route, but the configuration may be out of date")
@@ -95,7 +101,7 @@
 	if failure := h.balancer.identify(req, table); failure != nil {
 		return failure
 	}
-	req.service = route.Pick(h.options.Draw())
+	req.service = h.drawService(req)
 	req.onTrial = h.drawTrial(req.service)
 	if service, ok := table.Service(req.service); ok {
 		req.healthPath, req.coldRate = service.HealthPath, service.ColdRate
--- a/internal/gateway/forward/service.go
+++ b/internal/gateway/forward/service.go
@@ -16,6 +16,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/outcome"
 	"github.com/sprucecrank/sprucecrank/core/gateway/placement"
 	"github.com/sprucecrank/sprucecrank/core/gateway/refusal"
+	"github.com/sprucecrank/sprucecrank/core/gateway/relay"
 	"github.com/sprucecrank/sprucecrank/core/gateway/retry"
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/gateway/warmup"
@@ -70,6 +71,7 @@
 
 	mu         sync.Mutex
 	budget     *budget.Budget
+	cutOff     bool // as logged
 	exhausted  bool // the latest retry that was asked for found no budget
 	estimate   *estimate.Service
 	ejections  *ejection.Tracker
@@ -77,6 +79,7 @@
 	turns      *warmup.Limiter
 	active     map[catalog.Life]int // sends under way
 	evidence   *evidence            // guarded by its own lock
+	paths      *relay.Paths
 	reach      reach
 }
 
@@ -86,7 +89,7 @@
 		budget:   budget.New(r.Ratio, retry.HedgeBudgetShare, r.Saved),
 		estimate: estimate.New(), ejections: ejection.New(), contention: placement.NewContention(),
 		turns:  warmup.New(rand.Float64()),
-		active: map[catalog.Life]int{},
+		active: map[catalog.Life]int{}, paths: relay.NewPaths(),
 	}
 }
 
@@ -152,6 +155,9 @@
 		delete(s.active, life)
 	}
 	s.ejections.RecordOutcome(now, life, o)
+	if o.IsAnswer() {
+		s.paths.RecordAnswer()
+	}
 	if o != outcome.Abandoned {
 		s.estimate.RecordSend(o == outcome.Shed)
 	}
@@ -169,6 +175,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ejections.RecordProbeFailure(now, life)
+	s.paths.RecordFailure(now, life)
 }
 
 // probeAnswered learns whether a target that answered reported its load.
@@ -176,6 +183,27 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.estimate.RecordLoadReport(hasReport)
+	s.paths.RecordAnswer()
+}
+
+// isCutOff says whether no target of the service answers this gateway, of a number that is
+// known, and notes when that changes.
+func (s *service) isCutOff(now time.Time, targets int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cut := s.paths.AreCut(now, targets)
+	if cut != s.cutOff {
+		s.cutOff = cut
+		s.log.Warn("paths to targets", "service", s.name, "cut", cut, "targets", targets)
+	}
+	return cut
+}
+
+// triesNow says whether a request looks for a target although none answers.
+func (s *service) triesNow(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.paths.TryNow(now)
 }
 
 // probed learns whether a target that was probed was idle.
--- a/internal/gateway/metrics/metrics.go
+++ b/internal/gateway/metrics/metrics.go
@@ -37,6 +37,7 @@
 	waits      metric.Int64Counter
 	sends      metric.Int64Counter
 	checks     metric.Int64Counter
+	relayed    metric.Int64Counter
 	opened     metric.Int64Counter
 	ended      metric.Int64Counter
 	storeCalls metric.Int64Counter
@@ -113,6 +114,7 @@
 		{&m.waits, "sprucecrank.gateway.waits", "Rounds in which a request found no target to go to, by service."},
 		{&m.sends, "sprucecrank.gateway.sends", "Sends to targets, by service, result, how far the target is, and whether it was the first of its request."},
 		{&m.checks, "sprucecrank.gateway.checks", "Health checks, by service and result."},
+		{&m.relayed, "sprucecrank.gateway.relayed", "Requests that other gateways were to serve, by service and result."},
 		{&m.opened, "sprucecrank.gateway.connections.opened", "New connections to targets."},
 		{&m.ended, "sprucecrank.gateway.targets.ended", "Sends under which the target's process ended, by service."},
 		{&m.storeCalls, "sprucecrank.gateway.store.calls", "Calls to the store, by watch and result."},
@@ -178,6 +180,13 @@
 	}
 }
 
+// Relayed counts a request that another gateway was to serve.
+func (m *Metrics) Relayed(service, result string) {
+	if m != nil {
+		add(m.relayed, attribute.String("service", service), attribute.String("result", result))
+	}
+}
+
 // TargetEnded counts a send during which its target's process ended.
 func (m *Metrics) TargetEnded(service string) {
 	if m != nil {
