Requests are relayed by a gateway that reaches few targets, which are full

What callers saw: where a cut leaves a gateway a few targets, all its requests went to them and were refused as too late, while the others had room.

Change: where half of the known targets have failed and those that answer are full, the request is relayed before it is refused; not for 0.2 to 3 s after others had no room either. Whether targets merely answer no probe is told from whether they can be connected to at all: a gateway that nobody can help goes on trying the former (three tests of false health answers failed without), and refuses at once in the latter case. No further gateway is asked once half of the objective is over; idle connections between gateways are closed.

Evidence: TestAGatewayThatReachesFewTargetsUsesTheRoomOfOthers failed before (0 of 30).

--- a/core/gateway/relay/relay_test.go
+++ b/core/gateway/relay/relay_test.go
@@ -32,10 +32,46 @@
 	p.RecordFailure(after(100), life(3))
 	g.Expect(p.AreCut(after(299), 10)).To(BeFalse(), "the process may have stood still")
 	g.Expect(p.AreCut(after(300), 10)).To(BeTrue())
-	p.RecordAnswer()
+	p.RecordAnswer(life(9))
 	g.Expect(p.AreCut(after(2000), 10)).To(BeFalse())
 }
 
+func TestTargetsThatConnectMayServeThoughTheyAnswerNoProbe(t *testing.T) {
+	g := NewWithT(t)
+	p := relay.NewPaths()
+	for i := range 3 {
+		p.RecordFailure(start, life(i))
+		p.RecordConnection(life(i), i != 2)
+	}
+	g.Expect(p.AreCut(after(1000), 3)).To(BeTrue())
+	g.Expect(p.NoneConnects(after(1000), 3)).To(BeFalse())
+	p.RecordConnection(life(0), false)
+	p.RecordConnection(life(1), false)
+	g.Expect(p.NoneConnects(after(1000), 3)).To(BeTrue())
+	p.RecordConnection(life(1), true)
+	g.Expect(p.NoneConnects(after(1000), 3)).To(BeFalse())
+}
+
+func TestOtherGatewaysAreAskedForRoomOnlyWhereMostTargetsFail(t *testing.T) {
+	g := NewWithT(t)
+	p := relay.NewPaths()
+	p.RecordFailure(start, life(1))
+	g.Expect(p.FewAreLeft(start, 4)).To(BeFalse())
+	p.RecordFailure(start, life(2))
+	g.Expect(p.FewAreLeft(start, 4)).To(BeTrue())
+	p.RecordAnswer(life(9))
+	g.Expect(p.FewAreLeft(start, 4)).To(BeTrue(), "another target is well")
+	p.RecordOverflow(start, false)
+	g.Expect(p.FewAreLeft(after(199), 4)).To(BeFalse(), "others had no room")
+	g.Expect(p.FewAreLeft(after(200), 4)).To(BeTrue())
+	p.RecordOverflow(after(200), false)
+	g.Expect(p.FewAreLeft(after(599), 4)).To(BeFalse(), "twice as long")
+	p.RecordOverflow(after(600), true)
+	p.RecordAnswer(life(1))
+	g.Expect(p.FewAreLeft(after(600), 4)).To(BeFalse(), "it answered")
+	g.Expect(p.FewAreLeft(after(11_000), 1)).To(BeFalse(), "long ago")
+}
+
 func TestOneRequestAnIntervalLooksForATargetThatIsBack(t *testing.T) {
 	g := NewWithT(t)
 	p := relay.NewPaths()
--- a/e2e/gateway/cutoff_test.go
+++ b/e2e/gateway/cutoff_test.go
@@ -115,3 +115,37 @@
 		})
 	}
 }
+
+// A gateway that reached one target, which was full, refused what others had room for.
+func TestAGatewayThatReachesFewTargetsUsesTheRoomOfOthers(t *testing.T) {
+	const requests = 12
+	g := NewWithT(t)
+	d := newDeployment(t, 2, 5*time.Millisecond)
+	ways := d.behindProxies(t)
+	client := &http.Client{Transport: &http.Transport{}, Timeout: 2 * time.Second}
+	t.Cleanup(client.CloseIdleConnections)
+	send := func(p *process) int {
+		status, _, err := d.call(client, p, http.MethodPost, "/book/", fmt.Sprint("few-", d.attempts.Add(1)))
+		if err != nil {
+			return 0
+		}
+		return status
+	}
+	for _, p := range d.gateways {
+		g.Eventually(func() int { return send(p) }, eventual).Should(Equal(http.StatusOK))
+	}
+	d.targets[2].full.Store(true)
+	for _, way := range ways[:2] {
+		way.Set(faultproxy.Fault{HoldRequests: true, HoldAnswers: true, Origins: []string{d.gateways[0].id}})
+	}
+	served := func() (n int) {
+		for range requests {
+			if send(d.gateways[0]) == http.StatusOK {
+				n++
+			}
+		}
+		return n
+	}
+	g.Eventually(served, eventual).Should(BeNumerically(">=", requests*2/3))
+	g.Expect(served()).To(BeNumerically(">=", requests*2/3))
+}
--- a/e2e/gateway/process_test.go
+++ b/e2e/gateway/process_test.go
@@ -64,6 +64,8 @@
 	// leaving says that it leaves, in all its answers, and toldLeaving how many of them did.
 	leaving     atomic.Bool
 	sentLeaving atomic.Int64
+	// full says that it reports no free slot.
+	full atomic.Bool
 	// probed is called before a health probe is answered; nil for nothing.
 	probed atomic.Pointer[func()]
 }
@@ -83,6 +85,9 @@
 
 func (b *targetServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Server-Load", "0,0,8,100")
+	if b.full.Load() {
+		w.Header().Set("Server-Load", "8,9,8,100")
+	}
 	limit := b.limit.Load()
 	if limit != nil && (limit.inProbes || r.URL.Path != "/health") {
 		w.Header().Set("Server-Limit", limit.text)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,7 @@
 	discovery      *discovery.Follower
 	delivery       *delivery.Delivery // nil if the settings configure no rollouts
 	pool           *upstream.Pool
+	relayPool      *upstream.Pool         // connections to gateways that serve requests for this one
 	responseMemory *upstream.MemoryBudget // bounds the memory for buffered responses
 	forward        *forward.Handler
 	fatal          *fatal.Register   // requests during which targets ended
@@ -126,6 +127,7 @@
 		return
 	}
 	g.pool.Close()
+	g.relayPool.Close()
 	g.forward.Wake()
 	g.discovery.Wake()
 }
@@ -155,14 +157,13 @@
 	g.signals.OnLeaving(g.discovery.Drain)
 	g.responseMemory = upstream.NewMemoryBudget(responseMemoryLimit(s))
 	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Budget: g.responseMemory, Opened: g.metrics.Opened, Log: g.log})
+	g.relayPool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Budget: g.responseMemory, Log: g.log})
 	g.forward = forward.New(forward.Options{
 		Names: o.Wire.Headers, Places: g.localityMap.Load, Snapshot: g.discovery.Snapshot, Current: g.discovery.Current,
 		Gateways: g.discovery.GatewayCount, Fatal: g.fatal, Quota: g.quota, TrustsKeys: g.trustsKeys,
 		Signals: g.signals, Ready: g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
 		Retry: forward.Retry{Ratio: s.RetryRatio},
-		Relay: forward.Relay{Self: s.ID, Gateways: g.discovery.Relays, Pool: upstream.New(upstream.Options{
-			Names: o.Wire.Headers, Clock: o.Clock, Budget: g.responseMemory, Log: g.log,
-		})},
+		Relay: forward.Relay{Self: s.ID, Gateways: g.discovery.Relays, Pool: g.relayPool},
 	})
 	if s.Rollout != nil {
 		g.delivery = delivery.New(g.deliveryOptions(self, *s.Rollout))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -45,6 +45,7 @@
 	g.log.Info("started", "listen", g.listeners.clients.Addr().String(), "hall", g.settings.Load().Hall)
 	err := group.Run()
 	g.pool.Close()
+	g.relayPool.Close()
 	if errors.Is(err, lifecycle.ErrStopped) {
 		g.log.Info("stopped")
 		return nil
@@ -163,4 +164,5 @@
 		known[t.Life()] = true
 	}
 	g.pool.Retain(func(life catalog.Life) bool { return known[life] })
+	g.relayPool.Retain(func(catalog.Life) bool { return true })
 }
--- a/internal/gateway/forward/balancer.go
+++ b/internal/gateway/forward/balancer.go
@@ -62,16 +62,16 @@
 	var past history
 	for {
 		chosen, failure := b.place(ctx, req, svc)
-		if failure == errNoneAnswers {
-			answer, failure, ok := b.relay(ctx, req, svc)
-			if ok && failure == nil {
-				past.drop()
-				return answer, nil
+		if failure == errNoneAnswers || failure == errFewAnswer {
+			relayed, ok := b.relay(ctx, req)
+			if failure == errFewAnswer {
+				svc.overflowed(b.options.Clock(), ok && relayed.failure == nil)
 			}
 			if ok {
-				past.mayHaveRun = past.mayHaveRun || failure.Verdict() != verdict.NotRun
-				return b.giveUp(req, svc, past, failure)
+				return b.endRelayed(req, svc, past, relayed)
 			}
+		}
+		if failure == errNoneAnswers {
 			chosen, failure = b.fallback(ctx, req, svc)
 		}
 		if failure != nil {
@@ -90,6 +90,16 @@
 	}
 }
 
+// endRelayed ends a request by how another gateway served it.
+func (b *balancer) endRelayed(req *request, svc *service, past history, relayed sent) (*upstream.Answer, *verdict.Error) {
+	if relayed.failure == nil {
+		past.drop()
+		return relayed.answer, nil
+	}
+	past.mayHaveRun = past.mayHaveRun || relayed.failure.Verdict() != verdict.NotRun
+	return b.giveUp(req, svc, past, relayed.failure)
+}
+
 // retries says whether a request is sent again after a send that failed, and
 // takes the retry from the budget.
 func (b *balancer) retries(req *request, svc *service, failure *verdict.Error) bool {
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -43,6 +43,9 @@
 		}
 		b.release(best)
 		if failure := decision.Refusal(); failure != nil {
+			if decision.Action() == placement.RefuseFull && svc.reachesFew(b.options.Clock(), len(b.targets(req))) {
+				return nil, errFewAnswer
+			}
 			return nil, failure
 		}
 		if decision.Action() == placement.Fallback {
@@ -97,6 +100,9 @@
 // taken that can be reached.
 var errNoneAnswers = verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no target answers")
 
+// errFewAnswer says that the few targets that answer are full, so that another gateway is asked.
+var errFewAnswer = verdict.New(verdict.NotRun, verdict.ReasonTooLate, "every target that answers is too full to answer in time")
+
 // skipsSearch says whether a search for a target would find none, since no target answers this
 // gateway. A request now and then searches nevertheless.
 func (b *balancer) skipsSearch(req *request, svc *service) bool {
@@ -105,10 +111,10 @@
 }
 
 // fallback takes any target that can be reached and takes the request by its limit. A gateway
-// that no target answers refuses at once; so does one to which the request was relayed.
+// that can connect to none refuses at once; so does one to which the request was relayed.
 func (b *balancer) fallback(ctx context.Context, req *request, svc *service) (*candidate, *verdict.Error) {
 	failure := verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no target could be reached")
-	if req.relayed != nil || svc.isCutOff(b.options.Clock(), len(b.targets(req))) {
+	if req.relayed != nil || svc.noneConnects(b.options.Clock(), len(b.targets(req))) {
 		return nil, failure
 	}
 	for {
--- a/internal/gateway/forward/probe.go
+++ b/internal/gateway/forward/probe.go
@@ -160,7 +160,7 @@
 	if b.gate(target.Life()) != nil {
 		return nil
 	}
-	conn, health, ok := b.askHealth(ctx, req, target)
+	conn, health, ok := b.askHealth(ctx, req, svc, target)
 	if !ok {
 		if ctx.Err() == nil && b.gate(target.Life()) == nil {
 			svc.probeFailed(b.options.Clock(), target.Life())
@@ -168,7 +168,7 @@
 		return nil
 	}
 	report, hasReport := health.Load()
-	svc.probeAnswered(hasReport)
+	svc.probeAnswered(target.Life(), hasReport)
 	trip := b.places.trip(target.Hall)
 	c := &candidate{target: target, conn: conn, Candidate: placement.Candidate{
 		Report: report, HasReport: hasReport, Healthy: health.Healthy(),
@@ -189,8 +189,8 @@
 }
 
 // askHealth makes a health probe; the connection is kept if the target answered.
-func (b *balancer) askHealth(ctx context.Context, req *request, target catalog.Target) (*upstream.Conn, upstream.Health, bool) {
-	conn, failure := b.connect(ctx, target)
+func (b *balancer) askHealth(ctx context.Context, req *request, svc *service, target catalog.Target) (*upstream.Conn, upstream.Health, bool) {
+	conn, failure := b.connect(ctx, svc, target)
 	if failure != nil {
 		return nil, upstream.Health{}, false
 	}
@@ -205,12 +205,16 @@
 }
 
 // connect takes a connection to a target; a new one also measures how far the target is.
-func (b *balancer) connect(ctx context.Context, target catalog.Target) (*upstream.Conn, *verdict.Error) {
+func (b *balancer) connect(ctx context.Context, svc *service, target catalog.Target) (*upstream.Conn, *verdict.Error) {
 	conn, failure := b.options.Pool.Get(ctx, target)
 	if failure != nil {
+		if ctx.Err() == nil {
+			svc.connected(target.Life(), false)
+		}
 		return nil, failure
 	}
 	if took, isNew := conn.DialTime(); isNew {
+		svc.connected(target.Life(), true)
 		b.places.observe(b.options.Clock(), target.Hall, took)
 	}
 	return conn, nil
@@ -252,7 +256,7 @@
 		if cold && !b.takeTurn(req, svc, target) {
 			continue
 		}
-		conn, failure := b.connect(ctx, target)
+		conn, failure := b.connect(ctx, svc, target)
 		if failure == nil {
 			return b.unprobed(target, conn, cold)
 		}
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -22,6 +22,9 @@
 const (
 	// maxRelayTries bounds the gateways that one request is relayed to, one after the other.
 	maxRelayTries = 4
+	// relayShare is the share of the objective after which no further gateway is asked: each may
+	// search before it refuses.
+	relayShare = 0.5
 	// relayDialTimeout bounds the time to connect to another gateway, which takes a millisecond.
 	relayDialTimeout = 150 * time.Millisecond
 	// maxRelayed is how many relayed requests a gateway serves at the same time: those of a few
@@ -100,24 +103,27 @@
 	}
 }
 
-// relay has other gateways serve a request. It reports false where none could be found, and
-// the request was not served: it has not run then.
-func (b *balancer) relay(ctx context.Context, req *request, svc *service) (answer *upstream.Answer, failure *verdict.Error, ok bool) {
+// relay has other gateways serve a request. It reports false where none could be found that
+// did: the request has not run there.
+func (b *balancer) relay(ctx context.Context, req *request) (result sent, ok bool) {
 	if req.relayed != nil {
-		return nil, nil, false
+		return sent{}, false
 	}
-	for range maxRelayTries {
+	for try := range maxRelayTries {
+		if try > 0 && b.options.Clock().Sub(req.began) > time.Duration(relayShare*float64(req.route.Objective)) {
+			break
+		}
 		via, found := b.relays.choose(b.options.Clock())
 		if !found {
-			return nil, nil, false
+			return sent{}, false
 		}
-		answer, failure = b.relayTo(ctx, req, via)
-		b.relays.record(b.options.Clock(), via, failure)
-		if failure == nil || ctx.Err() != nil || !mayTryAnother(failure) {
-			return answer, failure, true
+		result.answer, result.failure = b.relayTo(ctx, req, via)
+		b.relays.record(b.options.Clock(), via, result.failure)
+		if result.failure == nil || ctx.Err() != nil || !mayTryAnother(result.failure) {
+			return result, true
 		}
 	}
-	return nil, nil, false
+	return sent{}, false
 }
 
 // relayTo has one gateway serve a request.
--- a/internal/gateway/forward/service.go
+++ b/internal/gateway/forward/service.go
@@ -156,7 +156,7 @@
 	}
 	s.ejections.RecordOutcome(now, life, o)
 	if o.IsAnswer() {
-		s.paths.RecordAnswer()
+		s.paths.RecordAnswer(life)
 	}
 	if o != outcome.Abandoned {
 		s.estimate.RecordSend(o == outcome.Shed)
@@ -179,11 +179,11 @@
 }
 
 // probeAnswered learns whether a target that answered reported its load.
-func (s *service) probeAnswered(hasReport bool) {
+func (s *service) probeAnswered(life catalog.Life, hasReport bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.estimate.RecordLoadReport(hasReport)
-	s.paths.RecordAnswer()
+	s.paths.RecordAnswer(life)
 }
 
 // isCutOff says whether no target of the service answers this gateway, of a number that is
@@ -199,6 +199,35 @@
 	return cut
 }
 
+// connected notes whether a new connection to a target could be made.
+func (s *service) connected(life catalog.Life, made bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paths.RecordConnection(life, made)
+}
+
+// noneConnects says whether no connection to any target can be made, of a number that is known.
+func (s *service) noneConnects(now time.Time, targets int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.paths.NoneConnects(now, targets)
+}
+
+// reachesFew says whether other gateways may have room at targets, of a number that is known,
+// which do not answer this one.
+func (s *service) reachesFew(now time.Time, targets int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.paths.FewAreLeft(now, targets)
+}
+
+// overflowed notes whether another gateway had room for a request.
+func (s *service) overflowed(now time.Time, served bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paths.RecordOverflow(now, served)
+}
+
 // triesNow says whether a request looks for a target although none answers.
 func (s *service) triesNow(now time.Time) bool {
 	s.mu.Lock()
