Soak: gateways lose their links to all targets

Some gateways or all, by connections that hang both ways or one way or by new ones that are refused, with and without a reset of those that are open.

--- a/e2e/gateway/cutoff_test.go
+++ b/e2e/gateway/cutoff_test.go
@@ -26,7 +26,11 @@
 		b.http.Close()
 		d.targets[i] = newTargetServer(t, "i-behind-"+b.id, &d.runs, b.work)
 		way, err := faultproxy.NewWithOrigins(d.targets[i].address(), func(client net.Addr) string {
-			return originOf(client, func() []*process { return d.gateways })
+			pids := map[string]int{}
+			for _, p := range d.gateways {
+				pids[p.id] = p.command.Process.Pid
+			}
+			return originOf(client, pids)
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/e2e/gateway/origin_test.go
+++ b/e2e/gateway/origin_test.go
@@ -9,13 +9,13 @@
 	"strings"
 )
 
-// originOf returns the id of the gateway process that has a connection open from an address;
-// empty for any other process.
-func originOf(client net.Addr, gateways func() []*process) string {
+// originOf returns the id of the process that has a connection open from an address, of some
+// process ids by id; empty for any other process.
+func originOf(client net.Addr, pids map[string]int) string {
 	inode := socketInode(client.(*net.TCPAddr).Port)
-	for _, p := range gateways() {
-		if inode != "" && p.command != nil && hasSocket(p.command.Process.Pid, inode) {
-			return p.id
+	for id, pid := range pids {
+		if inode != "" && hasSocket(pid, inode) {
+			return id
 		}
 	}
 	return ""
--- a/e2e/gateway/soak_test.go
+++ b/e2e/gateway/soak_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -151,6 +152,7 @@
 			w.harmed.add(from, time.Since(w.began))
 		}
 	}},
+	{"gateways cut off from targets", false, (*world).cutOff},
 	{"path to the store", false, func(w *world, random *rand.Rand, lasts time.Duration) {
 		harm(random, w.gateways[random.IntN(len(w.gateways))].store, lasts)
 	}},
@@ -227,6 +229,33 @@
 	return played
 }
 
+// cutOff has some gateways, or all, lose their links to all targets.
+func (w *world) cutOff(random *rand.Rand, lasts time.Duration) {
+	faults := []faultproxy.Fault{{HoldRequests: true, HoldAnswers: true}, {HoldRequests: true}, {HoldAnswers: true}, {Refuse: true}}
+	fault := faults[random.IntN(len(faults))]
+	for _, i := range random.Perm(len(w.gateways))[:1+random.IntN(len(w.gateways))] {
+		fault.Origins = append(fault.Origins, w.gateways[i].id)
+	}
+	reset, from := random.IntN(2) == 0, time.Since(w.began)
+	for _, b := range w.allTargets() {
+		b.proxy.Set(fault)
+		if reset {
+			b.proxy.ResetOf(fault.Origins)
+		}
+	}
+	time.Sleep(lasts)
+	for _, b := range w.allTargets() {
+		b.proxy.Set(faultproxy.Fault{})
+	}
+	w.harmed.add(from, time.Since(w.began))
+}
+
+func (w *world) allTargets() []*soakTarget {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.targets)
+}
+
 func (w *world) onGateway(random *rand.Rand, do func(*soakGateway)) {
 	g := w.gateways[random.IntN(len(w.gateways))]
 	g.mu.Lock()
--- a/e2e/gateway/soak_world_test.go
+++ b/e2e/gateway/soak_world_test.go
@@ -248,6 +248,7 @@
 	store   *faultproxy.Proxy
 	mu      sync.Mutex // held while the process is exchanged
 	life    atomic.Int32
+	pid     atomic.Int64
 	// down says that the process is stopped or about to be.
 	down atomic.Bool
 }
@@ -314,7 +315,21 @@
 
 func (w *world) proxy(target string) *faultproxy.Proxy {
 	w.t.Helper()
-	p, err := faultproxy.New(target)
+	return w.proxyOf(target, func(net.Addr) string { return "" })
+}
+
+// gatewayOf returns the id of the gateway that connects from an address.
+func (w *world) gatewayOf(client net.Addr) string {
+	pids := map[string]int{}
+	for _, g := range w.gateways {
+		pids[g.id] = int(g.pid.Load())
+	}
+	return originOf(client, pids)
+}
+
+func (w *world) proxyOf(target string, origin func(client net.Addr) string) *faultproxy.Proxy {
+	w.t.Helper()
+	p, err := faultproxy.NewWithOrigins(target, origin)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -326,6 +341,7 @@
 	g.life.Add(1)
 	w.lives.Add(1)
 	g.start()
+	g.pid.Store(int64(g.command.Process.Pid))
 	g.down.Store(false)
 }
 
@@ -354,7 +370,7 @@
 	b.server = &http.Server{Handler: b}
 	go func() { _ = b.server.Serve(listener) }()
 	w.t.Cleanup(func() { _ = b.server.Close() })
-	b.proxy = w.proxy(b.address)
+	b.proxy = w.proxyOf(b.address, w.gatewayOf)
 	w.targets = append(w.targets, b)
 	b.register("ready")
 	return b
