--- a/internal/standin/faultproxy/faultproxy.go
+++ b/internal/standin/faultproxy/faultproxy.go
@@ -35,8 +35,8 @@
 }
 
 // affects reports whether the fault is done to connections of an origin.
-func (f Fault) affects(origin string) bool {
-	return f.Origins == nil || slices.Contains(f.Origins, origin)
+func (f Fault) affects(origin func() string) bool {
+	return f.Origins == nil || slices.Contains(f.Origins, origin())
 }
 
 const (
@@ -53,8 +53,8 @@
 
 	mu      sync.Mutex
 	fault   Fault
-	changed chan struct{}           // closed and renewed when the fault changes
-	conns   map[*net.TCPConn]string // with their origins
+	changed chan struct{}                  // closed and renewed when the fault changes
+	conns   map[*net.TCPConn]func() string // with their origins
 	closed  bool
 	held    int // pieces that are held back
 	// origin names whose a connection is, by its address.
@@ -66,13 +66,14 @@
 	return NewWithOrigins(target, func(net.Addr) string { return "" })
 }
 
-// NewWithOrigins is New for faults of some origins: origin is called once for each connection.
+// NewWithOrigins is New for faults of some origins: origin is called once for a connection,
+// when the first such fault strikes.
 func NewWithOrigins(target string, origin func(client net.Addr) string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), conns: map[*net.TCPConn]string{}, origin: origin}
+	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), conns: map[*net.TCPConn]func() string{}, origin: origin}
 	go p.accept()
 	return p, nil
 }
@@ -137,7 +138,7 @@
 }
 
 func (p *Proxy) serve(client *net.TCPConn) {
-	origin := p.origin(client.RemoteAddr())
+	origin := sync.OnceValue(func() string { return p.origin(client.RemoteAddr()) })
 	if !p.add(client, origin) {
 		_ = client.SetLinger(0)
 		_ = client.Close()
@@ -164,7 +165,7 @@
 	<-done
 }
 
-func (p *Proxy) add(conn *net.TCPConn, origin string) bool {
+func (p *Proxy) add(conn *net.TCPConn, origin func() string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.fault.Refuse && p.fault.affects(origin) {
