internal/gateway/forward: tests of relayed requests

Headers stay within the fleet, a request is relayed once, sends count wherever they were made, an older configuration serves none, and nobody else may send here.

--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -172,13 +172,18 @@
 }
 
 func newTable(attempts int, timeout time.Duration) *routing.Table {
+	return newTableOf(7, attempts, timeout)
+}
+
+// newTableOf is newTable of a version of the configuration.
+func newTableOf(version uint64, attempts int, timeout time.Duration) *routing.Table {
 	route := func(prefix string, repeatable bool, shares ...routing.Share) routing.Route {
 		return routing.Route{
 			Name: prefix, Host: "shop.example", Prefix: prefix, Repeatable: repeatable, Shares: shares,
 			Objective: objective, Timeout: timeout, MaxAttempts: attempts,
 		}
 	}
-	return routing.New(routing.Config{Version: 7, Limits: routing.Limits{BodyBytes: 1 << 20}, Routes: []routing.Route{
+	return routing.New(routing.Config{Version: version, Limits: routing.Limits{BodyBytes: 1 << 20}, Routes: []routing.Route{
 		route(readPath, true, routing.Share{Service: "shop", Weight: 1}),
 		route(orderPath, false, routing.Share{Service: "shop", Weight: 1}),
 		route(splitPath, true, routing.Share{Service: "shop", Weight: 3}, routing.Share{Service: "farm", Weight: 1}),
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -83,9 +83,9 @@
 		r.tried.RecordServed(via.ID)
 	case failure.Reason() == verdict.ReasonQueueFull:
 		r.tried.RecordBusy(now, via.ID)
-	case failure.Reason() == verdict.ReasonClientGone, !mayTryAnother(failure):
-	default:
+	case mayTryAnother(failure):
 		r.tried.RecordFailure(now, via.ID)
+	default: // the request's end tells nothing about the gateway
 	}
 }
 
@@ -170,7 +170,6 @@
 		answer.Close()
 		return nil, refused
 	}
-	answer.Header().Del(verdict.Header)
 	return answer, nil
 }
 
--- /dev/null
+++ b/internal/gateway/forward/relay_test.go
@@ -0,0 +1,113 @@
+package forward_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
+	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline/pipelinetest"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+// nowhere is a target at an address at which nobody listens.
+func nowhere(t *testing.T, id string) *standin {
+	t.Helper()
+	s := newStandin(t, id, "shop", "a", ok)
+	s.entry.Close()
+	return s
+}
+
+// relayedTo has a gateway know another one, which serves by the view of its own fixture, and
+// returns how many requests that one was sent.
+func (f *fixture) relayedTo(other *fixture) *atomic.Int32 {
+	f.t.Helper()
+	relayed := &atomic.Int32{}
+	serve := forward.New(other.options).Relayed()
+	address := pipelinetest.Serve(f.t, pipeline.Options{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		relayed.Add(1)
+		serve.ServeHTTP(w, r)
+	})})
+	f.options.Relay = forward.Relay{
+		Self: "gateway-a", Pool: upstream.New(upstream.Options{Names: names}),
+		Gateways: func() []member.Box { return []member.Box{{ID: "gateway-b", Hall: "a", Relay: address}} },
+	}
+	f.t.Cleanup(f.options.Relay.Pool.Close)
+	return relayed
+}
+
+func TestARelayedRequestReachesItsTargetAsItsClientSentIt(t *testing.T) {
+	g := NewWithT(t)
+	target := newStandin(t, "t1", "shop", "a", ok)
+	f := newFixture(t, nowhere(t, "t0"))
+	f.relayedTo(newFixture(t, target))
+	got := f.start().send(t.Context(), http.MethodPost, orderPath, "X-Own", "1", names.Deadline, "9000")
+	g.Expect(got.err).NotTo(HaveOccurred())
+	g.Expect(got.status).To(Equal(http.StatusOK))
+	g.Expect(got.body).To(Equal("whole answer"))
+	seen := target.header(got.id)
+	g.Expect(seen.Get("X-Own")).To(Equal("1"))
+	g.Expect(seen.Get(names.ExpectInstance)).To(Equal("t1"))
+	for name := range seen {
+		g.Expect(strings.HasPrefix(name, "Sprucecrank-Relay")).To(BeFalse(), name)
+	}
+	for name := range got.header {
+		g.Expect(strings.HasPrefix(name, "Sprucecrank-Relay")).To(BeFalse(), name)
+	}
+}
+
+func TestARequestIsRelayedOnce(t *testing.T) {
+	g := NewWithT(t)
+	f, other := newFixture(t, nowhere(t, "t0")), newFixture(t, nowhere(t, "t1"))
+	back := other.relayedTo(f)
+	relayed := f.relayedTo(other)
+	got := f.start().order()
+	g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(got.header.Get(verdict.Header)).To(Equal(verdict.NotRun.String()))
+	g.Expect(relayed.Load()).To(Equal(int32(1)), "it is passed over then")
+	g.Expect(back.Load()).To(BeZero())
+}
+
+func TestSendsBeforeARelayCount(t *testing.T) {
+	g := NewWithT(t)
+	first, second := newStandin(t, "t1", "shop", "a", breakOff), newStandin(t, "t2", "shop", "a", breakOff)
+	f, other := newFixture(t, newStandin(t, "t0", "shop", "a", breakOff)), newFixture(t, first, second)
+	relayed := f.relayedTo(other)
+	got := f.start().read() // two sends are allowed
+	g.Expect(got.status).To(Equal(http.StatusBadGateway))
+	g.Expect(relayed.Load()).To(Equal(int32(1)))
+	g.Expect(first.runs.Load() + second.runs.Load()).To(Equal(int32(1)))
+}
+
+func TestAGatewayWithAnOlderConfigurationServesNoRelayedRequest(t *testing.T) {
+	g := NewWithT(t)
+	target := newStandin(t, "t1", "shop", "a", ok)
+	f, other := newFixture(t, nowhere(t, "t0")), newFixture(t, target)
+	f.view = snapshot.New(newTableOf(8, 2, timeout), map[string][]catalog.Target{"shop": f.view.Targets("shop")})
+	relayed := f.relayedTo(other)
+	got := f.start().order()
+	g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(relayed.Load()).To(Equal(int32(1)))
+	g.Expect(target.runs.Load()).To(BeZero())
+}
+
+func TestOnlyGatewaysMaySendRelayedRequests(t *testing.T) {
+	g := NewWithT(t)
+	target := newStandin(t, "t1", "shop", "a", ok)
+	f := newFixture(t, target)
+	address := pipelinetest.Serve(t, pipeline.Options{Handler: forward.New(f.options).Relayed()})
+	response, err := http.Get(fmt.Sprintf("http://%s%sx", address, readPath))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	g.Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
+	g.Expect(target.runs.Load()).To(BeZero())
+}
