--- a/e2e/gateway/cutoff_test.go
+++ b/e2e/gateway/cutoff_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -20,18 +19,19 @@
 // behindProxies puts a proxy before each target of a deployment, as another target.
 func (d *deployment) behindProxies(t *testing.T) (ways []*faultproxy.Proxy) {
 	t.Helper()
+	gateways := &origins{pids: func() map[string]int {
+		pids := map[string]int{}
+		for _, p := range d.gateways {
+			pids[p.id] = p.command.Process.Pid
+		}
+		return pids
+	}}
 	for i, b := range d.targets {
 		d.store.Remove(storetest.Servers, b.id)
 		b.http.CloseClientConnections()
 		b.http.Close()
 		d.targets[i] = newTargetServer(t, "i-behind-"+b.id, &d.runs, b.work)
-		way, err := faultproxy.NewWithOrigins(d.targets[i].address(), func(client net.Addr) string {
-			pids := map[string]int{}
-			for _, p := range d.gateways {
-				pids[p.id] = p.command.Process.Pid
-			}
-			return originOf(client, pids)
-		})
+		way, err := faultproxy.NewWithOrigins(d.targets[i].address(), gateways.of)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/e2e/gateway/soak_world_test.go
+++ b/e2e/gateway/soak_world_test.go
@@ -264,6 +264,7 @@
 	targets  []*soakTarget
 	limits   []*namedLimit // all that targets named
 	started  int           // targets so far
+	origins  *origins
 	version  atomic.Int64
 	lives    atomic.Int32
 	trouble  atomic.Int32 // faults under way other than planned stops
@@ -291,6 +292,7 @@
 		fatals:  fatals{runs: map[string][]fatalRun{}},
 		keys:    newKeys(),
 	}
+	w.origins = &origins{pids: w.pids}
 	var address string
 	w.store, address = storetest.New(t)
 	w.configure(1)
@@ -318,13 +320,13 @@
 	return w.proxyOf(target, func(net.Addr) string { return "" })
 }
 
-// gatewayOf returns the id of the gateway that connects from an address.
-func (w *world) gatewayOf(client net.Addr) string {
+// pids returns the process ids of the gateways by their ids.
+func (w *world) pids() map[string]int {
 	pids := map[string]int{}
 	for _, g := range w.gateways {
 		pids[g.id] = int(g.pid.Load())
 	}
-	return originOf(client, pids)
+	return pids
 }
 
 func (w *world) proxyOf(target string, origin func(client net.Addr) string) *faultproxy.Proxy {
@@ -370,7 +372,7 @@
 	b.server = &http.Server{Handler: b}
 	go func() { _ = b.server.Serve(listener) }()
 	w.t.Cleanup(func() { _ = b.server.Close() })
-	b.proxy = w.proxyOf(b.address, w.gatewayOf)
+	b.proxy = w.proxyOf(b.address, w.origins.of)
 	w.targets = append(w.targets, b)
 	b.register("ready")
 	return b
--- a/internal/standin/faultproxy/faultproxy.go
+++ b/internal/standin/faultproxy/faultproxy.go
@@ -12,6 +12,7 @@
 package faultproxy
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -107,13 +108,13 @@
 // ResetOf ends the open connections of some origins with a reset; nil for all.
 func (p *Proxy) ResetOf(origins []string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for conn, origin := range p.conns {
-		if !(Fault{Origins: origins}).affects(origin) {
-			continue
+	conns := maps.Clone(p.conns)
+	p.mu.Unlock()
+	for conn, origin := range conns {
+		if (Fault{Origins: origins}).affects(origin) {
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
 		}
-		_ = conn.SetLinger(0)
-		_ = conn.Close()
 	}
 }
 
@@ -166,9 +167,15 @@
 }
 
 func (p *Proxy) add(conn *net.TCPConn, origin func() string) bool {
+	p.mu.Lock()
+	fault := p.fault
+	p.mu.Unlock()
+	if fault.Refuse && fault.affects(origin) { // which may take long
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.fault.Refuse && p.fault.affects(origin) {
+	if p.closed {
 		return false
 	}
 	p.conns[conn] = origin
