Relayed requests are served by the same version of the configuration alone

A gateway with a newer version could run a request of one that has not heard of it, whose next request was then handled by the older version: by reading, no test showed it from outside. The test of an older version has a newer one beside it, which failed before.

--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -37,7 +37,7 @@
 	headerRelayedBy    = "Sprucecrank-Relayed-By"    // the id of the gateway that took the request
 	headerRelayClient  = "Sprucecrank-Relay-Client"  // the address of its client
 	headerRelayService = "Sprucecrank-Relay-Service" // the service that was drawn for it
-	headerRelayConfig  = "Sprucecrank-Relay-Config"  // the oldest configuration that may be used
+	headerRelayConfig  = "Sprucecrank-Relay-Config"  // the version by which it is handled
 	headerRelaySends   = "Sprucecrank-Relay-Sends"   // how often it was sent to targets already
 	headerRelayReason  = "Sprucecrank-Relay-Reason"  // why it was refused
 )
--- a/internal/gateway/forward/relay_test.go
+++ b/internal/gateway/forward/relay_test.go
@@ -88,16 +88,21 @@
 	g.Expect(first.runs.Load() + second.runs.Load()).To(Equal(int32(1)))
 }
 
-func TestAGatewayWithAnOlderConfigurationServesNoRelayedRequest(t *testing.T) {
-	g := NewWithT(t)
-	target := newStandin(t, "t1", "shop", "a", ok)
-	f, other := newFixture(t, nowhere(t, "t0")), newFixture(t, target)
-	f.view = snapshot.New(newTableOf(8, 2, timeout), map[string][]catalog.Target{"shop": f.view.Targets("shop")})
-	relayed := f.relayedTo(other)
-	got := f.start().order()
-	g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
-	g.Expect(relayed.Load()).To(Equal(int32(1)))
-	g.Expect(target.runs.Load()).To(BeZero())
+// Clients of a gateway must not see a newer configuration in force there, and then an older one.
+func TestAGatewayWithAnotherConfigurationServesNoRelayedRequest(t *testing.T) {
+	for _, version := range []uint64{6, 8} {
+		t.Run(fmt.Sprint(version), func(t *testing.T) {
+			g := NewWithT(t)
+			target := newStandin(t, "t1", "shop", "a", ok)
+			f, other := newFixture(t, nowhere(t, "t0")), newFixture(t, target)
+			f.view = snapshot.New(newTableOf(version, 2, timeout), map[string][]catalog.Target{"shop": f.view.Targets("shop")})
+			relayed := f.relayedTo(other)
+			got := f.start().order()
+			g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+			g.Expect(relayed.Load()).To(Equal(int32(1)))
+			g.Expect(target.runs.Load()).To(BeZero())
+		})
+	}
 }
 
 func TestOnlyGatewaysMaySendRelayedRequests(t *testing.T) {
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -87,8 +87,8 @@
 		return notReady("no configuration is known yet")
 	}
 	req.config = table.Version()
-	if req.relayed != nil && req.config < req.relayed.config {
-		return notReady("the gateway that relayed the request knows a newer configuration")
+	if req.relayed != nil && req.config != req.relayed.config {
+		return notReady("the gateway that relayed the request goes by another configuration")
 	}
 	route, ok := table.Match(req.in.Host, req.in.URL.Path)
 	if !ok && !h.options.Current() {
