internal/gateway/forward: relayed requests stream by the rule of sends

The same rule stood twice: which answers may be passed on before they are whole. The usage example of core/gateway/relay lacked an argument. No behaviour changes: an answer that a target did not run is never passed on by the gateway that relayed it.

--- a/core/gateway/relay/relay.go
+++ b/core/gateway/relay/relay.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	paths.RecordFailure(now, target.Life()) // a probe was not answered
-//	if paths.AreCut(now) && !paths.TryNow(now) {
+//	if paths.AreCut(now, targets) && !paths.TryNow(now) {
 //		via, ok := gateways.Choose(now, known, rand.IntN)
 //	}
 package relay
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -11,7 +11,6 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
-	"github.com/sprucecrank/sprucecrank/core/gateway/outcome"
 	"github.com/sprucecrank/sprucecrank/core/gateway/relay"
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
@@ -189,7 +188,7 @@
 	h.Set(headerRelaySends, strconv.Itoa(int(req.sends.Load())))
 	out := upstream.Request{Method: req.in.Method, URI: req.in.RequestURI, Host: req.in.Host, Header: h, Body: req.body, ID: req.id}
 	if req.in.ProtoAtLeast(1, 1) {
-		out.MayStream = func(status int, _ bool) bool { return outcome.FromAnswer(status, false) == outcome.Served }
+		out.MayStream = streams
 	}
 	return out
 }
