Fault proxy, soak: the sender of each connection is known before it is used

The soak and the tests of cut-off gateways find out whose a connection is by the system's tables.

The look is made for each connection before anything is passed on, where it was made when a fault asked for it, so that a target knows from outside which gateway, and which start of it, sent each request.

--- a/e2e/gateway/cutoff_test.go
+++ b/e2e/gateway/cutoff_test.go
@@ -19,12 +19,12 @@
 // behindProxies puts a proxy before each target of a deployment, as another target.
 func (d *deployment) behindProxies(t *testing.T) (ways []*faultproxy.Proxy) {
 	t.Helper()
-	gateways := &origins{pids: func() map[string]int {
-		pids := map[string]int{}
+	gateways := &origins{processes: func() map[int]faultproxy.Origin {
+		processes := map[int]faultproxy.Origin{}
 		for _, p := range d.gateways {
-			pids[p.id] = p.command.Process.Pid
+			processes[p.command.Process.Pid] = faultproxy.Origin{Name: p.id}
 		}
-		return pids
+		return processes
 	}}
 	for i, b := range d.targets {
 		d.store.Remove(storetest.Servers, b.id)
--- a/e2e/gateway/origin_test.go
+++ b/e2e/gateway/origin_test.go
@@ -10,43 +10,49 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/sprucecrank/sprucecrank/internal/standin/faultproxy"
 )
 
 // origins tells which gateway process has a connection open. Questions that come together are
 // answered by one look at the system's tables, which is slow while there are many connections.
 type origins struct {
-	pids func() map[string]int // the gateways' process ids, by their ids
+	processes func() map[int]faultproxy.Origin // the gateways by their process ids
 
 	mu      sync.Mutex
 	takenAt time.Time // when the latest look began
-	byPort  map[int]string
+	byPorts map[ports]faultproxy.Origin
 }
 
-// of returns the id of the gateway that has a connection open from an address; empty for any
-// other process.
-func (o *origins) of(client net.Addr) string {
+// ports are those of a connection, of which both ends are on loopback. One local port serves
+// several connections to different ports.
+type ports struct{ local, remote int }
+
+// of returns the gateway that has a connection open between two addresses; the zero value for
+// any other process.
+func (o *origins) of(client, own net.Addr) faultproxy.Origin {
 	asked := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.takenAt.After(asked) {
 		o.take()
 	}
-	return o.byPort[client.(*net.TCPAddr).Port]
+	return o.byPorts[ports{local: client.(*net.TCPAddr).Port, remote: own.(*net.TCPAddr).Port}]
 }
 
-// take looks up the local ports of all gateways; the lock is held.
+// take looks up the connections of all gateways; the lock is held.
 func (o *origins) take() {
 	o.takenAt = time.Now()
-	o.byPort = map[int]string{}
-	gateways := map[string]string{}
-	for id, pid := range o.pids() {
+	o.byPorts = map[ports]faultproxy.Origin{}
+	gateways := map[string]faultproxy.Origin{}
+	for pid, origin := range o.processes() {
 		for _, inode := range socketInodes(pid) {
-			gateways[inode] = id
+			gateways[inode] = origin
 		}
 	}
-	for port, inode := range portInodes() {
-		if id, ok := gateways[inode]; ok {
-			o.byPort[port] = id
+	for connection, inode := range connectionInodes() {
+		if origin, ok := gateways[inode]; ok {
+			o.byPorts[connection] = origin
 		}
 	}
 }
@@ -63,17 +69,17 @@
 	return inodes
 }
 
-// portInodes returns the inodes of all connected TCP sockets by their local ports.
-func portInodes() map[int]string {
+// connectionInodes returns the inodes of all connected TCP sockets by their ports.
+func connectionInodes() map[ports]string {
 	const (
-		localField, stateField, inodeField = 1, 3, 9
-		established                        = "01"
-		hexadecimal, portBits              = 16, 16
+		localField, remoteField, stateField, inodeField = 1, 2, 3, 9
+
+		established = "01"
 	)
-	ports := map[int]string{}
+	inodes := map[ports]string{}
 	file, err := os.Open("/proc/net/tcp")
 	if err != nil {
-		return ports
+		return inodes
 	}
 	defer func() { _ = file.Close() }()
 	for lines := bufio.NewScanner(file); lines.Scan(); {
@@ -81,10 +87,19 @@
 		if len(fields) <= inodeField || fields[stateField] != established {
 			continue
 		}
-		_, port, _ := strings.Cut(fields[localField], ":")
-		if number, err := strconv.ParseUint(port, hexadecimal, portBits); err == nil {
-			ports[int(number)] = fields[inodeField]
+		local, errLocal := parsePort(fields[localField])
+		remote, errRemote := parsePort(fields[remoteField])
+		if errLocal == nil && errRemote == nil {
+			inodes[ports{local: local, remote: remote}] = fields[inodeField]
 		}
 	}
-	return ports
+	return inodes
+}
+
+// parsePort reads the port of an address as the system's table has it.
+func parsePort(address string) (int, error) {
+	const hexadecimal, portBits = 16, 16
+	_, port, _ := strings.Cut(address, ":")
+	number, err := strconv.ParseUint(port, hexadecimal, portBits)
+	return int(number), err
 }
--- a/e2e/gateway/soak_world_test.go
+++ b/e2e/gateway/soak_world_test.go
@@ -121,7 +121,10 @@
 	}
 	full := b.running.Add(1) > soakSlots
 	defer b.running.Add(-1)
-	came := arrival{target: b.id, service: b.service, method: r.Method, uri: r.RequestURI, body: string(body), at: time.Since(b.world.began), saidLeaving: saysLeaving}
+	came := arrival{
+		target: b.id, service: b.service, method: r.Method, uri: r.RequestURI, body: string(body),
+		sender: b.proxy.OriginOf(r.RemoteAddr), at: time.Since(b.world.began), saidLeaving: saysLeaving,
+	}
 	if backOff := time.Duration(b.backOff.Load()); full || does == refusesAll || backOff > 0 {
 		came.backOff = backOff
 		b.records.arrived(id, came)
@@ -175,6 +178,8 @@
 type arrival struct {
 	target, service, method, uri, body string
 	ran                                bool
+	// sender is the gateway that sent it, which for a relayed request is not the one that took it.
+	sender faultproxy.Origin
 	// at is when it came, since the soak began, backOff what the target asked for in its answer, and
 	// saidLeaving that it said there that it leaves.
 	at, backOff time.Duration
@@ -292,7 +297,7 @@
 		fatals:  fatals{runs: map[string][]fatalRun{}},
 		keys:    newKeys(),
 	}
-	w.origins = &origins{pids: w.pids}
+	w.origins = &origins{processes: w.processes}
 	var address string
 	w.store, address = storetest.New(t)
 	w.configure(1)
@@ -317,19 +322,19 @@
 
 func (w *world) proxy(target string) *faultproxy.Proxy {
 	w.t.Helper()
-	return w.proxyOf(target, func(net.Addr) string { return "" })
+	return w.proxyOf(target, func(net.Addr, net.Addr) faultproxy.Origin { return faultproxy.Origin{} })
 }
 
-// pids returns the process ids of the gateways by their ids.
-func (w *world) pids() map[string]int {
-	pids := map[string]int{}
+// processes returns the gateways by their process ids.
+func (w *world) processes() map[int]faultproxy.Origin {
+	processes := map[int]faultproxy.Origin{}
 	for _, g := range w.gateways {
-		pids[g.id] = int(g.pid.Load())
+		processes[int(g.pid.Load())] = faultproxy.Origin{Name: g.id, Life: g.life.Load()}
 	}
-	return pids
+	return processes
 }
 
-func (w *world) proxyOf(target string, origin func(client net.Addr) string) *faultproxy.Proxy {
+func (w *world) proxyOf(target string, origin func(client, own net.Addr) faultproxy.Origin) *faultproxy.Proxy {
 	w.t.Helper()
 	p, err := faultproxy.NewWithOrigins(target, origin)
 	if err != nil {
--- a/internal/standin/faultproxy/faultproxy.go
+++ b/internal/standin/faultproxy/faultproxy.go
@@ -31,13 +31,20 @@
 	HoldAnswers  bool
 	// Refuse closes new connections at once.
 	Refuse bool
-	// Origins are those to whose connections this is done; nil for all.
+	// Origins are the names of those to whose connections this is done; nil for all.
 	Origins []string
 }
 
+// Origin is the process that opened a connection; the zero value means that it is not known.
+type Origin struct {
+	Name string
+	// Life counts the processes that had the name one after the other.
+	Life int32
+}
+
 // affects reports whether the fault is done to connections of an origin.
-func (f Fault) affects(origin func() string) bool {
-	return f.Origins == nil || slices.Contains(f.Origins, origin())
+func (f Fault) affects(origin Origin) bool {
+	return f.Origins == nil || slices.Contains(f.Origins, origin.Name)
 }
 
 const (
@@ -54,27 +61,32 @@
 
 	mu      sync.Mutex
 	fault   Fault
-	changed chan struct{}                  // closed and renewed when the fault changes
-	conns   map[*net.TCPConn]func() string // with their origins
-	closed  bool
-	held    int // pieces that are held back
-	// origin names whose a connection is, by its address.
-	origin func(client net.Addr) string
+	changed chan struct{} // closed and renewed when the fault changes
+	conns   map[*net.TCPConn]Origin
+	// byAddress are the origins of connections by the addresses from which they are passed on.
+	// An entry is overwritten when its port is used again.
+	byAddress map[string]Origin
+	closed    bool
+	held      int // pieces that are held back
+	origin    func(client, own net.Addr) Origin
 }
 
 // New listens on a free port of loopback and passes connections on to target.
 func New(target string) (*Proxy, error) {
-	return NewWithOrigins(target, func(net.Addr) string { return "" })
+	return NewWithOrigins(target, func(net.Addr, net.Addr) Origin { return Origin{} })
 }
 
 // NewWithOrigins is New for faults of some origins: origin is called once for a connection,
-// when the first such fault strikes.
-func NewWithOrigins(target string, origin func(client net.Addr) string) (*Proxy, error) {
+// with the addresses of both its ends, before anything is passed on.
+func NewWithOrigins(target string, origin func(client, own net.Addr) Origin) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), conns: map[*net.TCPConn]func() string{}, origin: origin}
+	p := &Proxy{
+		listener: listener, target: target, changed: make(chan struct{}), origin: origin,
+		conns: map[*net.TCPConn]Origin{}, byAddress: map[string]Origin{},
+	}
 	go p.accept()
 	return p, nil
 }
@@ -82,6 +94,13 @@
 // Address is where the proxy listens.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
+// OriginOf returns the origin of the connection that the proxy passes on from an address.
+func (p *Proxy) OriginOf(address string) Origin {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byAddress[address]
+}
+
 // Set puts a fault in the place of the one before.
 func (p *Proxy) Set(f Fault) {
 	p.mu.Lock()
@@ -139,7 +158,7 @@
 }
 
 func (p *Proxy) serve(client *net.TCPConn) {
-	origin := sync.OnceValue(func() string { return p.origin(client.RemoteAddr()) })
+	origin := p.origin(client.RemoteAddr(), client.LocalAddr())
 	if !p.add(client, origin) {
 		_ = client.SetLinger(0)
 		_ = client.Close()
@@ -157,6 +176,7 @@
 		return
 	}
 	defer p.drop(server)
+	p.record(server, origin)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -166,22 +186,23 @@
 	<-done
 }
 
-func (p *Proxy) add(conn *net.TCPConn, origin func() string) bool {
-	p.mu.Lock()
-	fault := p.fault
-	p.mu.Unlock()
-	if fault.Refuse && fault.affects(origin) { // which may take long
-		return false
-	}
+func (p *Proxy) add(conn *net.TCPConn, origin Origin) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.fault.Refuse && p.fault.affects(origin) {
 		return false
 	}
 	p.conns[conn] = origin
 	return true
 }
 
+// record keeps the origin of a connection to the target for OriginOf.
+func (p *Proxy) record(server *net.TCPConn, origin Origin) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.byAddress[server.LocalAddr().String()] = origin
+}
+
 func (p *Proxy) drop(conn *net.TCPConn) {
 	p.mu.Lock()
 	delete(p.conns, conn)
