internal/gateway/forward: relayed requests pause no relays of the gateway's own

What callers saw: a gateway that reaches few targets, which are full, has other gateways serve its requests. It stopped doing so for 0.2 to 3 s, and refused them as too late, after it had been sent a request by another gateway that it could not serve, or once the gateways that it asked were cut off themselves.

Cause: the pause was booked under the wrong gateway. It means that others had no room. A relayed request, which is relayed to nobody, counted as one that found none elsewhere; so did a request whose gateways were all passed over or cut off, which says nothing about room.

Change: only an answer of another gateway to a request of this one's own clients begins or ends the pause.

TestRelayedRequestThatFindsFullTargetsDoesNotPauseRelays failed before (503, 200 wanted).

--- a/internal/gateway/forward/balancer.go
+++ b/internal/gateway/forward/balancer.go
@@ -62,10 +62,10 @@
 	var past history
 	for {
 		chosen, failure := b.place(ctx, req, svc)
-		if failure == errNoneAnswers || failure == errFewAnswer {
+		if req.relayed == nil && (failure == errNoneAnswers || failure == errFewAnswer) {
 			relayed, ok := b.relay(ctx, req)
-			if failure == errFewAnswer {
-				svc.overflowed(b.options.Clock(), ok && relayed.failure == nil)
+			if ok && failure == errFewAnswer {
+				svc.overflowed(b.options.Clock(), relayed.failure == nil)
 			}
 			if ok {
 				return b.endRelayed(req, svc, past, relayed)
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -102,12 +102,9 @@
 	}
 }
 
-// relay has other gateways serve a request. It reports false where none could be found that
-// did: the request has not run there.
+// relay has other gateways serve a request of a client's. It reports false where none could be
+// found that did: the request has not run there.
 func (b *balancer) relay(ctx context.Context, req *request) (result sent, ok bool) {
-	if req.relayed != nil {
-		return sent{}, false
-	}
 	for try := range maxRelayTries {
 		if try > 0 && b.options.Clock().Sub(req.began) > time.Duration(relayShare*float64(req.route.Objective)) {
 			break
--- a/internal/gateway/forward/relay_test.go
+++ b/internal/gateway/forward/relay_test.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -116,3 +120,41 @@
 	g.Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
 	g.Expect(target.runs.Load()).To(BeZero())
 }
+
+// newOrder is an order as the handler gets it.
+func newOrder() *http.Request {
+	r := httptest.NewRequest(http.MethodPost, orderPath+"x", strings.NewReader("an order"))
+	r.Host = "shop.example"
+	return r
+}
+
+// newRelayed is an order as another gateway relays it, by a version of the configuration.
+func newRelayed(config uint64) *http.Request {
+	r := newOrder()
+	r.Header.Set("Sprucecrank-Relayed-By", "gateway-c")
+	r.Header.Set("Sprucecrank-Relay-Service", "shop")
+	r.Header.Set("Sprucecrank-Relay-Config", strconv.FormatUint(config, 10))
+	r.Header.Set("Sprucecrank-Relay-Sends", "0")
+	return r
+}
+
+// A relayed request that met full targets kept the gateway's own requests from being relayed.
+func TestRelayedRequestThatFindsFullTargetsDoesNotPauseRelays(t *testing.T) {
+	g := NewWithT(t)
+	full, free := newStandin(t, "t1", "shop", "a", ok), newStandin(t, "t2", "shop", "a", ok)
+	full.setLoad("3,9,3,500")
+	f := newFixture(t, nowhere(t, "t0"), full)
+	asked := f.relayedTo(newFixture(t, free))
+	handler := f.serve()
+	g.Expect(f.order().status).To(Equal(http.StatusOK), "it reaches few targets")
+	var refused sync.WaitGroup
+	refused.Go(func() {
+		answer := httptest.NewRecorder()
+		handler.Relayed().ServeHTTP(answer, newRelayed(7))
+		g.Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
+	})
+	time.Sleep(50 * time.Millisecond) // its search ends shortly before that of the next one
+	g.Expect(f.order().status).To(Equal(http.StatusOK))
+	refused.Wait()
+	g.Expect(asked.Load()).To(Equal(int32(2)))
+}
