internal/gateway/forward: a gateway that reaches few targets passes relayed requests on

Cause: a gateway that reaches few targets, which are full, refused a relayed request with the reason of one that reaches all and knows that the service is full. The gateway that relayed it took that for the end of the search.

Change: the former says that its targets are unreachable. The gateway that relayed the request asks another one, within the same bounds (four gateways, half of the objective).

TestRequestIsRelayedPastGatewayThatReachesFewTargets failed before (503, 200 wanted).

--- a/internal/gateway/forward/balancer.go
+++ b/internal/gateway/forward/balancer.go
@@ -71,6 +71,9 @@
 				return b.endRelayed(req, svc, past, relayed)
 			}
 		}
+		if req.relayed != nil && failure == errFewAnswer {
+			failure = errFewReached
+		}
 		if failure == errNoneAnswers {
 			chosen, failure = b.fallback(ctx, req, svc)
 		}
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -103,6 +103,10 @@
 // errFewAnswer says that the few targets that answer are full, so that another gateway is asked.
 var errFewAnswer = verdict.New(verdict.NotRun, verdict.ReasonTooLate, "every target that answers is too full to answer in time")
 
+// errFewReached is errFewAnswer for the gateway that relayed the request: it asks another one,
+// since targets that this one does not reach may have room.
+var errFewReached = verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "few targets answer, and they are full")
+
 // skipsSearch says whether a search for a target would find none, since no target answers this
 // gateway. A request now and then searches nevertheless.
 func (b *balancer) skipsSearch(req *request, svc *service) bool {
--- a/internal/gateway/forward/relay_test.go
+++ b/internal/gateway/forward/relay_test.go
@@ -41,11 +41,15 @@
 		relayed.Add(1)
 		serve.ServeHTTP(w, r)
 	})})
-	f.options.Relay = forward.Relay{
-		Self: "gateway-a", Pool: upstream.New(upstream.Options{Names: names}),
-		Gateways: func() []member.Box { return []member.Box{{ID: "gateway-b", Hall: "a", Relay: address}} },
+	if f.options.Relay.Pool == nil {
+		f.options.Relay = forward.Relay{Self: "gateway-a", Pool: upstream.New(upstream.Options{Names: names})}
+		f.t.Cleanup(f.options.Relay.Pool.Close)
 	}
-	f.t.Cleanup(f.options.Relay.Pool.Close)
+	known := []member.Box{{ID: "gateway-" + address, Hall: "a", Relay: address}}
+	if f.options.Relay.Gateways != nil {
+		known = append(known, f.options.Relay.Gateways()...)
+	}
+	f.options.Relay.Gateways = func() []member.Box { return known }
 	return relayed
 }
 
@@ -158,3 +162,18 @@
 	refused.Wait()
 	g.Expect(asked.Load()).To(Equal(int32(2)))
 }
+
+// A request was refused by the first gateway it was relayed to, which reached few targets, though another had room.
+func TestRequestIsRelayedPastGatewayThatReachesFewTargets(t *testing.T) {
+	g := NewWithT(t)
+	full, free := newStandin(t, "t1", "shop", "a", ok), newStandin(t, "t2", "shop", "a", ok)
+	full.setLoad("3,9,3,500")
+	f := newFixture(t, nowhere(t, "t0"))
+	few := f.relayedTo(newFixture(t, nowhere(t, "t0"), full))
+	f.relayedTo(newFixture(t, free))
+	f.start()
+	g.Eventually(func() int32 {
+		g.Expect(f.order().status).To(Equal(http.StatusOK))
+		return few.Load()
+	}, eventual).Should(BeNumerically(">", 0), "it was asked")
+}
