internal/gateway/forward: a cut-off gateway connects to several targets at once

What callers saw: a second or more of waiting, then a refusal, or their own deadline.

Cause: where no target answers a probe, a request looks for any target that can be connected to. It dialled one after the other, up to a second each, until one answered or the deadline passed; that none can be connected to was known after three. A probe's dial took a second as well, so that a cut was known late. And the request that looks for the way back each .2 s searched for a fifth of its objective.

Change: three targets are dialled at once, each for a fifth of the objective (50 to 250 ms); once that many have failed, requests are refused at once. A probe's dial has as long as the probe. A request that looks for the way back makes one round of probes. While no target answers, a new connection is made, since an idle one may lead nowhere.

TestRequestIsRefusedSoonWhereNoTargetConnects failed before: the first request was held for 9.0 s of virtual time. Now it is refused within half of the objective, all others at once.

--- a/core/gateway/placement/probe.go
+++ b/core/gateway/placement/probe.go
@@ -40,8 +40,24 @@
 	regionWaitShare = 0.2
 
 	bytesPerKB = 1024
+	// fallbackShare is the share of the objective within which a target must take a connection
+	// where none answers probes, minFallback the minimum and maxFallback the maximum. It takes
+	// about 1 ms.
+	fallbackShare = 0.2
+	minFallback   = 50 * time.Millisecond
+	maxFallback   = 250 * time.Millisecond
 )
 
+// FallbackWidth is how many targets are connected to at once where none answers probes: as many
+// as must fail before it counts that none can be reached.
+const FallbackWidth = 3
+
+// FallbackTimeout returns how long connecting to a target may take where none answers probes;
+// roundTrip is the round-trip time to it, 0 within the region.
+func FallbackTimeout(objective, roundTrip time.Duration) time.Duration {
+	return min(max(time.Duration(fallbackShare*float64(objective)), minFallback), maxFallback) + roundTrip
+}
+
 // RoundTimeout returns how long one wave of probes waits for answers; roundTrip is the
 // round-trip time to the farthest of its targets, 0 within the region. A probe on a new
 // connection takes two round trips.
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -16,7 +16,8 @@
 		return onTrial, nil
 	}
 	deadlines := placement.NewDeadlines(req.began, req.route.Objective, svc.usual(req.route))
-	if b.skipsSearch(req, svc) {
+	cutOff := svc.isCutOff(b.options.Clock(), len(b.targets(req)))
+	if cutOff && !svc.triesNow(b.options.Clock()) {
 		return nil, errNoneAnswers
 	}
 	for {
@@ -48,8 +49,8 @@
 			}
 			return nil, failure
 		}
-		if decision.Action() == placement.Fallback {
-			return nil, errNoneAnswers
+		if decision.Action() == placement.Fallback || cutOff && best == nil {
+			return nil, errNoneAnswers // one round is enough to find that a path is back
 		}
 		req.waits++
 		if !pause.For(ctx, placement.Pause(req.route.Objective)) {
@@ -107,46 +108,6 @@
 // since targets that this one does not reach may have room.
 var errFewReached = verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "few targets answer, and they are full")
 
-// skipsSearch says whether a search for a target would find none, since no target answers this
-// gateway. A request now and then searches nevertheless.
-func (b *balancer) skipsSearch(req *request, svc *service) bool {
-	now := b.options.Clock()
-	return svc.isCutOff(now, len(b.targets(req))) && !svc.triesNow(now)
-}
-
-// fallback takes any target that can be reached and takes the request by its limit. A gateway
-// that can connect to none refuses at once; so does one to which the request was relayed.
-func (b *balancer) fallback(ctx context.Context, req *request, svc *service) (*candidate, *verdict.Error) {
-	failure := verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no target could be reached")
-	if req.relayed != nil || svc.noneConnects(b.options.Clock(), len(b.targets(req))) {
-		return nil, failure
-	}
-	for {
-		reached := b.reachAny(ctx, req, svc)
-		switch {
-		case reached != nil && b.admitTo(ctx, req, reached):
-			return reached, nil
-		case ctx.Err() != nil:
-			b.release(reached)
-			return nil, failureOf(ctx)
-		case reached == nil:
-			return nil, failure
-		}
-		b.release(reached) // it is passed over from now on
-		failure = placement.NoCreditRefusal(0)
-	}
-}
-
-// reachAny connects to any target. Near ones that could not be reached are ejected then, so
-// that a second look finds other regions.
-func (b *balancer) reachAny(ctx context.Context, req *request, svc *service) *candidate {
-	reached := b.firstReached(ctx, req, svc, b.order(req, svc, b.targets(req), req.avoid))
-	if reached == nil && ctx.Err() == nil && b.places.spans() {
-		reached = b.firstReached(ctx, req, svc, b.order(req, svc, b.targets(req), req.avoid))
-	}
-	return reached
-}
-
 // failureOf is why a context ended while no send was under way.
 func failureOf(ctx context.Context) *verdict.Error {
 	if context.Cause(ctx) == context.DeadlineExceeded {
--- a/internal/gateway/forward/probe.go
+++ b/internal/gateway/forward/probe.go
@@ -204,20 +204,9 @@
 	return conn, health, true
 }
 
-// connect takes a connection to a target; a new one also measures how far the target is.
+// connect takes a connection to a target, for which it has as long as a probe.
 func (b *balancer) connect(ctx context.Context, svc *service, target catalog.Target) (*upstream.Conn, *verdict.Error) {
-	conn, failure := b.options.Pool.Get(ctx, target)
-	if failure != nil {
-		if ctx.Err() == nil {
-			svc.connected(target.Life(), false)
-		}
-		return nil, failure
-	}
-	if took, isNew := conn.DialTime(); isNew {
-		svc.connected(target.Life(), true)
-		b.places.observe(b.options.Clock(), target.Hall, took)
-	}
-	return conn, nil
+	return b.connectBy(ctx, svc, target, b.options.Pool.Get, probeTimeout+b.places.trip(target.Hall))
 }
 
 // Results of a health probe, as metrics name them.
--- a/internal/gateway/upstream/refuses.go
+++ b/internal/gateway/upstream/refuses.go
@@ -19,7 +19,7 @@
 func (p *Pool) RefusesConnections(ctx context.Context, target catalog.Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusalCheckTimeout)
 	defer cancel()
-	conn, failure := p.open(ctx, target)
+	conn, failure := p.Open(ctx, target)
 	if failure != nil {
 		return errors.Is(failure, syscall.ECONNREFUSED)
 	}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -166,7 +166,7 @@
 	for {
 		conn := p.takeIdle(target.Life())
 		if conn == nil {
-			return p.open(ctx, target)
+			return p.Open(ctx, target)
 		}
 		if conn.isUsable() {
 			return conn, nil
@@ -187,7 +187,8 @@
 	return conn
 }
 
-func (p *Pool) open(ctx context.Context, target catalog.Target) (*Conn, *verdict.Error) {
+// Open opens a new connection to a target.
+func (p *Pool) Open(ctx context.Context, target catalog.Target) (*Conn, *verdict.Error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	start := p.options.Clock()
