core/gateway/relay: gateways are known as cut off for one service each

What callers saw: requests were relayed to gateways that had just said that they reach no target of the service, and each of those searched before it refused.

Cause: what a gateway is known for was booked under the gateway alone. A success for one service deleted that it reaches no target of another, so that its back-off began anew; a failure for one service kept the requests of all others away.

Change: a failure to reach targets is kept by gateway and service, one to reach the gateway by the gateway. The bound on records grows from 256 to 4,096: a view has some 48 gateways, a deployment 34 services. They grow with neither beyond that.

--- a/core/gateway/relay/gateways.go
+++ b/core/gateway/relay/gateways.go
@@ -15,17 +15,22 @@
 	// busyTime is how long a gateway is passed over that has as many relayed requests as it
 	// takes.
 	busyTime = 50 * time.Millisecond
-	// maxRecords bounds the gateways of which failures are kept: more than a view holds.
-	maxRecords = 256
+	// maxRecords bounds the failures that are kept: those of a view of gateways, for some dozens
+	// of services each.
+	maxRecords = 4096
 )
 
 // Gateways is what a gateway observed of those that it had serve requests. It is not safe for
 // concurrent use.
 type Gateways struct {
 	tier    func(hall string) locality.Tier
-	records map[string]*record
+	records map[subject]*record
 }
 
+// subject is what a failure tells something about: a gateway's paths to the targets of one
+// service, or the gateway itself where no service is named.
+type subject struct{ gateway, service string }
+
 type record struct {
 	until   time.Time
 	backOff time.Duration
@@ -33,17 +38,17 @@
 
 // NewGateways returns Gateways of which nothing was observed; tier tells how far a hall is.
 func NewGateways(tier func(hall string) locality.Tier) *Gateways {
-	return &Gateways{tier: tier, records: map[string]*record{}}
+	return &Gateways{tier: tier, records: map[subject]*record{}}
 }
 
-// Choose draws one of the known gateways that are not passed over now, one of another region
-// only where there is none in the own. All of a region are equally likely, so that no hall's
-// gateways take the requests of those of their hall that are cut off.
-func (g *Gateways) Choose(now time.Time, known []member.Box, intn func(n int) int) (via member.Box, ok bool) {
+// Choose draws one of the known gateways that are not passed over now for requests of a service,
+// one of another region only where there is none in the own. All of a region are equally likely,
+// so that no hall's gateways take the requests of those of their hall that are cut off.
+func (g *Gateways) Choose(now time.Time, service string, known []member.Box, intn func(n int) int) (via member.Box, ok bool) {
 	var near, far []member.Box
 	for _, b := range known {
-		switch r := g.records[b.ID]; {
-		case r != nil && now.Before(r.until):
+		switch {
+		case g.isPassedOver(now, subject{gateway: b.ID}) || g.isPassedOver(now, subject{b.ID, service}):
 		case g.tier(b.Hall) == locality.OtherRegion:
 			far = append(far, b)
 		default:
@@ -59,19 +64,36 @@
 	return near[intn(len(near))], true
 }
 
-// Len returns how many gateways are held of which a failure is known.
+func (g *Gateways) isPassedOver(now time.Time, s subject) bool {
+	r := g.records[s]
+	return r != nil && now.Before(r.until)
+}
+
+// Len returns how many failures are held.
 func (g *Gateways) Len() int { return len(g.records) }
 
-// RecordServed records that a gateway found a target.
-func (g *Gateways) RecordServed(id string) { delete(g.records, id) }
+// RecordServed records that a gateway found a target of a service.
+func (g *Gateways) RecordServed(id, service string) {
+	delete(g.records, subject{gateway: id})
+	delete(g.records, subject{id, service})
+}
+
+// RecordUnavailable records that a gateway could not be reached, or serves no relayed request.
+func (g *Gateways) RecordUnavailable(now time.Time, id string) {
+	g.recordFailure(now, subject{gateway: id})
+}
+
+// RecordCutOff records that a gateway reaches none or few targets of a service either.
+func (g *Gateways) RecordCutOff(now time.Time, id, service string) {
+	g.recordFailure(now, subject{id, service})
+}
 
-// RecordFailure records that a gateway could not be reached, or reaches no target either.
-func (g *Gateways) RecordFailure(now time.Time, id string) {
-	r := g.records[id]
+func (g *Gateways) recordFailure(now time.Time, s subject) {
+	r := g.records[s]
 	if r == nil {
 		g.makeRoom(now)
 		r = &record{}
-		g.records[id] = r
+		g.records[s] = r
 	}
 	if now.Before(r.until) {
 		return // of a request that was relayed before the failure was known
@@ -82,9 +104,10 @@
 
 // RecordBusy records that a gateway takes no more relayed requests for the moment.
 func (g *Gateways) RecordBusy(now time.Time, id string) {
-	if g.records[id] == nil {
+	s := subject{gateway: id}
+	if g.records[s] == nil {
 		g.makeRoom(now)
-		g.records[id] = &record{until: now.Add(busyTime)}
+		g.records[s] = &record{until: now.Add(busyTime)}
 	}
 }
 
@@ -93,15 +116,15 @@
 	if len(g.records) < maxRecords {
 		return
 	}
-	for id, r := range g.records {
+	for s, r := range g.records {
 		if now.After(r.until) {
-			delete(g.records, id)
+			delete(g.records, s)
 		}
 	}
-	for id := range g.records {
+	for s := range g.records {
 		if len(g.records) < maxRecords {
 			return
 		}
-		delete(g.records, id)
+		delete(g.records, s)
 	}
 }
--- a/core/gateway/relay/relay.go
+++ b/core/gateway/relay/relay.go
@@ -9,7 +9,7 @@
 //
 //	paths.RecordFailure(now, target.Life()) // a probe was not answered
 //	if paths.AreCut(now, targets) && !paths.TryNow(now) {
-//		via, ok := gateways.Choose(now, known, rand.IntN)
+//		via, ok := gateways.Choose(now, service, known, rand.IntN)
 //	}
 package relay
 
