internal/gateway/forward: the time that a request was held travels with it

What callers saw: requests refused late, after one relay, though other gateways could have served them: the first one asked had used up the time that others might have had.

Cause: a gateway to which a request was relayed counted its time from its own arrival. It searched for a fifth of the objective anew, waited for targets by an objective that began anew, and sent a hedge later.

Change: the header Sprucecrank-Relay-Held-Ms says for how long the request was held before. An older gateway does not send it, which counts as 0, and passes it over.

TestRelayedRequestIsSearchedForNoLongerThanOthers failed before (1.06 s of virtual time).

--- a/internal/gateway/forward/hedge.go
+++ b/internal/gateway/forward/hedge.go
@@ -81,7 +81,7 @@
 func (b *balancer) hedgeDelay(req *request, svc *service, trip time.Duration) (time.Duration, bool) {
 	return retry.HedgeDelay(retry.FirstSend{
 		Repeatable: req.route.Repeatable, Sends: int(req.sends.Load()), MaxAttempts: req.maxAttempts(),
-		Objective: req.route.Objective, Elapsed: b.options.Clock().Sub(req.began), Usual: svc.usual(req.route) + trip,
+		Objective: req.route.Objective, Elapsed: b.options.Clock().Sub(req.received()), Usual: svc.usual(req.route) + trip,
 	})
 }
 
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -15,7 +15,7 @@
 	if onTrial := b.placeOnTrial(ctx, req, svc); onTrial != nil {
 		return onTrial, nil
 	}
-	deadlines := placement.NewDeadlines(req.began, req.route.Objective, svc.usual(req.route))
+	deadlines := placement.NewDeadlines(req.received(), req.route.Objective, svc.usual(req.route))
 	cutOff := svc.isCutOff(b.options.Clock(), len(b.targets(req)))
 	if cutOff && !svc.triesNow(b.options.Clock()) {
 		return nil, errNoneAnswers
@@ -63,7 +63,7 @@
 func (b *balancer) within(req *request, svc *service) locality.Tier {
 	now := b.options.Clock()
 	waits := placement.NewTierWaits(svc.usualBytes(req.route), req.route.Objective)
-	return waits.MaxTier(now, req.began, svc.isContended(now))
+	return waits.MaxTier(now, req.received(), svc.isContended(now))
 }
 
 // decide has the decision made, and notes it where it is that no target will do.
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	"github.com/sprucecrank/sprucecrank/core/gateway/deadline"
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
 	"github.com/sprucecrank/sprucecrank/core/gateway/relay"
 	"github.com/sprucecrank/sprucecrank/core/member"
@@ -38,6 +39,7 @@
 	headerRelayService = "Sprucecrank-Relay-Service" // the service that was drawn for it
 	headerRelayConfig  = "Sprucecrank-Relay-Config"  // the version by which it is handled
 	headerRelaySends   = "Sprucecrank-Relay-Sends"   // how often it was sent to targets already
+	headerRelayHeld    = "Sprucecrank-Relay-Held-Ms" // for how long it was held already
 	headerRelayReason  = "Sprucecrank-Relay-Reason"  // why it was refused
 )
 
@@ -186,8 +188,10 @@
 	headers.RemoveHopByHop(h)
 	h.Del("Content-Length")
 	h.Del("Expect")
-	left := max(req.deadline.Request().Sub(b.options.Clock()).Milliseconds(), 1)
+	now := b.options.Clock()
+	left := max(req.deadline.Request().Sub(now).Milliseconds(), 1)
 	h.Set(b.options.Names.Deadline, strconv.FormatInt(left, 10))
+	h.Set(headerRelayHeld, strconv.FormatInt(now.Sub(req.began).Milliseconds(), 10))
 	h.Set(headerRelayedBy, b.relays.options.Self)
 	h.Set(headerRelayClient, req.in.RemoteAddr)
 	h.Set(headerRelayService, req.service)
@@ -223,6 +227,8 @@
 	service string
 	config  uint64
 	sends   int
+	// held is for how long that gateway had held it.
+	held time.Duration
 }
 
 var errNotRelayed = errors.New("the request was not relayed by a gateway")
@@ -238,10 +244,11 @@
 	r.RemoteAddr = take(headerRelayClient)
 	config, errConfig := strconv.ParseUint(take(headerRelayConfig), 10, 64)
 	sends, errSends := strconv.Atoi(take(headerRelaySends))
-	if from.gateway == "" || errConfig != nil || errSends != nil {
+	held, errHeld := deadline.ParseMilliseconds(take(headerRelayHeld))
+	if from.gateway == "" || errConfig != nil || errSends != nil || errHeld != nil {
 		return nil, errNotRelayed
 	}
-	from.config, from.sends = config, sends
+	from.config, from.sends, from.held = config, sends, max(held, 0) // an older gateway does not say it
 	return from, nil
 }
 
--- a/internal/gateway/forward/relay_test.go
+++ b/internal/gateway/forward/relay_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -177,3 +178,24 @@
 		return few.Load()
 	}, eventual).Should(BeNumerically(">", 0), "it was asked")
 }
+
+// A gateway to which a request was relayed searched as long as if its client had just sent it.
+func TestRelayedRequestIsSearchedForNoLongerThanOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFixture(t)
+		f.view = snapshot.New(newTable(2, timeout), map[string][]catalog.Target{"shop": {{ID: "t0", Service: "shop", Hall: "a"}}})
+		f.options.Pool = upstream.New(upstream.Options{Names: names, Dial: dialHangs})
+		handler := forward.New(f.options).Relayed()
+		search := func(held time.Duration) time.Duration {
+			r := newRelayed(7)
+			r.Header.Set("Sprucecrank-Relay-Held-Ms", strconv.FormatInt(held.Milliseconds(), 10))
+			answer, began := httptest.NewRecorder(), time.Now()
+			handler.ServeHTTP(answer, r)
+			g.Expect(answer.Header().Get("Sprucecrank-Relay-Reason")).To(Equal(string(verdict.ReasonUnreachable)))
+			return time.Since(began)
+		}
+		whole := search(0)
+		g.Expect(search(whole)).To(BeNumerically("<", whole/2))
+	})
+}
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -68,6 +68,14 @@
 	return req
 }
 
+// received is when the fleet took the request: another gateway, if that one relayed it.
+func (r *request) received() time.Time {
+	if r.relayed == nil {
+		return r.began
+	}
+	return r.began.Add(-r.relayed.held)
+}
+
 // takeFingerprint is that of the request and its caller; the body must have been read.
 func (r *request) takeFingerprint() fingerprint.Fingerprint {
 	address, _, err := net.SplitHostPort(r.in.RemoteAddr)
