core/gateway/relay: a gateway that is cut off is passed over for a second at first

Gateways that are cut off are asked by others on and on; each learns it alone.

Chosen: 1 s at first. A gateway that could not be reached itself is tried again after 250 ms as before.

--- a/core/gateway/relay/gateways.go
+++ b/core/gateway/relay/gateways.go
@@ -8,10 +8,12 @@
 )
 
 const (
-	// initialBackOff is how long a gateway is passed over that could not serve a request; the
-	// time doubles with each failure in a row, up to maxBackOff.
-	initialBackOff = 250 * time.Millisecond
-	maxBackOff     = 4 * time.Second
+	// unavailableBackOff is how long a gateway is passed over that could not be reached, and
+	// cutOffBackOff how long one is for a service whose targets it does not reach, since cuts last
+	// for seconds. The time doubles with each failure in a row, up to maxBackOff.
+	unavailableBackOff = 250 * time.Millisecond
+	cutOffBackOff      = time.Second
+	maxBackOff         = 4 * time.Second
 	// busyTime is how long a gateway is passed over that has as many relayed requests as it
 	// takes.
 	busyTime = 50 * time.Millisecond
@@ -80,15 +82,15 @@
 
 // RecordUnavailable records that a gateway could not be reached, or serves no relayed request.
 func (g *Gateways) RecordUnavailable(now time.Time, id string) {
-	g.recordFailure(now, subject{gateway: id})
+	g.recordFailure(now, subject{gateway: id}, unavailableBackOff)
 }
 
 // RecordCutOff records that a gateway reaches none or few targets of a service either.
 func (g *Gateways) RecordCutOff(now time.Time, id, service string) {
-	g.recordFailure(now, subject{id, service})
+	g.recordFailure(now, subject{id, service}, cutOffBackOff)
 }
 
-func (g *Gateways) recordFailure(now time.Time, s subject) {
+func (g *Gateways) recordFailure(now time.Time, s subject, initial time.Duration) {
 	r := g.records[s]
 	if r == nil {
 		g.makeRoom(now)
@@ -98,7 +100,7 @@
 	if now.Before(r.until) {
 		return // of a request that was relayed before the failure was known
 	}
-	r.backOff = min(max(2*r.backOff, initialBackOff), maxBackOff)
+	r.backOff = min(max(2*r.backOff, initial), maxBackOff)
 	r.until = now.Add(r.backOff)
 }
 
--- a/core/gateway/relay/relay_test.go
+++ b/core/gateway/relay/relay_test.go
@@ -114,26 +114,38 @@
 }
 
 func TestGatewaysThatCouldNotServeArePassedOver(t *testing.T) {
-	g := NewWithT(t)
-	gateways, fleet := relay.NewGateways(tiers), newFleet("a", "c")
-	choose := func(ms int) string {
-		via, _ := gateways.Choose(after(ms), "shop", fleet, func(int) int { return 0 })
-		return via.ID
+	for name, c := range map[string]struct {
+		first  int // ms
+		record func(gateways *relay.Gateways, now time.Time, id string)
+	}{
+		"unavailable": {250, (*relay.Gateways).RecordUnavailable},
+		"cut off": {1000, func(gateways *relay.Gateways, now time.Time, id string) {
+			gateways.RecordCutOff(now, id, "shop")
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			gateways, fleet := relay.NewGateways(tiers), newFleet("a", "c")
+			choose := func(ms int) string {
+				via, _ := gateways.Choose(after(ms), "shop", fleet, func(int) int { return 0 })
+				return via.ID
+			}
+			c.record(gateways, start, "g0")
+			c.record(gateways, start, "g0")
+			g.Expect(choose(c.first-1)).To(Equal("g1"), "another region where none is left in the own")
+			g.Expect(choose(c.first)).To(Equal("g0"))
+			c.record(gateways, after(c.first), "g0")
+			g.Expect(choose(3*c.first-1)).To(Equal("g1"), "twice as long")
+			g.Expect(choose(3 * c.first)).To(Equal("g0"))
+			gateways.RecordServed("g0", "shop")
+			gateways.RecordBusy(after(8000), "g0")
+			g.Expect(choose(8049)).To(Equal("g1"))
+			g.Expect(choose(8050)).To(Equal("g0"))
+			c.record(gateways, after(9000), "g0")
+			c.record(gateways, after(9000), "g1")
+			g.Expect(choose(9001)).To(BeEmpty())
+		})
 	}
-	gateways.RecordCutOff(start, "g0", "shop")
-	gateways.RecordCutOff(start, "g0", "shop")
-	g.Expect(choose(249)).To(Equal("g1"), "another region where none is left in the own")
-	g.Expect(choose(250)).To(Equal("g0"))
-	gateways.RecordCutOff(after(250), "g0", "shop")
-	g.Expect(choose(749)).To(Equal("g1"), "twice as long")
-	g.Expect(choose(750)).To(Equal("g0"))
-	gateways.RecordServed("g0", "shop")
-	gateways.RecordBusy(after(800), "g0")
-	g.Expect(choose(849)).To(Equal("g1"))
-	g.Expect(choose(850)).To(Equal("g0"))
-	gateways.RecordCutOff(after(900), "g0", "shop")
-	gateways.RecordCutOff(after(900), "g1", "shop")
-	g.Expect(choose(901)).To(BeEmpty())
 }
 
 func TestRecordsOfGatewaysAreBounded(t *testing.T) {
