Box: connections to targets are reset when they are closed

What callers saw: an order that a client had given up, or whose box had been killed, while the way to its target was cut ran once the cut had healed. The client may have sent it again meanwhile.

Cause: the box closed its connections in order, so that what a cut held up was delivered when it healed.

Change: internal/resetconn holds the code that the gateway had, and both daemons use it, the box for requests and for probes.

--- a/box/box.go
+++ b/box/box.go
@@ -37,6 +37,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/box/oncerun"
 	"github.com/sprucecrank/sprucecrank/internal/box/probe"
 	"github.com/sprucecrank/sprucecrank/internal/box/telemetry"
+	"github.com/sprucecrank/sprucecrank/internal/resetconn"
 )
 
 // Options are what a box takes from its process; zero values are the real ones.
@@ -47,7 +48,7 @@
 	Clock  func() time.Time
 	// DialPeer and DialTarget open connections; tests put delays and cuts here.
 	DialPeer   func(ctx context.Context, address string) (net.Conn, error)
-	DialTarget entry.Dial
+	DialTarget resetconn.Dial
 }
 
 // Box is one entry box.
--- a/internal/box/entry/handler.go
+++ b/internal/box/entry/handler.go
@@ -30,6 +30,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/box/grant"
 	"github.com/sprucecrank/sprucecrank/internal/box/oncerun"
 	"github.com/sprucecrank/sprucecrank/internal/box/telemetry"
+	"github.com/sprucecrank/sprucecrank/internal/resetconn"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -58,7 +59,7 @@
 	// after their answer.
 	Draining func() bool
 	// Dial opens connections to targets; nil means TCP.
-	Dial Dial
+	Dial resetconn.Dial
 }
 
 // Handler serves the clients' requests.
--- a/internal/box/entry/send.go
+++ b/internal/box/entry/send.go
@@ -19,6 +19,7 @@
 	"github.com/sprucecrank/sprucecrank/core/box/ledger"
 	"github.com/sprucecrank/sprucecrank/internal/box/telemetry"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/internal/resetconn"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -32,22 +33,19 @@
 	longestShedPause = time.Minute
 )
 
-// Dial opens a connection to a target; tests put delays and cuts here.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 // transports keeps one http.Transport for each limit of connections per target.
 type transports struct {
-	dial  Dial
+	dial  resetconn.Dial
 	mu    sync.Mutex
 	kept  map[int]*http.Transport
 	fresh map[int]*http.Transport
 }
 
-func newTransports(dial Dial) *transports {
+func newTransports(dial resetconn.Dial) *transports {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &transports{dial: dial, kept: map[int]*http.Transport{}, fresh: map[int]*http.Transport{}}
+	return &transports{dial: resetconn.Dialer(dial), kept: map[int]*http.Transport{}, fresh: map[int]*http.Transport{}}
 }
 
 // get finds the transport for a limit. A fresh one never uses a connection
--- a/internal/box/probe/probe.go
+++ b/internal/box/probe/probe.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -29,6 +28,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/box/home"
 	"github.com/sprucecrank/sprucecrank/internal/box/telemetry"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
+	"github.com/sprucecrank/sprucecrank/internal/resetconn"
 )
 
 const (
@@ -54,7 +54,7 @@
 	// IsHome says whether this box is the home of a service now.
 	IsHome func(*policy.Service) bool
 	// Dial opens connections to targets; nil means TCP.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial resetconn.Dial
 }
 
 // Prober measures targets. It is safe for concurrent use.
@@ -83,7 +83,7 @@
 
 // New makes a prober without targets.
 func New(o Options) *Prober {
-	transport := &http.Transport{DialContext: o.Dial, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: resetconn.Dialer(o.Dial), DisableKeepAlives: true}
 	return &Prober{options: o, client: &http.Client{Transport: transport}, targets: map[string]*state{}}
 }
 
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -42,6 +42,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/quota"
 	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/internal/resetconn"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -62,14 +63,11 @@
 	dialTimeout = time.Second
 )
 
-// Dial opens a connection.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Options configure a Pool; zero values are usable.
 type Options struct {
 	Names headers.Names
 	Clock func() time.Time
-	Dial  Dial
+	Dial  resetconn.Dial
 	// MaxAnswerBytes bounds one answer that is buffered; 0 means 8 MB.
 	MaxAnswerBytes int64
 	// MaxBufferedBytes is the longest answer, in bytes, that is buffered although it may be
@@ -98,9 +96,7 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
-	if o.Dial == nil {
-		o.Dial = (&net.Dialer{}).DialContext
-	}
+	o.Dial = resetconn.Dialer(o.Dial)
 	if o.MaxAnswerBytes == 0 {
 		o.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
@@ -193,9 +189,6 @@
 	defer cancel()
 	start := p.options.Clock()
 	raw, err := p.options.Dial(ctx, "tcp", target.Address)
-	if err == nil {
-		err = resetOnClose(raw)
-	}
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no connection to the target could be made").WithCause(err)
 	}
@@ -207,21 +200,6 @@
 	}, nil
 }
 
-// resetOnClose has the connection reset when it is closed, also by the end of the process:
-// what a network partition holds up of an abandoned request is dropped then, and does not
-// reach the target once the partition has healed.
-func resetOnClose(conn net.Conn) error {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return nil
-	}
-	if err := tcp.SetLinger(0); err != nil {
-		_ = tcp.Close()
-		return err
-	}
-	return nil
-}
-
 // Put returns a connection to the pool, or closes it if it can't be reused.
 func (p *Pool) Put(c *Conn) {
 	if !c.reusable {
