--- a/core/gateway/relay/gateways.go
+++ b/core/gateway/relay/gateways.go
@@ -17,8 +17,8 @@
 	// busyTime is how long a gateway is passed over that has as many relayed requests as it
 	// takes.
 	busyTime = 50 * time.Millisecond
-	// maxRecords bounds the failures that are kept: those of a view of gateways, for some dozens
-	// of services each.
+	// maxRecords bounds the failures that are kept: those of all gateways of a view, for some
+	// dozens of services each.
 	maxRecords = 4096
 )
 
@@ -29,8 +29,8 @@
 	records map[subject]*record
 }
 
-// subject is what a failure tells something about: a gateway's paths to the targets of one
-// service, or the gateway itself where no service is named.
+// subject is what a record is about: a gateway's paths to the targets of one service, or the
+// gateway itself if the service is empty.
 type subject struct{ gateway, service string }
 
 type record struct {
--- a/internal/gateway/forward/fallback.go
+++ b/internal/gateway/forward/fallback.go
@@ -49,7 +49,7 @@
 }
 
 // connectAny connects to any target, to one of another region only after all near ones; nil if
-// none can be reached. It ends early in a region to which it is known that none can.
+// none can be reached. It skips the rest of a region once it is known that none connects.
 func (b *balancer) connectAny(ctx context.Context, req *request, svc *service) *candidate {
 	order := b.order(req, svc, b.targets(req), req.avoid)
 	for _, targets := range [][]catalog.Target{order.Near(), order.Far()} {
@@ -87,7 +87,7 @@
 }
 
 // connectTo connects to a target without a probe. A cold one needs a turn, whose end is not
-// waited for. While no target answers, a new connection is made: an idle one may lead nowhere.
+// waited for. While the gateway is cut off, it makes a new connection: an idle one may be dead.
 func (b *balancer) connectTo(ctx context.Context, req *request, svc *service, target catalog.Target) *candidate {
 	get := b.options.Pool.Get
 	if svc.isCutOff(b.options.Clock(), len(b.targets(req))) {
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -109,8 +109,8 @@
 	}
 }
 
-// relay has other gateways serve a request of a client's. It reports false where none could be
-// found that did: the request has not run there.
+// relay has other gateways serve a client's request. It reports false if none of them did: the
+// request has not run there.
 func (b *balancer) relay(ctx context.Context, req *request) (result sent, ok bool) {
 	for try := range maxRelayTries {
 		if try > 0 && b.options.Clock().Sub(req.began) > time.Duration(relayShare*float64(req.route.Objective)) {
@@ -248,7 +248,7 @@
 	if from.gateway == "" || errConfig != nil || errSends != nil || errHeld != nil {
 		return nil, errNotRelayed
 	}
-	from.config, from.sends, from.held = config, sends, max(held, 0) // an older gateway does not say it
+	from.config, from.sends, from.held = config, sends, max(held, 0) // an older gateway does not send it
 	return from, nil
 }
 
