Known red: clients of cut-off gateways are served far worse than others

Users saw that clients of gateways that had lost their links to all targets were served far worse than those of other gateways.

No logic is changed yet.

--- /dev/null
+++ b/internal/gateway/forward/fleet_test.go
@@ -0,0 +1,358 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
+	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
+	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
+	"github.com/sprucecrank/sprucecrank/core/member"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
+)
+
+const (
+	fleetTargets   = 24
+	fleetObjective = 400 * time.Millisecond
+	fleetTimeout   = time.Second
+	// fleetWorkTime is how long a target works on a request.
+	fleetWorkTime = 60 * time.Millisecond
+	// fleetInterval is the mean time between two requests of one gateway's clients.
+	fleetInterval = 400 * time.Millisecond
+	// fleetView is how many others a gateway knows: those of its hall, of other halls, and the first in rank.
+	fleetView = 54
+	// Spans of a test of a cut.
+	fleetWarmUp = 3 * time.Second
+	fleetCut    = 6 * time.Second
+	// fleetGrace is how long after a cut began its bound begins to hold.
+	fleetGrace = time.Second
+)
+
+// linkFault is what becomes of the links from a gateway to all targets.
+type linkFault int
+
+const (
+	linksHang linkFault = iota
+	linksReset
+	newLinksRefused
+)
+
+// fleet is a number of gateways before the same targets, in virtual time and memory.
+type fleet struct {
+	t         *testing.T
+	random    *rand.Rand // of the test's goroutine alone
+	targets   []catalog.Target
+	mu        sync.Mutex
+	listeners map[string]*dialled
+	gateways  []*fleetGateway
+	runs      sync.Map // *atomic.Int32 by id of request
+	closers   []func()
+	done      sync.WaitGroup
+}
+
+type fleetGateway struct {
+	fleet   *fleet
+	box     member.Box
+	handler *forward.Handler
+	fault   atomic.Int32 // a linkFault and one, 0 for none
+	conns   sync.Map     // of targets' links
+	// known are the gateways that it knows.
+	known   []member.Box
+	relayed atomic.Int32 // requests that others relayed to it
+	// tries counts its clients' requests by whether they were served, of those that count.
+	tries, served atomic.Int32
+}
+
+func newFleet(t *testing.T, gateways int) *fleet {
+	f := &fleet{t: t, random: rand.New(rand.NewPCG(69, uint64(gateways))), listeners: map[string]*dialled{}}
+	for i := range max(fleetTargets, gateways/2) {
+		f.addTarget(fmt.Sprint("t", i))
+	}
+	for i := range gateways {
+		f.gateways = append(f.gateways, f.addGateway(fmt.Sprint("gateway-", i)))
+	}
+	for i, gw := range f.gateways {
+		for _, j := range f.random.Perm(gateways) {
+			if j != i && len(gw.known) < fleetView {
+				gw.known = append(gw.known, f.gateways[j].box)
+			}
+		}
+	}
+	return f
+}
+
+func (f *fleet) listen(address string) *dialled {
+	l := newDialled()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listeners[address] = l
+	return l
+}
+
+func (f *fleet) serve(serve func() error) {
+	f.done.Go(func() {
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+			f.t.Error(err)
+		}
+	})
+}
+
+func (f *fleet) addTarget(id string) {
+	s := &standin{Target: catalog.Target{ID: id, Service: "shop", Hall: "a", Address: id, Slots: 3}}
+	s.setLoad("0,0,3,100")
+	s.do = func(w http.ResponseWriter, r *http.Request) {
+		n, _ := f.runs.LoadOrStore(r.Header.Get(names.RequestID), &atomic.Int32{})
+		n.(*atomic.Int32).Add(1)
+		time.Sleep(fleetWorkTime)
+		ok(w, r)
+	}
+	f.targets = append(f.targets, s.Target)
+	server, listener := &http.Server{Handler: s}, f.listen(id)
+	f.serve(func() error { return server.Serve(listener) })
+	f.closers = append(f.closers, func() { _ = server.Close() })
+}
+
+// fleetTable is the configuration of a fleet: both routes go to the one service.
+func fleetTable() *routing.Table {
+	route := func(prefix string, repeatable bool) routing.Route {
+		return routing.Route{
+			Name: prefix, Host: "shop.example", Prefix: prefix, Repeatable: repeatable, Shares: []routing.Share{{Service: "shop", Weight: 1}},
+			Objective: fleetObjective, Timeout: fleetTimeout, MaxAttempts: 2,
+		}
+	}
+	return routing.New(routing.Config{
+		Version: 7, Limits: routing.Limits{BodyBytes: 1 << 20}, Routes: []routing.Route{route(readPath, true), route(orderPath, false)},
+		Services: []routing.Service{{Name: "shop", HealthPath: "/health"}},
+	})
+}
+
+func (f *fleet) addGateway(id string) *fleetGateway {
+	gw := &fleetGateway{fleet: f, box: member.Box{ID: id, Hall: "a", Start: 1, Relay: id}}
+	view := snapshot.New(fleetTable(), map[string][]catalog.Target{"shop": f.targets})
+	ready := make(chan struct{})
+	close(ready)
+	toTargets := upstream.New(upstream.Options{Names: names, Dial: gw.dialTarget})
+	toGateways := upstream.New(upstream.Options{Names: names, Dial: f.dial})
+	gw.handler = forward.New(forward.Options{
+		Names: names, Places: func() *locality.Map { return locality.New("a", "", nil) }, Snapshot: func() *snapshot.Snapshot { return view },
+		Ready: ready, Current: func() bool { return true }, Pool: toTargets, Retry: forward.Retry{Ratio: 0.2, Saved: 1},
+		Relay: forward.Relay{Self: id, Gateways: func() []member.Box { return gw.known }, Pool: toGateways},
+	})
+	server, listener := pipeline.New(pipeline.Options{Handler: gw.countRelayed(gw.handler.Relayed()), Safe: gw.handler.Repeatable}), f.listen(id)
+	f.serve(func() error { return server.Serve(listener) })
+	f.closers = append(f.closers, func() {
+		toTargets.Close()
+		toGateways.Close()
+		_ = server.Close()
+	})
+	return gw
+}
+
+func (gw *fleetGateway) countRelayed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		gw.relayed.Add(1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (f *fleet) close() {
+	for _, closeOne := range f.closers {
+		closeOne()
+	}
+	f.done.Wait()
+}
+
+// dial connects to a target or a gateway.
+func (f *fleet) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	f.mu.Lock()
+	listener := f.listeners[address]
+	f.mu.Unlock()
+	near, far := connect(newSharedLink(), newSharedLink())
+	select {
+	case listener.conns <- far:
+		return near, nil
+	case <-listener.closed:
+	case <-ctx.Done():
+	}
+	_, _ = near.Close(), far.Close()
+	return nil, syscall.ECONNREFUSED
+}
+
+// targetConn is a gateway's connection to a target: what is written behind a cut is lost.
+type targetConn struct {
+	net.Conn
+	gateway *fleetGateway
+}
+
+func (c *targetConn) Write(p []byte) (int, error) {
+	if c.gateway.has(linksHang) {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *targetConn) Close() error {
+	c.gateway.conns.Delete(c)
+	return c.Conn.Close()
+}
+
+func (gw *fleetGateway) has(fault linkFault) bool { return gw.fault.Load() == int32(fault)+1 }
+
+func (gw *fleetGateway) dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
+	if gw.has(linksHang) {
+		return dialHangs(ctx, network, address)
+	}
+	if gw.has(linksReset) || gw.has(newLinksRefused) {
+		return nil, syscall.ECONNREFUSED
+	}
+	raw, err := gw.fleet.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	conn := &targetConn{Conn: raw, gateway: gw}
+	gw.conns.Store(conn, nil)
+	return conn, nil
+}
+
+// cut has a gateway lose its links to all targets.
+func (gw *fleetGateway) cut(fault linkFault) {
+	gw.fault.Store(int32(fault) + 1)
+	if fault == linksReset {
+		gw.conns.Range(func(conn, _ any) bool {
+			_ = conn.(*targetConn).Close()
+			return true
+		})
+	}
+}
+
+func (gw *fleetGateway) heal() { gw.fault.Store(0) }
+
+// request sends a request as a client of the gateway and reports whether it was served.
+func (gw *fleetGateway) request(id string, method, path string) bool {
+	r := httptest.NewRequest(method, path+"x", nil)
+	if method == http.MethodPost {
+		r = httptest.NewRequest(method, path+"x", strings.NewReader("an order"))
+	}
+	r.Host = "shop.example"
+	r.Header.Set(names.RequestID, id)
+	answer := httptest.NewRecorder()
+	gw.handler.ServeHTTP(answer, r)
+	return answer.Code == http.StatusOK
+}
+
+// traffic has the clients of all gateways send requests for a time; those count that come from a
+// moment on. It returns once all have ended.
+func (f *fleet) traffic(lasts, countFrom time.Duration) {
+	var clients, requests sync.WaitGroup
+	began := time.Now()
+	for i, gw := range f.gateways {
+		random := rand.New(rand.NewPCG(70, uint64(i)))
+		clients.Go(func() {
+			for n := 0; ; n++ {
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(fleetInterval)))
+				at := time.Since(began)
+				if at > lasts {
+					return
+				}
+				method, path := http.MethodGet, readPath
+				if n%2 == 0 {
+					method, path = http.MethodPost, orderPath
+				}
+				id := fmt.Sprint(gw.box.ID, "-", began.UnixMilli(), "-", n)
+				requests.Go(func() {
+					served := gw.request(id, method, path)
+					if at < countFrom {
+						return
+					}
+					gw.tries.Add(1)
+					if served {
+						gw.served.Add(1)
+					}
+				})
+			}
+		})
+	}
+	clients.Wait()
+	requests.Wait()
+}
+
+// share is which share of the requests that count some gateways served, and of how many.
+func share(gateways []*fleetGateway) (served float64, tries int32) {
+	var n int32
+	for _, gw := range gateways {
+		tries += gw.tries.Load()
+		n += gw.served.Load()
+	}
+	return float64(n) / float64(max(tries, 1)), tries
+}
+
+// fleetSize is the size of a fleet: by hand, one that the environment names.
+func fleetSize(size int) int {
+	if n, err := strconv.Atoi(os.Getenv("FLEET")); err == nil {
+		return n
+	}
+	return size
+}
+
+// Clients of gateways that lost their links to all targets were served far worse than others, the more gateways did.
+func TestFirstTriesAtCutOffGatewaysAreServedLikeOthers(t *testing.T) {
+	const within = 1.0 / 50 // the goal of the users' rule, from fleetGrace on
+	for _, c := range []struct {
+		gateways, left int
+		fault          linkFault
+	}{
+		{18, 9, linksHang}, {18, 3, linksHang}, {18, 1, linksHang}, {18, 3, linksReset}, {18, 3, newLinksRefused},
+		{123, 61, linksHang}, {123, 20, linksHang}, {123, 6, linksHang},
+	} {
+		t.Run(fmt.Sprintf("%d of %d are left, fault %d", c.left, c.gateways, c.fault), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				size := fleetSize(c.gateways)
+				f := newFleet(t, size)
+				defer f.close()
+				f.traffic(fleetWarmUp, fleetWarmUp)
+				left := max(c.left*size/c.gateways, 1)
+				others, cutOff := f.gateways[:left], f.gateways[left:]
+				for _, gw := range cutOff {
+					gw.cut(c.fault)
+				}
+				f.traffic(fleetCut, fleetGrace)
+				atOthers, n := share(others)
+				atCutOff, m := share(cutOff)
+				relayed, most := 0, 0
+				for _, gw := range f.gateways {
+					relayed += int(gw.relayed.Load())
+					most = max(most, int(gw.relayed.Load()))
+				}
+				t.Logf("served %.3f of %d, at the others %.3f of %d; relayed requests %d, most to one gateway %d", atCutOff, m, atOthers, n, relayed, most)
+				for _, gw := range cutOff {
+					gw.heal()
+				}
+				g.Expect(atCutOff).To(BeNumerically(">=", atOthers-within))
+				f.runs.Range(func(id, n any) bool {
+					g.Expect(n.(*atomic.Int32).Load()).To(BeNumerically("<=", 2), id)
+					return true
+				})
+			})
+		})
+	}
+}
