internal/gateway/forward: a gateway that is cut off refuses relayed requests at once

Callers: requests that a cut-off gateway relayed to another one that was cut off as well were held there for 50 ms in the middle, up to 651 ms, before that one refused them. Half of the refused requests ended after one or two gateways, since half of their objective was over.

Cause: one request each .2 s looked for the way back to the targets, by a round of probes, before it was relayed or refused. With some ten relayed requests a second nearly each of them was that one.

Change: some targets are probed on the side at that interval; no request waits for it. A search that is under way when the gateway finds out that it is cut off ends then.

TestRelayedRequestIsRefusedAtOnceByCutOffGateway failed before (a refusal took the time of a round). TestRequestIsRefusedSoonWhereNoTargetConnects is stricter: all ten requests are refused at once, where the one that looked for the way back was allowed to wait. Both tests, and one more, wait for the probes' end, which virtual time asks for.

--- a/internal/gateway/forward/fallback.go
+++ b/internal/gateway/forward/fallback.go
@@ -90,7 +90,7 @@
 // waited for. While the gateway is cut off, it makes a new connection: an idle one may be dead.
 func (b *balancer) connectTo(ctx context.Context, req *request, svc *service, target catalog.Target) *candidate {
 	get := b.options.Pool.Get
-	if svc.isCutOff(b.options.Clock(), len(b.targets(req))) {
+	if b.isCutOff(req, svc) {
 		get = b.options.Pool.Open
 	}
 	timeout := placement.FallbackTimeout(req.route.Objective, b.places.trip(target.Hall))
--- a/internal/gateway/forward/fallback_test.go
+++ b/internal/gateway/forward/fallback_test.go
@@ -19,6 +19,9 @@
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
+// probesEnd is longer than the probes take that look for the way back to targets.
+const probesEnd = time.Second
+
 // dialHangs is the way to targets of a gateway whose links to them are lost.
 func dialHangs(ctx context.Context, _, _ string) (net.Conn, error) {
 	<-ctx.Done()
@@ -61,7 +64,8 @@
 				atOnce++
 			}
 		}
-		g.Expect(atOnce).To(Equal(requests-1), "all but the one that looks for the way back")
+		g.Expect(atOnce).To(Equal(requests), "none waits for the probes that look for the way back")
 		g.Expect(slowest).To(BeNumerically("<", objective/4))
+		time.Sleep(probesEnd)
 	})
 }
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -16,8 +16,8 @@
 		return onTrial, nil
 	}
 	deadlines := placement.NewDeadlines(req.received(), req.route.Objective, svc.usual(req.route))
-	cutOff := svc.isCutOff(b.options.Clock(), len(b.targets(req)))
-	if cutOff && !svc.triesNow(b.options.Clock()) {
+	if b.isCutOff(req, svc) {
+		b.tryPaths(req, svc)
 		return nil, errNoneAnswers
 	}
 	for {
@@ -49,8 +49,8 @@
 			}
 			return nil, failure
 		}
-		if decision.Action() == placement.Fallback || cutOff && best == nil {
-			return nil, errNoneAnswers // one round is enough to find that a path is back
+		if decision.Action() == placement.Fallback || best == nil && b.isCutOff(req, svc) {
+			return nil, errNoneAnswers
 		}
 		req.waits++
 		if !pause.For(ctx, placement.Pause(req.route.Objective)) {
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -12,6 +12,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/deadline"
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
+	"github.com/sprucecrank/sprucecrank/core/gateway/placement"
 	"github.com/sprucecrank/sprucecrank/core/gateway/relay"
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
@@ -128,6 +129,25 @@
 	return sent{}, false
 }
 
+// isCutOff says whether no target of a request's service answers this gateway.
+func (b *balancer) isCutOff(req *request, svc *service) bool {
+	return svc.isCutOff(b.options.Clock(), len(b.targets(req)))
+}
+
+// tryPaths probes some targets of a service while none answers, now and then, so that it is noticed
+// when one does again. No request waits for it.
+func (b *balancer) tryPaths(req *request, svc *service) {
+	if !svc.triesNow(b.options.Clock()) {
+		return
+	}
+	order := b.order(req, svc, b.targets(req), nil)
+	targets := append(order.Near(), order.Far()...)
+	like := &request{service: req.service, healthPath: req.healthPath, coldRate: req.coldRate, route: req.route}
+	for _, target := range targets[:min(len(targets), placement.FallbackWidth)] {
+		go func() { b.release(b.probe(context.Background(), like, svc, target)) }()
+	}
+}
+
 // relayTo has one gateway serve a request.
 func (b *balancer) relayTo(ctx context.Context, req *request, via member.Box) (*upstream.Answer, *verdict.Error) {
 	if failure := b.forbiddenNow(req); failure != nil {
--- a/internal/gateway/forward/relay_test.go
+++ b/internal/gateway/forward/relay_test.go
@@ -197,5 +197,28 @@
 		}
 		whole := search(0)
 		g.Expect(search(whole)).To(BeNumerically("<", whole/2))
+		time.Sleep(probesEnd)
+	})
+}
+
+// A gateway that was cut off made a round of probes for a relayed request before it refused it.
+func TestRelayedRequestIsRefusedAtOnceByCutOffGateway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFixture(t)
+		f.view = snapshot.New(newTable(2, timeout), map[string][]catalog.Target{"shop": {{ID: "t0", Service: "shop", Hall: "a"}}})
+		f.options.Pool = upstream.New(upstream.Options{Names: names, Dial: dialHangs})
+		handler := forward.New(f.options).Relayed()
+		ask := func() time.Duration {
+			answer, began := httptest.NewRecorder(), time.Now()
+			handler.ServeHTTP(answer, newRelayed(7))
+			g.Expect(answer.Header().Get("Sprucecrank-Relay-Reason")).To(Equal(string(verdict.ReasonUnreachable)))
+			return time.Since(began)
+		}
+		g.Expect(ask()).To(BeNumerically(">", 0), "it does not know yet")
+		for range 20 {
+			g.Expect(ask()).To(BeZero())
+			time.Sleep(probesEnd)
+		}
 	})
 }
