core/gateway/relay: gateways that served are asked again, and named to others

Callers: a gateway that lost its links to all targets of a service served far fewer first tries than the others, the fewer gateways were left.

Cause: a cut-off gateway drew a gateway anew for each request, and knew nothing but failures, each for 1 to 4 s. All refused requests had gone to gateways that knew that they were cut off themselves, after four of which the request was given up. Who serves was found out, and thrown away.

Change: up to eight gateways that served a service are remembered for ten seconds, and asked again; while fewer are known one of two requests looks for another. A refusal names up to three that served the gateway that refuses. Since a refusal takes a millisecond now, sixteen are asked, within half of the objective as before.

Why it holds: what a gateway keeps does not grow with the fleet (eight gateways a service), and which share is cut off only changes how many are asked once. Nobody is told anything unless it asks; a gateway that starts during the cut asks like others.

--- a/core/gateway/relay/gateways.go
+++ b/core/gateway/relay/gateways.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
@@ -20,6 +21,16 @@
 	// maxRecords bounds the failures that are kept: those of all gateways of a view, for some
 	// dozens of services each.
 	maxRecords = 4096
+	// maxServers bounds the gateways that are remembered as serving a service: enough that those
+	// of a large fleet spread their requests, few enough to be found in moments.
+	maxServers = 8
+	// serverTTL is how long after a gateway was last known to serve a service it is preferred.
+	serverTTL = 10 * time.Second
+	// One of exploreOdds requests looks for another gateway that serves while fewer than maxServers
+	// are known, so that the first ones that were found don't take all requests.
+	exploreOdds = 2
+	// maxReferrals bounds the gateways that a refusal names.
+	maxReferrals = 3
 )
 
 // Gateways is what a gateway observed of those that it had serve requests. It is not safe for
@@ -27,6 +38,16 @@
 type Gateways struct {
 	tier    func(hall string) locality.Tier
 	records map[subject]*record
+	// servers are gateways that serve a service, the latest that was added last.
+	servers map[string][]server
+}
+
+// server is a gateway that is known to serve a service.
+type server struct {
+	member.Box
+	at time.Time
+	// referred says that another gateway named it, and this one was not served by it yet.
+	referred bool
 }
 
 // subject is what a record is about: a gateway's paths to the targets of one service, or the
@@ -40,30 +61,86 @@
 
 // NewGateways returns Gateways of which nothing was observed; tier tells how far a hall is.
 func NewGateways(tier func(hall string) locality.Tier) *Gateways {
-	return &Gateways{tier: tier, records: map[subject]*record{}}
+	return &Gateways{tier: tier, records: map[subject]*record{}, servers: map[string][]server{}}
 }
 
-// Choose draws one of the known gateways that are not passed over now for requests of a service,
-// one of another region only where there is none in the own. All of a region are equally likely,
-// so that no hall's gateways take the requests of those of their hall that are cut off.
+// Choose draws a gateway that is not passed over now for requests of a service: mostly one that
+// is known to serve it, else one of the known gateways, one of another region only where there is
+// none in the own. All of a region are equally likely, so that no hall's gateways take the
+// requests of those of their hall that are cut off.
 func (g *Gateways) Choose(now time.Time, service string, known []member.Box, intn func(n int) int) (via member.Box, ok bool) {
-	var near, far []member.Box
-	for _, b := range known {
-		switch {
-		case g.isPassedOver(now, subject{gateway: b.ID}) || g.isPassedOver(now, subject{b.ID, service}):
-		case g.tier(b.Hall) == locality.OtherRegion:
-			far = append(far, b)
-		default:
-			near = append(near, b)
+	servers := g.listServers(now, service)
+	known = slices.DeleteFunc(slices.Clone(known), func(b member.Box) bool {
+		return slices.ContainsFunc(servers, func(s member.Box) bool { return s.ID == b.ID })
+	})
+	for _, isFar := range []bool{false, true} {
+		from := g.usable(now, service, servers, isFar)
+		others := g.usable(now, service, known, isFar)
+		if len(from) == 0 || len(from) < maxServers && len(others) > 0 && intn(exploreOdds) == 0 {
+			from = others
+		}
+		if len(from) > 0 {
+			return from[intn(len(from))], true
+		}
+	}
+	return member.Box{}, false
+}
+
+// usable lists those of some gateways that are not passed over, in other regions or in the own.
+func (g *Gateways) usable(now time.Time, service string, from []member.Box, isFar bool) (out []member.Box) {
+	for _, b := range from {
+		isPassedOver := g.isPassedOver(now, subject{gateway: b.ID}) || g.isPassedOver(now, subject{b.ID, service})
+		if !isPassedOver && (g.tier(b.Hall) == locality.OtherRegion) == isFar {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// listServers lists the gateways that are known to serve a service.
+func (g *Gateways) listServers(now time.Time, service string) (out []member.Box) {
+	for _, s := range g.servers[service] {
+		if now.Sub(s.at) < serverTTL {
+			out = append(out, s.Box)
+		}
+	}
+	return out
+}
+
+// Referrals draws some gateways that served requests of a service lately, for one that asks this
+// gateway and is refused.
+func (g *Gateways) Referrals(now time.Time, service string, intn func(n int) int) (out []member.Box) {
+	for _, s := range g.servers[service] {
+		if !s.referred && now.Sub(s.at) < serverTTL {
+			out = append(out, s.Box)
 		}
 	}
-	if len(near) == 0 {
-		near = far
+	for len(out) > maxReferrals {
+		i := intn(len(out))
+		out = slices.Delete(out, i, i+1)
 	}
-	if len(near) == 0 {
-		return member.Box{}, false
+	return out
+}
+
+// RecordReferrals records that another gateway named some that served requests of a service.
+func (g *Gateways) RecordReferrals(now time.Time, service string, named []member.Box) {
+	for _, b := range named[:min(len(named), maxReferrals)] {
+		isKnown := slices.ContainsFunc(g.servers[service], func(s server) bool { return s.ID == b.ID })
+		if !isKnown && !g.isPassedOver(now, subject{b.ID, service}) {
+			g.addServer(service, server{Box: b, at: now, referred: true})
+		}
 	}
-	return near[intn(len(near))], true
+}
+
+// addServer adds a gateway that serves a service in place of the one that was added first, if
+// there are many.
+func (g *Gateways) addServer(service string, s server) {
+	servers := append(g.servers[service], s)
+	g.servers[service] = servers[max(len(servers)-maxServers, 0):]
+}
+
+func (g *Gateways) removeServer(id, service string) {
+	g.servers[service] = slices.DeleteFunc(g.servers[service], func(s server) bool { return s.ID == id })
 }
 
 func (g *Gateways) isPassedOver(now time.Time, s subject) bool {
@@ -75,19 +152,30 @@
 func (g *Gateways) Len() int { return len(g.records) }
 
 // RecordServed records that a gateway found a target of a service.
-func (g *Gateways) RecordServed(id, service string) {
-	delete(g.records, subject{gateway: id})
-	delete(g.records, subject{id, service})
+func (g *Gateways) RecordServed(now time.Time, via member.Box, service string) {
+	delete(g.records, subject{gateway: via.ID})
+	delete(g.records, subject{via.ID, service})
+	for i, s := range g.servers[service] {
+		if s.ID == via.ID {
+			g.servers[service][i] = server{Box: via, at: now}
+			return
+		}
+	}
+	g.addServer(service, server{Box: via, at: now})
 }
 
 // RecordUnavailable records that a gateway could not be reached, or serves no relayed request.
 func (g *Gateways) RecordUnavailable(now time.Time, id string) {
 	g.recordFailure(now, subject{gateway: id}, unavailableBackOff)
+	for service := range g.servers {
+		g.removeServer(id, service)
+	}
 }
 
 // RecordCutOff records that a gateway reaches none or few targets of a service either.
 func (g *Gateways) RecordCutOff(now time.Time, id, service string) {
 	g.recordFailure(now, subject{id, service}, cutOffBackOff)
+	g.removeServer(id, service)
 }
 
 func (g *Gateways) recordFailure(now time.Time, s subject, initial time.Duration) {
--- a/core/gateway/relay/relay_test.go
+++ b/core/gateway/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -137,7 +138,7 @@
 			c.record(gateways, after(c.first), "g0")
 			g.Expect(choose(3*c.first-1)).To(Equal("g1"), "twice as long")
 			g.Expect(choose(3 * c.first)).To(Equal("g0"))
-			gateways.RecordServed("g0", "shop")
+			gateways.RecordServed(after(8000), fleet[0], "shop")
 			gateways.RecordBusy(after(8000), "g0")
 			g.Expect(choose(8049)).To(Equal("g1"))
 			g.Expect(choose(8050)).To(Equal("g0"))
@@ -165,11 +166,65 @@
 		return ok
 	}
 	gateways.RecordCutOff(start, "g0", "shop")
-	gateways.RecordServed("g0", "farm")
+	gateways.RecordServed(start, fleet[0], "farm")
 	g.Expect(choose("shop")).To(BeFalse())
 	g.Expect(choose("farm")).To(BeTrue())
 	gateways.RecordUnavailable(start, "g0")
 	g.Expect(choose("farm")).To(BeFalse(), "it serves nothing")
-	gateways.RecordServed("g0", "shop")
+	gateways.RecordServed(start, fleet[0], "shop")
 	g.Expect(choose("shop")).To(BeTrue())
 }
+
+// Gateways that were cut off were asked again and again although others had just served.
+func TestGatewaysThatServeAreAskedAgain(t *testing.T) {
+	g := NewWithT(t)
+	gateways := relay.NewGateways(tiers)
+	fleet := newFleet("a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "a")
+	random := rand.New(rand.NewPCG(1, 1))
+	shareOf := func(now time.Time, service string, some ...member.Box) float64 {
+		const draws = 4000
+		n := 0
+		for range draws {
+			via, _ := gateways.Choose(now, service, fleet, random.IntN)
+			if slices.Contains(some, via) {
+				n++
+			}
+		}
+		return float64(n) / draws
+	}
+	gateways.RecordServed(start, fleet[0], "shop")
+	g.Expect(shareOf(start, "shop", fleet[0])).To(BeNumerically("~", 0.5, 0.05), "others may serve as well")
+	g.Expect(shareOf(start, "farm", fleet[0])).To(BeNumerically("<", 0.2), "another service")
+	for _, b := range fleet[:9] {
+		gateways.RecordServed(start, b, "shop")
+	}
+	g.Expect(shareOf(start, "shop", fleet[1:9]...)).To(Equal(1.0), "enough are known")
+	gateways.RecordCutOff(start, "g1", "shop")
+	gateways.RecordUnavailable(start, "g2")
+	g.Expect(shareOf(start, "shop", fleet[1], fleet[2])).To(BeZero())
+	g.Expect(shareOf(after(10_000), "shop", fleet[3:9]...)).To(BeNumerically("<", 0.6), "long ago")
+}
+
+// A gateway that knew none that serve asked one after the other, and was refused by most.
+func TestGatewaysThatOthersNameAreAsked(t *testing.T) {
+	g := NewWithT(t)
+	asked, gateways := relay.NewGateways(tiers), relay.NewGateways(tiers)
+	fleet := newFleet("a", "a", "a", "a", "a")
+	first := func(int) int { return 0 }
+	for _, b := range fleet {
+		asked.RecordServed(start, b, "shop")
+	}
+	named := asked.Referrals(start, "shop", first)
+	g.Expect(named).To(HaveLen(3))
+	g.Expect(asked.Referrals(start, "farm", first)).To(BeEmpty())
+	g.Expect(asked.Referrals(after(10_000), "shop", first)).To(BeEmpty(), "long ago")
+	gateways.RecordReferrals(start, "shop", fleet[:1])
+	via, ok := gateways.Choose(start, "shop", nil, first)
+	g.Expect(ok).To(BeTrue(), "though it is not known otherwise")
+	g.Expect(via).To(Equal(fleet[0]))
+	g.Expect(gateways.Referrals(start, "shop", first)).To(BeEmpty(), "it has not served this one yet")
+	gateways.RecordCutOff(start, via.ID, "shop")
+	gateways.RecordReferrals(start, "shop", fleet[:1])
+	_, ok = gateways.Choose(start, "shop", nil, first)
+	g.Expect(ok).To(BeFalse(), "it is known to be cut off")
+}
--- a/internal/gateway/forward/answer.go
+++ b/internal/gateway/forward/answer.go
@@ -50,6 +50,7 @@
 	out.Set(verdict.Header, f.Verdict().String())
 	if req.relayed != nil {
 		out.Set(headerRelayReason, string(f.Reason()))
+		h.balancer.relays.refer(h.options.Clock(), req.service, out)
 	}
 	if pause := f.RetryAfter(); pause > 0 {
 		out.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -152,6 +152,8 @@
 	url     string
 	next    atomic.Int32
 	wires   sync.Map // of the targets, by address
+	// handler is that of start.
+	handler *forward.Handler
 }
 
 func newFixture(t testing.TB, targets ...*standin) *fixture {
@@ -201,7 +203,7 @@
 // start serves clients as the gateway does.
 func (f *fixture) start() *fixture {
 	f.t.Helper()
-	f.serve()
+	f.handler = f.serve()
 	return f
 }
 
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/deadline"
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
@@ -22,7 +26,7 @@
 
 const (
 	// maxRelayTries bounds the gateways that one request is relayed to, one after the other.
-	maxRelayTries = 4
+	maxRelayTries = 16
 	// relayShare is the share of the objective after which no further gateway is asked: each may
 	// search before it refuses.
 	relayShare = 0.5
@@ -42,6 +46,7 @@
 	headerRelaySends   = "Sprucecrank-Relay-Sends"   // how often it was sent to targets already
 	headerRelayHeld    = "Sprucecrank-Relay-Held-Ms" // for how long it was held already
 	headerRelayReason  = "Sprucecrank-Relay-Reason"  // why it was refused
+	headerRelayServers = "Sprucecrank-Relay-Servers" // gateways that serve the service, as JSON
 )
 
 // Relay configures how requests are relayed to other gateways whose targets this one can't
@@ -76,13 +81,45 @@
 	return r.tried.Choose(now, service, known, rand.IntN)
 }
 
+// refer names gateways that serve a service in the head of a refusal.
+func (r *relays) refer(now time.Time, service string, head http.Header) {
+	r.mu.Lock()
+	named := r.tried.Referrals(now, service, rand.IntN)
+	r.mu.Unlock()
+	if len(named) == 0 {
+		return
+	}
+	text, err := json.Marshal(named)
+	if err != nil {
+		return // a member.Box can always be encoded
+	}
+	head.Set(headerRelayServers, string(text))
+}
+
+// recordReferrals learns from the gateways that a refusal of another one names.
+func (r *relays) recordReferrals(now time.Time, service string, head http.Header) error {
+	text := head.Get(headerRelayServers)
+	if text == "" {
+		return nil
+	}
+	var named []member.Box
+	if err := json.Unmarshal([]byte(text), &named); err != nil {
+		return trace.Wrap(err)
+	}
+	named = slices.DeleteFunc(named, func(b member.Box) bool { return b.ID == "" || b.ID == r.options.Self || b.Relay == "" })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tried.RecordReferrals(now, service, named)
+	return nil
+}
+
 // record learns from how a relayed request of a service ended; answered says whether the gateway
 // answered it.
 func (r *relays) record(now time.Time, via member.Box, service string, failure *verdict.Error, answered bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if failure == nil {
-		r.tried.RecordServed(via.ID, service)
+		r.tried.RecordServed(now, via, service)
 		return
 	}
 	switch reason := failure.Reason(); {
@@ -170,6 +207,9 @@
 	req.sendLog.add(Send{Gateway: via.ID, Hall: via.Hall, Result: result, TookMS: milliseconds(now.Sub(began))})
 	b.options.Metrics.Relayed(req.service, result)
 	if answered && failure != nil {
+		if err := b.relays.recordReferrals(now, req.service, answer.Header()); err != nil {
+			b.options.Log.Warn("gateways that a refusal names can't be read", "gateway", via.ID, "error", err.Error())
+		}
 		answer.Close()
 		return nil, failure
 	}
--- a/internal/gateway/forward/relay_test.go
+++ b/internal/gateway/forward/relay_test.go
@@ -222,3 +222,17 @@
 		}
 	})
 }
+
+// Clients of a gateway were refused since it knew no gateway that reaches targets, though another one did.
+func TestRequestIsRelayedToGatewayThatRefusalNames(t *testing.T) {
+	g := NewWithT(t)
+	target := newStandin(t, "t1", "shop", "a", ok)
+	asked, f := newFixture(t, nowhere(t, "t0")), newFixture(t, nowhere(t, "t0"))
+	asked.relayedTo(newFixture(t, target))
+	g.Expect(asked.start().order().status).To(Equal(http.StatusOK))
+	f.options.Relay = forward.Relay{Self: "gateway-f", Pool: asked.options.Relay.Pool}
+	address := pipelinetest.Serve(t, pipeline.Options{Handler: asked.handler.Relayed()})
+	f.options.Relay.Gateways = func() []member.Box { return []member.Box{{ID: "gateway-b", Hall: "a", Relay: address}} }
+	g.Expect(f.start().order().status).To(Equal(http.StatusOK))
+	g.Expect(target.runs.Load()).To(Equal(int32(2)))
+}
