internal/gateway/forward: no request is sent on an idle connection where no probe is answered

Callers: in the first second of a cut, orders were held up to their deadline (1.2 to 2.5 s) and answered 'may have run'. A relayed try had been refused by a gateway that did not know yet that it was cut off; the request then went to any target that could be reached, and an idle connection counts as reached, whether it leads anywhere or not.

Change: where no target answered a probe, the fallback opens a new connection, in place of an idle one, whose number stays the same (upstream.Pool.Renew). It did so only once the gateway knew that it was cut off.

TestOrderIsNotSentOnIdleConnectionThatLeadsNowhere failed before (504, held to the end); now 503 and not run.

--- a/internal/gateway/forward/fallback.go
+++ b/internal/gateway/forward/fallback.go
@@ -87,14 +87,10 @@
 }
 
 // connectTo connects to a target without a probe. A cold one needs a turn, whose end is not
-// waited for. While the gateway is cut off, it makes a new connection: an idle one may be dead.
+// waited for. It makes a new connection: an idle one may lead nowhere, since no target answers.
 func (b *balancer) connectTo(ctx context.Context, req *request, svc *service, target catalog.Target) *candidate {
-	get := b.options.Pool.Get
-	if b.isCutOff(req, svc) {
-		get = b.options.Pool.Open
-	}
 	timeout := placement.FallbackTimeout(req.route.Objective, b.places.trip(target.Hall))
-	conn, failure := b.connectBy(ctx, svc, target, get, timeout)
+	conn, failure := b.connectBy(ctx, svc, target, b.options.Pool.Renew, timeout)
 	if failure != nil {
 		if ctx.Err() == nil {
 			svc.probeFailed(b.options.Clock(), target.Life())
--- a/internal/gateway/forward/fleet_test.go
+++ b/internal/gateway/forward/fleet_test.go
@@ -28,6 +28,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
+	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
 const (
@@ -246,8 +247,8 @@
 
 func (gw *fleetGateway) heal() { gw.fault.Store(0) }
 
-// request sends a request as a client of the gateway and reports whether it was served.
-func (gw *fleetGateway) request(id string, method, path string) bool {
+// request sends a request as a client of the gateway.
+func (gw *fleetGateway) request(id string, method, path string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path+"x", nil)
 	if method == http.MethodPost {
 		r = httptest.NewRequest(method, path+"x", strings.NewReader("an order"))
@@ -256,7 +257,7 @@
 	r.Header.Set(names.RequestID, id)
 	answer := httptest.NewRecorder()
 	gw.handler.ServeHTTP(answer, r)
-	return answer.Code == http.StatusOK
+	return answer
 }
 
 // traffic has the clients of all gateways send requests for a time; those count that come from a
@@ -279,7 +280,7 @@
 				}
 				id := fmt.Sprint(gw.box.ID, "-", began.UnixMilli(), "-", n)
 				requests.Go(func() {
-					served := gw.request(id, method, path)
+					served := gw.request(id, method, path).Code == http.StatusOK
 					if at < countFrom {
 						return
 					}
@@ -356,3 +357,19 @@
 		})
 	}
 }
+
+// An order that no target's probe answered for was sent on an idle connection that led nowhere, and held up to its deadline.
+func TestOrderIsNotSentOnIdleConnectionThatLeadsNowhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(t, 1)
+		defer f.close()
+		f.traffic(fleetWarmUp, 0)
+		f.gateways[0].cut(linksHang)
+		began := time.Now()
+		answer := f.gateways[0].request("an-order", http.MethodPost, orderPath)
+		g.Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(answer.Header().Get(verdict.Header)).To(Equal(verdict.NotRun.String()))
+		g.Expect(time.Since(began)).To(BeNumerically("<", fleetTimeout))
+	})
+}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -171,6 +171,18 @@
 	}
 }
 
+// Renew opens a new connection to a target in place of an idle one, which may lead nowhere.
+func (p *Pool) Renew(ctx context.Context, target catalog.Target) (*Conn, *verdict.Error) {
+	conn, failure := p.Open(ctx, target)
+	if failure != nil {
+		return nil, failure
+	}
+	if idle := p.takeIdle(target.Life()); idle != nil {
+		idle.Close()
+	}
+	return conn, nil
+}
+
 func (p *Pool) takeIdle(incarnation catalog.Life) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/upstream/upstream_test.go
+++ b/internal/gateway/upstream/upstream_test.go
@@ -106,6 +106,24 @@
 	g.Expect(s.accepted.Load()).To(Equal(int32(1)))
 }
 
+func TestRenewedConnectionReplacesAnIdleOne(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, func(c net.Conn, r *http.Request, _ int32) {
+		write(c, wholeAnswer(r.Header.Get(names.RequestID), "hello"))
+	})
+	pool := newPool()
+	_, failure := exchange(t, pool, s, request("one"))
+	g.Expect(failure).To(BeNil())
+	for range 3 {
+		conn, failure := pool.Renew(t.Context(), s.target)
+		g.Expect(failure).To(BeNil())
+		_, isNew := conn.DialTime()
+		g.Expect(isNew).To(BeTrue())
+		pool.Put(conn)
+		g.Expect(pool.Idle()[s.target.Life()]).To(Equal(1))
+	}
+}
+
 func TestAnswerToAnotherRequestIsNeverReturned(t *testing.T) {
 	// Each case writes surplus bytes after the first answer, or before the second
 	// one. Each request must get its own answer or none.
