internal/gateway/forward: relayed requests wait a moment for their configuration

A gateway serves a relayed request only by the version of the one that took it; for the milliseconds in which they differ it refused, and was passed over for all services for .25 s and longer, and forgotten as one that serves.

Change: a gateway waits up to 50 ms for the version of a relayed request; a gateway that is refused by a newer one waits likewise, and relays by the version that it has by then. One that stays at another version is passed over for 50 ms, doubling. One that knows that it is cut off says so, whichever version it goes by. Versions still have to be equal: clients of one gateway never see a newer configuration in force, and then an older one (TestAGatewayWithAnotherConfigurationServesNoRelayedRequest is unchanged).

--- a/core/gateway/relay/gateways.go
+++ b/core/gateway/relay/gateways.go
@@ -14,7 +14,10 @@
 	// for seconds. The time doubles with each failure in a row, up to maxBackOff.
 	unavailableBackOff = 250 * time.Millisecond
 	cutOffBackOff      = time.Second
-	maxBackOff         = 4 * time.Second
+	// otherVersionBackOff is how long one is passed over that goes by another version of the
+	// configuration, which reaches all within moments.
+	otherVersionBackOff = 50 * time.Millisecond
+	maxBackOff          = 4 * time.Second
 	// busyTime is how long a gateway is passed over that has as many relayed requests as it
 	// takes.
 	busyTime = 50 * time.Millisecond
@@ -172,6 +175,11 @@
 	}
 }
 
+// RecordOtherVersion records that a gateway goes by another version of the configuration.
+func (g *Gateways) RecordOtherVersion(now time.Time, id string) {
+	g.recordFailure(now, subject{gateway: id}, otherVersionBackOff)
+}
+
 // RecordCutOff records that a gateway reaches none or few targets of a service either.
 func (g *Gateways) RecordCutOff(now time.Time, id, service string) {
 	g.recordFailure(now, subject{id, service}, cutOffBackOff)
--- a/internal/gateway/forward/answer.go
+++ b/internal/gateway/forward/answer.go
@@ -50,6 +50,9 @@
 	out.Set(verdict.Header, f.Verdict().String())
 	if req.relayed != nil {
 		out.Set(headerRelayReason, string(f.Reason()))
+		if req.config > 0 {
+			out.Set(headerRelayConfig, strconv.FormatUint(req.config, 10))
+		}
 		h.balancer.relays.refer(h.options.Clock(), req.service, out)
 	}
 	if pause := f.RetryAfter(); pause > 0 {
--- a/internal/gateway/forward/fleet_test.go
+++ b/internal/gateway/forward/fleet_test.go
@@ -39,8 +39,15 @@
 	fleetWorkTime = 60 * time.Millisecond
 	// fleetInterval is the mean time between two requests of one gateway's clients.
 	fleetInterval = 400 * time.Millisecond
+	// fleetTries is how many gateways there are at least in all fleets of a case together, so that enough
+	// requests count.
+	fleetTries = 90
 	// fleetView is how many others a gateway knows: those of its hall, of other halls, and the first in rank.
 	fleetView = 54
+	// firstVersion is that of the configuration at first, configSpread how long another one takes to
+	// reach all gateways.
+	firstVersion = 7
+	configSpread = 40 * time.Millisecond
 	// Spans of a test of a cut.
 	fleetWarmUp = 3 * time.Second
 	fleetCut    = 6 * time.Second
@@ -60,6 +67,7 @@
 // fleet is a number of gateways before the same targets, in virtual time and memory.
 type fleet struct {
 	t         *testing.T
+	seed      uint64
 	random    *rand.Rand // of the test's goroutine alone
 	targets   []catalog.Target
 	mu        sync.Mutex
@@ -74,6 +82,7 @@
 	fleet   *fleet
 	box     member.Box
 	handler *forward.Handler
+	view    atomic.Pointer[snapshot.Snapshot]
 	fault   atomic.Int32 // a linkFault and one, 0 for none
 	conns   sync.Map     // of targets' links
 	// known are the gateways that it knows.
@@ -83,8 +92,8 @@
 	tries, served atomic.Int32
 }
 
-func newFleet(t *testing.T, gateways int) *fleet {
-	f := &fleet{t: t, random: rand.New(rand.NewPCG(69, uint64(gateways))), listeners: map[string]*dialled{}}
+func newFleet(t *testing.T, gateways int, seed uint64) *fleet {
+	f := &fleet{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, uint64(gateways))), listeners: map[string]*dialled{}}
 	for i := range max(fleetTargets, gateways/2) {
 		f.addTarget(fmt.Sprint("t", i))
 	}
@@ -132,8 +141,8 @@
 	f.closers = append(f.closers, func() { _ = server.Close() })
 }
 
-// fleetTable is the configuration of a fleet: both routes go to the one service.
-func fleetTable() *routing.Table {
+// fleetTable is a version of the configuration of a fleet: both routes go to the one service.
+func fleetTable(version uint64) *routing.Table {
 	route := func(prefix string, repeatable bool) routing.Route {
 		return routing.Route{
 			Name: prefix, Host: "shop.example", Prefix: prefix, Repeatable: repeatable, Shares: []routing.Share{{Service: "shop", Weight: 1}},
@@ -141,20 +150,20 @@
 		}
 	}
 	return routing.New(routing.Config{
-		Version: 7, Limits: routing.Limits{BodyBytes: 1 << 20}, Routes: []routing.Route{route(readPath, true), route(orderPath, false)},
+		Version: version, Limits: routing.Limits{BodyBytes: 1 << 20}, Routes: []routing.Route{route(readPath, true), route(orderPath, false)},
 		Services: []routing.Service{{Name: "shop", HealthPath: "/health"}},
 	})
 }
 
 func (f *fleet) addGateway(id string) *fleetGateway {
 	gw := &fleetGateway{fleet: f, box: member.Box{ID: id, Hall: "a", Start: 1, Relay: id}}
-	view := snapshot.New(fleetTable(), map[string][]catalog.Target{"shop": f.targets})
+	gw.configure(firstVersion)
 	ready := make(chan struct{})
 	close(ready)
 	toTargets := upstream.New(upstream.Options{Names: names, Dial: gw.dialTarget})
 	toGateways := upstream.New(upstream.Options{Names: names, Dial: f.dial})
 	gw.handler = forward.New(forward.Options{
-		Names: names, Places: func() *locality.Map { return locality.New("a", "", nil) }, Snapshot: func() *snapshot.Snapshot { return view },
+		Names: names, Places: func() *locality.Map { return locality.New("a", "", nil) }, Snapshot: gw.view.Load,
 		Ready: ready, Current: func() bool { return true }, Pool: toTargets, Retry: forward.Retry{Ratio: 0.2, Saved: 1},
 		Relay: forward.Relay{Self: id, Gateways: func() []member.Box { return gw.known }, Pool: toGateways},
 	})
@@ -168,6 +177,18 @@
 	return gw
 }
 
+// configure has a version of the configuration in force at a gateway.
+func (gw *fleetGateway) configure(version uint64) {
+	gw.view.Store(snapshot.New(fleetTable(version), map[string][]catalog.Target{"shop": gw.fleet.targets}))
+}
+
+// changeConfig puts a version into force at each gateway after a time of its own.
+func (f *fleet) changeConfig(version uint64) {
+	for _, gw := range f.gateways {
+		time.AfterFunc(time.Duration(f.random.Int64N(int64(configSpread))), func() { gw.configure(version) })
+	}
+}
+
 func (gw *fleetGateway) countRelayed(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		gw.relayed.Add(1)
@@ -266,7 +287,7 @@
 	var clients, requests sync.WaitGroup
 	began := time.Now()
 	for i, gw := range f.gateways {
-		random := rand.New(rand.NewPCG(70, uint64(i)))
+		random := rand.New(rand.NewPCG(f.seed, uint64(1000+i)))
 		clients.Go(func() {
 			for n := 0; ; n++ {
 				time.Sleep(time.Duration(random.ExpFloat64() * float64(fleetInterval)))
@@ -296,16 +317,23 @@
 	requests.Wait()
 }
 
-// share is which share of the requests that count some gateways served, and of how many.
-func share(gateways []*fleetGateway) (served float64, tries int32) {
-	var n int32
+// tally counts the requests that count of some gateways.
+type tally struct {
+	tries, served int32
+	mostRelayed   int32 // that others relayed to one of them
+}
+
+func (n *tally) add(gateways []*fleetGateway) {
 	for _, gw := range gateways {
-		tries += gw.tries.Load()
-		n += gw.served.Load()
+		n.tries += gw.tries.Load()
+		n.served += gw.served.Load()
+		n.mostRelayed = max(n.mostRelayed, gw.relayed.Load())
 	}
-	return float64(n) / float64(max(tries, 1)), tries
 }
 
+// share is which share of them was served.
+func (n *tally) share() float64 { return float64(n.served) / float64(max(n.tries, 1)) }
+
 // fleetSize is the size of a fleet: by hand, one that the environment names.
 func fleetSize(size int) int {
 	if n, err := strconv.Atoi(os.Getenv("FLEET")); err == nil {
@@ -320,40 +348,41 @@
 	for _, c := range []struct {
 		gateways, left int
 		fault          linkFault
+		changes        time.Duration // between two versions of the configuration; 0 for none
 	}{
-		{18, 9, linksHang}, {18, 3, linksHang}, {18, 1, linksHang}, {18, 3, linksReset}, {18, 3, newLinksRefused},
-		{123, 61, linksHang}, {123, 20, linksHang}, {123, 6, linksHang},
+		{18, 9, linksHang, 0}, {18, 3, linksHang, 0}, {18, 1, linksHang, 0}, {18, 3, linksReset, 0}, {18, 3, newLinksRefused, 0},
+		{123, 61, linksHang, 0}, {123, 20, linksHang, 0}, {123, 6, linksHang, 0},
+		{18, 3, linksHang, 500 * time.Millisecond}, {18, 9, linksHang, 100 * time.Millisecond}, {123, 20, linksHang, 500 * time.Millisecond},
 	} {
-		t.Run(fmt.Sprintf("%d of %d are left, fault %d", c.left, c.gateways, c.fault), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				size := fleetSize(c.gateways)
-				f := newFleet(t, size)
-				defer f.close()
-				f.traffic(fleetWarmUp, fleetWarmUp)
-				left := max(c.left*size/c.gateways, 1)
-				others, cutOff := f.gateways[:left], f.gateways[left:]
-				for _, gw := range cutOff {
-					gw.cut(c.fault)
-				}
-				f.traffic(fleetCut, fleetGrace)
-				atOthers, n := share(others)
-				atCutOff, m := share(cutOff)
-				relayed, most := 0, 0
-				for _, gw := range f.gateways {
-					relayed += int(gw.relayed.Load())
-					most = max(most, int(gw.relayed.Load()))
-				}
-				t.Logf("served %.3f of %d, at the others %.3f of %d; relayed requests %d, most to one gateway %d", atCutOff, m, atOthers, n, relayed, most)
-				for _, gw := range cutOff {
-					gw.heal()
-				}
-				g.Expect(atCutOff).To(BeNumerically(">=", atOthers-within))
-				f.runs.Range(func(id, n any) bool {
-					g.Expect(n.(*atomic.Int32).Load()).To(BeNumerically("<=", 2), id)
-					return true
+		t.Run(fmt.Sprintf("%d of %d are left, fault %d, changes %v", c.left, c.gateways, c.fault, c.changes), func(t *testing.T) {
+			g := NewWithT(t)
+			size := fleetSize(c.gateways)
+			var atCutOff, atOthers tally
+			for seed := range fleetTries/size + 1 {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, size, uint64(seed))
+					defer f.close()
+					f.traffic(fleetWarmUp, fleetWarmUp)
+					left := max(c.left*size/c.gateways, 1)
+					for _, gw := range f.gateways[left:] {
+						gw.cut(c.fault)
+						defer gw.heal()
+					}
+					for at, version := c.changes, uint64(firstVersion); c.changes > 0 && at < fleetCut; at += c.changes {
+						version++
+						time.AfterFunc(at, func() { f.changeConfig(version) })
+					}
+					f.traffic(fleetCut, fleetGrace)
+					atOthers.add(f.gateways[:left])
+					atCutOff.add(f.gateways[left:])
+					f.runs.Range(func(id, n any) bool {
+						g.Expect(n.(*atomic.Int32).Load()).To(BeNumerically("<=", 2), id)
+						return true
+					})
 				})
-			})
+			}
+			t.Logf("served %.3f of %d, at the others %.3f of %d; most relayed requests to one gateway %d", atCutOff.share(), atCutOff.tries, atOthers.share(), atOthers.tries, atOthers.mostRelayed)
+			g.Expect(atCutOff.share()).To(BeNumerically(">=", atOthers.share()-within))
 		})
 	}
 }
@@ -362,7 +391,7 @@
 func TestOrderIsNotSentOnIdleConnectionThatLeadsNowhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newFleet(t, 1)
+		f := newFleet(t, 1, 0)
 		defer f.close()
 		f.traffic(fleetWarmUp, 0)
 		f.gateways[0].cut(linksHang)
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -200,6 +200,9 @@
 
 func (h *Handler) serve(req *request) (*upstream.Answer, *verdict.Error) {
 	h.awaitReady(req)
+	if failure := h.balancer.checkVersion(req); failure != nil {
+		return nil, failure
+	}
 	believed := h.options.Snapshot()
 	if failure := h.route(believed, req); failure != nil {
 		return nil, failure
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -21,6 +21,7 @@
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/internal/pause"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -35,6 +36,10 @@
 	// maxRelayed is how many relayed requests a gateway serves at the same time: those of a few
 	// gateways like itself. Beyond that its own clients would wait for them.
 	maxRelayed = 64
+	// configTimeout is how long a request waits for a version of the configuration that another
+	// gateway has in force already, and configPoll how often it looks.
+	configTimeout = 50 * time.Millisecond
+	configPoll    = 5 * time.Millisecond
 )
 
 // Headers of relayed requests, and of their answers. They never leave the fleet.
@@ -42,7 +47,7 @@
 	headerRelayedBy    = "Sprucecrank-Relayed-By"    // the id of the gateway that took the request
 	headerRelayClient  = "Sprucecrank-Relay-Client"  // the address of its client
 	headerRelayService = "Sprucecrank-Relay-Service" // the service that was drawn for it
-	headerRelayConfig  = "Sprucecrank-Relay-Config"  // the version by which it is handled
+	headerRelayConfig  = "Sprucecrank-Relay-Config"  // the version by which it is handled, or that refuses it
 	headerRelaySends   = "Sprucecrank-Relay-Sends"   // how often it was sent to targets already
 	headerRelayHeld    = "Sprucecrank-Relay-Held-Ms" // for how long it was held already
 	headerRelayReason  = "Sprucecrank-Relay-Reason"  // why it was refused
@@ -113,6 +118,13 @@
 	return nil
 }
 
+// recordOtherVersion learns that a gateway goes by another version of the configuration.
+func (r *relays) recordOtherVersion(now time.Time, via member.Box) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tried.RecordOtherVersion(now, via.ID)
+}
+
 // record learns from how a relayed request of a service ended; answered says whether the gateway
 // answered it.
 func (r *relays) record(now time.Time, via member.Box, service string, failure *verdict.Error, answered bool) {
@@ -191,13 +203,18 @@
 		return nil, failure
 	}
 	began := b.options.Clock()
+	req.config = max(req.config, b.configVersion()) // another one may be in force by now
 	answer, failure := b.exchangeWith(ctx, req, via)
 	answered := failure == nil
 	if answered {
 		failure = refusalOf(answer)
 	}
 	now := b.options.Clock()
-	b.relays.record(now, via, req.service, failure, answered)
+	if version := otherVersion(answer, failure); version > 0 {
+		b.followVersion(ctx, via, version)
+	} else {
+		b.relays.record(now, via, req.service, failure, answered)
+	}
 	result := ""
 	if failure != nil {
 		result = string(failure.Reason())
@@ -216,6 +233,68 @@
 	return answer, failure
 }
 
+// otherVersion is the version of the configuration that a gateway goes by which refused a request
+// for that reason; 0 for any other answer.
+func otherVersion(a *upstream.Answer, failure *verdict.Error) uint64 {
+	if a == nil || failure == nil || failure.Reason() != verdict.ReasonNotReady {
+		return 0
+	}
+	version, err := strconv.ParseUint(a.Header().Get(headerRelayConfig), 10, 64)
+	if err != nil {
+		return 0 // it knows no configuration, or is of an earlier version
+	}
+	return version
+}
+
+// followVersion waits a moment for a newer version of the configuration that another gateway goes
+// by. A gateway that stays at another version is passed over.
+func (b *balancer) followVersion(ctx context.Context, via member.Box, version uint64) {
+	isNewer := version > b.configVersion()
+	if isNewer && b.awaitVersion(ctx, version) {
+		return
+	}
+	b.relays.recordOtherVersion(b.options.Clock(), via)
+}
+
+// awaitVersion waits a moment for a version of the configuration, or a newer one, and reports
+// whether it is in force.
+func (b *balancer) awaitVersion(ctx context.Context, version uint64) bool {
+	until := b.options.Clock().Add(configTimeout)
+	for b.configVersion() < version {
+		if b.options.Clock().After(until) || !pause.For(ctx, configPoll) {
+			return false
+		}
+	}
+	return true
+}
+
+// configVersion is the version of the configuration in force; 0 if none is known.
+func (b *balancer) configVersion() uint64 {
+	table := b.options.Snapshot().Table()
+	if table == nil {
+		return 0
+	}
+	return table.Version()
+}
+
+// checkVersion is why a relayed request can't be handled by the version of the configuration in
+// force, for which it may wait a moment; nil if it can, or is a client's. A gateway that is cut off
+// says so, whichever version it goes by.
+func (b *balancer) checkVersion(req *request) *verdict.Error {
+	if req.relayed == nil || b.configVersion() == req.relayed.config {
+		return nil
+	}
+	if svc, ok := b.services.find(req.relayed.service); ok && svc.isCutOff(b.options.Clock(), len(b.options.Snapshot().Targets(svc.name))) {
+		req.service = svc.name
+		return errNoneAnswers
+	}
+	if b.awaitVersion(req.in.Context(), req.relayed.config) && b.configVersion() == req.relayed.config {
+		return nil
+	}
+	req.config = b.configVersion()
+	return notReady("the gateway that relayed the request goes by another configuration")
+}
+
 // forbiddenNow is why a request may not be sent on any more; nil if it may.
 func (b *balancer) forbiddenNow(req *request) *verdict.Error {
 	if failure := b.overdue(req); failure != nil {
--- a/internal/gateway/forward/service.go
+++ b/internal/gateway/forward/service.go
@@ -45,6 +45,14 @@
 	return svc
 }
 
+// find returns a service that requests have named.
+func (r *registry) find(name string) (*service, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	svc, ok := r.byName[name]
+	return svc, ok
+}
+
 // all are the services, in no order.
 func (r *registry) all() []*service {
 	r.mu.Lock()
