internal/gateway/forward: other gateways are asked as long as an answer can be in time

Callers: requests at a gateway that did not know yet that it was cut off were refused once half of their objective was over, after one or two gateways that did not know either, though most would have been served well within the objective.

Change: further gateways are asked until the usual time of a request is all that is left of the objective, and for half of it in any case.

--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -28,7 +28,7 @@
 const (
 	// maxRelayTries bounds the gateways that one request is relayed to, one after the other.
 	maxRelayTries = 16
-	// relayShare is the share of the objective after which no further gateway is asked: each may
+	// relayShare is the least share of the objective for which further gateways are asked: each may
 	// search before it refuses.
 	relayShare = 0.5
 	// relayDialTimeout bounds the time to connect to another gateway, which takes a millisecond.
@@ -163,7 +163,7 @@
 // request has not run there.
 func (b *balancer) relay(ctx context.Context, req *request) (result sent, ok bool) {
 	for try := range maxRelayTries {
-		if try > 0 && b.options.Clock().Sub(req.began) > time.Duration(relayShare*float64(req.route.Objective)) {
+		if try > 0 && b.options.Clock().Sub(req.began) > b.relayTime(req) {
 			break
 		}
 		via, found := b.relays.choose(b.options.Clock(), req.service)
@@ -178,6 +178,13 @@
 	return sent{}, false
 }
 
+// relayTime is how long after a request came another gateway may be asked: as long as an answer in
+// the usual time would be within the objective, and in any case for a share of that.
+func (b *balancer) relayTime(req *request) time.Duration {
+	least := time.Duration(relayShare * float64(req.route.Objective))
+	return max(least, req.route.Objective-b.services.get(req.service).usual(req.route))
+}
+
 // isCutOff says whether no target of a request's service answers this gateway.
 func (b *balancer) isCutOff(req *request, svc *service) bool {
 	return svc.isCutOff(b.options.Clock(), len(b.targets(req)))
