core/gateway/relay: gateways that answer nothing are asked last

Callers: a gateway that hung (frozen, or behind a cut that leaves its connections open) was asked on and on by those that are cut off from targets, and held each request up to its deadline: 69 of 200 in a test with two others that serve. It was not passed over afterwards, since the end of the time may be the target's; remembering who serves makes such a gateway be asked more often.

Change: a gateway that has relayed requests under way and answered none for .3 s comes last; if the request then ends without an answer, it is passed over like one that can't be reached, and one request finds out whether it is back. So that a target which hangs isn't taken for its gateway, that one is told a deadline 20 ms earlier (a tenth of the time left at most), by which it answers itself.

TestGatewayThatHangsIsPassedOver: asked 69 times, served 131 of 200 -> asked 6 to 8 times, served 192 to 194, in virtual time. What is kept is bounded by the requests under way.

--- a/core/gateway/relay/gateways.go
+++ b/core/gateway/relay/gateways.go
@@ -32,6 +32,9 @@
 	// One of exploreOdds requests looks for another gateway that serves while fewer than maxServers
 	// are known, so that the first ones that were found don't take all requests.
 	exploreOdds = 2
+	// silentAfter is how long a gateway may answer none of the requests that it was relayed until
+	// others are preferred: it may hang.
+	silentAfter = 300 * time.Millisecond
 	// maxReferrals bounds the gateways that a refusal names.
 	maxReferrals = 3
 )
@@ -43,6 +46,14 @@
 	records map[subject]*record
 	// servers are gateways that serve a service, the latest that was added last.
 	servers map[string][]server
+	// pending are the gateways that have relayed requests under way.
+	pending map[string]*pending
+}
+
+// pending is what is under way at a gateway.
+type pending struct {
+	requests int
+	since    time.Time // it answered none since
 }
 
 // server is a gateway that is known to serve a service.
@@ -64,21 +75,21 @@
 
 // NewGateways returns Gateways of which nothing was observed; tier tells how far a hall is.
 func NewGateways(tier func(hall string) locality.Tier) *Gateways {
-	return &Gateways{tier: tier, records: map[subject]*record{}, servers: map[string][]server{}}
+	return &Gateways{tier: tier, records: map[subject]*record{}, servers: map[string][]server{}, pending: map[string]*pending{}}
 }
 
 // Choose draws a gateway that is not passed over now for requests of a service: mostly one that
 // is known to serve it, else one of the known gateways, one of another region only where there is
-// none in the own. All of a region are equally likely, so that no hall's gateways take the
-// requests of those of their hall that are cut off.
+// none in the own. Those that answer nothing come last. All of a region are equally likely, so that
+// no hall's gateways take the requests of those of their hall that are cut off.
 func (g *Gateways) Choose(now time.Time, service string, known []member.Box, intn func(n int) int) (via member.Box, ok bool) {
 	servers := g.listServers(now, service)
 	known = slices.DeleteFunc(slices.Clone(known), func(b member.Box) bool {
 		return slices.ContainsFunc(servers, func(s member.Box) bool { return s.ID == b.ID })
 	})
-	for _, isFar := range []bool{false, true} {
-		from := g.usable(now, service, servers, isFar)
-		others := g.usable(now, service, known, isFar)
+	for _, c := range []class{{}, {isFar: true}, {isSilent: true}, {isFar: true, isSilent: true}} {
+		from := g.usable(now, service, servers, c)
+		others := g.usable(now, service, known, c)
 		if len(from) == 0 || len(from) < maxServers && len(others) > 0 && intn(exploreOdds) == 0 {
 			from = others
 		}
@@ -89,17 +100,60 @@
 	return member.Box{}, false
 }
 
-// usable lists those of some gateways that are not passed over, in other regions or in the own.
-func (g *Gateways) usable(now time.Time, service string, from []member.Box, isFar bool) (out []member.Box) {
+// class is what gateways are preferred by.
+type class struct {
+	isFar    bool // in another region
+	isSilent bool
+}
+
+// usable lists those of some gateways that are not passed over, of a class.
+func (g *Gateways) usable(now time.Time, service string, from []member.Box, wanted class) (out []member.Box) {
 	for _, b := range from {
 		isPassedOver := g.isPassedOver(now, subject{gateway: b.ID}) || g.isPassedOver(now, subject{b.ID, service})
-		if !isPassedOver && (g.tier(b.Hall) == locality.OtherRegion) == isFar {
+		of := class{isFar: g.tier(b.Hall) == locality.OtherRegion, isSilent: g.isSilent(now, b.ID)}
+		if !isPassedOver && of == wanted {
 			out = append(out, b)
 		}
 	}
 	return out
 }
 
+// isSilent reports whether a gateway has answered none of its relayed requests for a while, or since
+// it could not be reached.
+func (g *Gateways) isSilent(now time.Time, id string) bool {
+	p := g.pending[id]
+	return p != nil && (now.Sub(p.since) >= silentAfter || g.records[subject{gateway: id}] != nil)
+}
+
+// RecordAsked records that a request is relayed to a gateway.
+func (g *Gateways) RecordAsked(now time.Time, id string) {
+	p := g.pending[id]
+	if p == nil {
+		p = &pending{since: now}
+		g.pending[id] = p
+	}
+	p.requests++
+}
+
+// RecordEnd records the end of a relayed request, and whether the gateway answered it. A silent
+// gateway that did not counts as unavailable.
+func (g *Gateways) RecordEnd(now time.Time, id string, answered bool) {
+	if !answered && g.isSilent(now, id) {
+		g.RecordUnavailable(now, id)
+	}
+	p := g.pending[id]
+	if p == nil {
+		return
+	}
+	if answered {
+		p.since = now
+	}
+	p.requests--
+	if p.requests == 0 {
+		delete(g.pending, id)
+	}
+}
+
 // listServers lists the gateways that are known to serve a service.
 func (g *Gateways) listServers(now time.Time, service string) (out []member.Box) {
 	for _, s := range g.servers[service] {
--- a/core/gateway/relay/relay_test.go
+++ b/core/gateway/relay/relay_test.go
@@ -228,3 +228,30 @@
 	_, ok = gateways.Choose(start, "shop", nil, first)
 	g.Expect(ok).To(BeFalse(), "it is known to be cut off")
 }
+
+// A gateway that hung was asked on and on, since nothing told it from one whose target is slow.
+func TestGatewayThatAnswersNothingIsAskedLast(t *testing.T) {
+	g := NewWithT(t)
+	gateways, fleet := relay.NewGateways(tiers), newFleet("a", "b", "c")
+	choose := func(ms int) string {
+		via, _ := gateways.Choose(after(ms), "shop", fleet, func(int) int { return 0 })
+		return via.ID
+	}
+	gateways.RecordAsked(start, "g0")
+	gateways.RecordAsked(start, "g0")
+	g.Expect(choose(299)).To(Equal("g0"))
+	g.Expect(choose(300)).To(Equal("g1"))
+	gateways.RecordEnd(after(400), "g0", true)
+	g.Expect(choose(400)).To(Equal("g0"), "it answered another request")
+	gateways.RecordAsked(after(400), "g1")
+	g.Expect(choose(700)).To(Equal("g2"), "another region, where all of the own are silent")
+	gateways.RecordUnavailable(after(700), "g2")
+	g.Expect(choose(700)).To(Equal("g0"), "silent ones where no others are left")
+	gateways.RecordEnd(after(700), "g0", false)
+	g.Expect(choose(949)).To(Equal("g1"), "it counts as unavailable")
+	gateways.RecordAsked(after(950), "g0")
+	g.Expect(choose(950)).To(Equal("g2"), "one request finds out whether it is back")
+	gateways.RecordServed(after(951), fleet[0], "shop")
+	gateways.RecordEnd(after(951), "g0", true)
+	g.Expect(choose(951)).To(Equal("g0"))
+}
--- a/internal/gateway/forward/fleet_test.go
+++ b/internal/gateway/forward/fleet_test.go
@@ -88,6 +88,8 @@
 	// known are the gateways that it knows.
 	known   []member.Box
 	relayed atomic.Int32 // requests that others relayed to it
+	// frozen is closed once relayed requests go on that hang there; nil if none do.
+	frozen atomic.Pointer[chan struct{}]
 	// tries counts its clients' requests by whether they were served, of those that count.
 	tries, served atomic.Int32
 }
@@ -192,11 +194,15 @@
 func (gw *fleetGateway) countRelayed(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		gw.relayed.Add(1)
+		if frozen := gw.frozen.Load(); frozen != nil {
+			<-*frozen
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
 func (f *fleet) close() {
+	time.Sleep(probesEnd)
 	for _, closeOne := range f.closers {
 		closeOne()
 	}
@@ -402,3 +408,52 @@
 		g.Expect(time.Since(began)).To(BeNumerically("<", fleetTimeout))
 	})
 }
+
+// A gateway that hung was asked on and on by those that are cut off, and held each request to its deadline.
+func TestGatewayThatHangsIsPassedOver(t *testing.T) {
+	const (
+		requests = 200
+		interval = 30 * time.Millisecond
+		// allowed are those of the first third of a second and one for each time that it is passed over for.
+		allowed = 16
+	)
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(t, 4, 0)
+		defer f.close()
+		cutOff, hangs := f.gateways[0], f.gateways[1]
+		f.traffic(fleetWarmUp, fleetWarmUp)
+		cutOff.cut(linksHang)
+		send := func() *atomic.Int32 {
+			var served atomic.Int32
+			var underWay sync.WaitGroup
+			for i := range requests {
+				id := fmt.Sprint(time.Now().UnixMilli(), "-", i)
+				underWay.Go(func() {
+					if cutOff.request(id, http.MethodGet, readPath).Code == http.StatusOK {
+						served.Add(1)
+					}
+				})
+				time.Sleep(interval)
+			}
+			underWay.Wait()
+			return &served
+		}
+		send() // it knows who serves
+		thawed := make(chan struct{})
+		thaw := sync.OnceFunc(func() { close(thawed) })
+		defer thaw()
+		hangs.frozen.Store(&thawed)
+		before := hangs.relayed.Load()
+		served := send().Load()
+		t.Logf("asked %d times, served %d of %d", hangs.relayed.Load()-before, served, requests)
+		g.Expect(hangs.relayed.Load() - before).To(BeNumerically("<=", allowed))
+		g.Expect(served).To(BeNumerically(">=", requests-allowed))
+		thaw()
+		hangs.frozen.Store(nil)
+		time.Sleep(2 * fleetTimeout)
+		before = hangs.relayed.Load()
+		send()
+		g.Expect(hangs.relayed.Load()-before).To(BeNumerically(">", requests/10), "it is back")
+	})
+}
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -33,6 +33,10 @@
 	relayShare = 0.5
 	// relayDialTimeout bounds the time to connect to another gateway, which takes a millisecond.
 	relayDialTimeout = 150 * time.Millisecond
+	// relayMargin is how much earlier than its own a request's deadline is told to another gateway, so
+	// that one which does not answer by then hangs; at most relayMarginShare of the time left.
+	relayMargin      = 20 * time.Millisecond
+	relayMarginShare = 0.1
 	// maxRelayed is how many relayed requests a gateway serves at the same time: those of a few
 	// gateways like itself. Beyond that its own clients would wait for them.
 	maxRelayed = 64
@@ -118,6 +122,20 @@
 	return nil
 }
 
+// begin notes that a request is relayed to a gateway.
+func (r *relays) begin(now time.Time, via member.Box) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tried.RecordAsked(now, via.ID)
+}
+
+// end notes that a relayed request has ended, and whether the gateway answered it.
+func (r *relays) end(now time.Time, via member.Box, answered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tried.RecordEnd(now, via.ID, answered)
+}
+
 // recordOtherVersion learns that a gateway goes by another version of the configuration.
 func (r *relays) recordOtherVersion(now time.Time, via member.Box) {
 	r.mu.Lock()
@@ -211,12 +229,14 @@
 	}
 	began := b.options.Clock()
 	req.config = max(req.config, b.configVersion()) // another one may be in force by now
+	b.relays.begin(began, via)
 	answer, failure := b.exchangeWith(ctx, req, via)
 	answered := failure == nil
 	if answered {
 		failure = refusalOf(answer)
 	}
 	now := b.options.Clock()
+	b.relays.end(now, via, answered)
 	if version := otherVersion(answer, failure); version > 0 {
 		b.followVersion(ctx, via, version)
 	} else {
@@ -335,8 +355,9 @@
 	h.Del("Content-Length")
 	h.Del("Expect")
 	now := b.options.Clock()
-	left := max(req.deadline.Request().Sub(now).Milliseconds(), 1)
-	h.Set(b.options.Names.Deadline, strconv.FormatInt(left, 10))
+	left := req.deadline.Request().Sub(now)
+	left -= min(relayMargin, time.Duration(relayMarginShare*float64(left)))
+	h.Set(b.options.Names.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	h.Set(headerRelayHeld, strconv.FormatInt(now.Sub(req.began).Milliseconds(), 10))
 	h.Set(headerRelayedBy, b.relays.options.Self)
 	h.Set(headerRelayClient, req.in.RemoteAddr)
