internal/gateway/forward: gateways look again before they refuse by an old cut

Callers: a gateway that had lost its links refused relayed requests by what it had found out long ago, if no request had come since that would have looked for the way back. After a cut that healed while it was quiet, and after all targets were replaced, a request of a gateway that is still cut off was refused by all others, which could have served it.

Change: that paths are cut counts without a look for a second after the latest failure. While requests come, probes keep it fresh; the first one after a quiet second searches itself.

TestRelayedRequestIsServedAfterCutThatHealedWithoutTraffic failed before (503). The test of refusals at once asks twice a second now, not once: a request after a quiet second is one that looks again.

--- a/core/gateway/relay/relay.go
+++ b/core/gateway/relay/relay.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	paths.RecordFailure(now, target.Life()) // a probe was not answered
-//	if paths.AreCut(now, targets) && !paths.TryNow(now) {
+//	if paths.AreCut(now, targets) && paths.FailedLately(now) {
 //		via, ok := gateways.Choose(now, service, known, rand.IntN)
 //	}
 package relay
@@ -32,6 +32,9 @@
 	mostShare = 0.5
 	// failureTTL is how long a failure counts of a target that was not tried again.
 	failureTTL = 10 * time.Second
+	// recentTime is how long after the latest failure requests still go by the paths being cut without a
+	// look at them: some intervals.
+	recentTime = time.Second
 	// maxFailing bounds the targets of which failures are kept.
 	maxFailing = 4096
 	// initialPause is how long no request is relayed for want of room after one that found
@@ -45,6 +48,7 @@
 type Paths struct {
 	failing     map[catalog.Life]time.Time // the latest failure since the target answered
 	failedSince time.Time                  // the first failure since any target answered; zero for none
+	failedLast  time.Time                  // the latest failure
 	// unconnected are targets to which no connection could be made since one was made to any.
 	unconnected map[catalog.Life]struct{}
 	nextTry     time.Time
@@ -69,6 +73,7 @@
 		p.failedSince = now
 		p.nextTry = now.Add(cutAfter + tryInterval)
 	}
+	p.failedLast = now
 	if len(p.failing) < maxFailing {
 		p.failing[target] = now
 	}
@@ -102,6 +107,10 @@
 	return p.failingSince(p.failedSince) >= neededFailures(targets)
 }
 
+// FailedLately reports whether a target failed a moment ago. If not, a request should look for a
+// target although the paths are cut: they may have healed while nobody looked.
+func (p *Paths) FailedLately(now time.Time) bool { return now.Sub(p.failedLast) < recentTime }
+
 // FewAreLeft reports whether most targets do not answer, so that other gateways may have room
 // at targets that this one can't reach. It reports false for a while after they had none.
 func (p *Paths) FewAreLeft(now time.Time, targets int) bool {
--- a/core/gateway/relay/relay_test.go
+++ b/core/gateway/relay/relay_test.go
@@ -33,6 +33,8 @@
 	p.RecordFailure(after(100), life(3))
 	g.Expect(p.AreCut(after(299), 10)).To(BeFalse(), "the process may have stood still")
 	g.Expect(p.AreCut(after(300), 10)).To(BeTrue())
+	g.Expect(p.FailedLately(after(1099))).To(BeTrue())
+	g.Expect(p.FailedLately(after(1100))).To(BeFalse(), "they may have healed")
 	p.RecordAnswer(life(9))
 	g.Expect(p.AreCut(after(2000), 10)).To(BeFalse())
 }
--- a/internal/gateway/forward/fleet_test.go
+++ b/internal/gateway/forward/fleet_test.go
@@ -457,3 +457,23 @@
 		g.Expect(hangs.relayed.Load()-before).To(BeNumerically(">", requests/10), "it is back")
 	})
 }
+
+// Gateways refused relayed requests by what they knew of a cut that had healed while no requests came.
+func TestRelayedRequestIsServedAfterCutThatHealedWithoutTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(t, 3, 0)
+		defer f.close()
+		f.traffic(fleetWarmUp, fleetWarmUp)
+		for _, gw := range f.gateways {
+			gw.cut(linksHang)
+		}
+		f.traffic(fleetCut, fleetCut)
+		for _, gw := range f.gateways[1:] {
+			gw.heal()
+		}
+		time.Sleep(time.Minute)
+		answer := f.gateways[0].request("an-order", http.MethodPost, orderPath)
+		g.Expect(answer.Code).To(Equal(http.StatusOK))
+	})
+}
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -16,7 +16,7 @@
 		return onTrial, nil
 	}
 	deadlines := placement.NewDeadlines(req.received(), req.route.Objective, svc.usual(req.route))
-	if b.isCutOff(req, svc) {
+	if b.isCutOff(req, svc) && svc.failedLately(b.options.Clock()) {
 		b.tryPaths(req, svc)
 		return nil, errNoneAnswers
 	}
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -208,6 +208,14 @@
 	return svc.isCutOff(b.options.Clock(), len(b.targets(req)))
 }
 
+// isKnownCutOff says whether no target of a service answers this gateway, by a look that was taken
+// a moment ago.
+func (b *balancer) isKnownCutOff(service string) bool {
+	svc, ok := b.services.find(service)
+	now := b.options.Clock()
+	return ok && svc.isCutOff(now, len(b.options.Snapshot().Targets(service))) && svc.failedLately(now)
+}
+
 // tryPaths probes some targets of a service while none answers, now and then, so that it is noticed
 // when one does again. No request waits for it.
 func (b *balancer) tryPaths(req *request, svc *service) {
@@ -311,8 +319,8 @@
 	if req.relayed == nil || b.configVersion() == req.relayed.config {
 		return nil
 	}
-	if svc, ok := b.services.find(req.relayed.service); ok && svc.isCutOff(b.options.Clock(), len(b.options.Snapshot().Targets(svc.name))) {
-		req.service = svc.name
+	if b.isKnownCutOff(req.relayed.service) {
+		req.service = req.relayed.service
 		return errNoneAnswers
 	}
 	if b.awaitVersion(req.in.Context(), req.relayed.config) && b.configVersion() == req.relayed.config {
--- a/internal/gateway/forward/relay_test.go
+++ b/internal/gateway/forward/relay_test.go
@@ -203,6 +203,7 @@
 
 // A gateway that was cut off made a round of probes for a relayed request before it refused it.
 func TestRelayedRequestIsRefusedAtOnceByCutOffGateway(t *testing.T) {
+	const askInterval = 500 * time.Millisecond // a request that comes after a second without any looks again
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newFixture(t)
@@ -218,8 +219,9 @@
 		g.Expect(ask()).To(BeNumerically(">", 0), "it does not know yet")
 		for range 20 {
 			g.Expect(ask()).To(BeZero())
-			time.Sleep(probesEnd)
+			time.Sleep(askInterval)
 		}
+		time.Sleep(probesEnd)
 	})
 }
 
--- a/internal/gateway/forward/service.go
+++ b/internal/gateway/forward/service.go
@@ -207,6 +207,13 @@
 	return cut
 }
 
+// failedLately says whether a target failed a moment ago.
+func (s *service) failedLately(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.paths.FailedLately(now)
+}
+
 // connected notes whether a new connection to a target could be made.
 func (s *service) connected(life catalog.Life, made bool) {
 	s.mu.Lock()
