internal/gateway/forward: another gateway serves hedges of one that is cut off

Change: once the gateway knows that it is cut off, the hedge is relayed. The version of the configuration that a relayed request names is read when it is relayed, not written into the request, which two sends share now.

TestRequestUnderWayWhenCutBeginsIsServedByAnotherGateway failed before (504). The tests of fleets, hangs and relays pass with the race detector.

--- a/internal/gateway/forward/fleet_test.go
+++ b/internal/gateway/forward/fleet_test.go
@@ -225,7 +225,7 @@
 	return nil, syscall.ECONNREFUSED
 }
 
-// targetConn is a gateway's connection to a target: what is written behind a cut is lost.
+// targetConn is a gateway's connection to a target: what either side writes behind a cut is lost.
 type targetConn struct {
 	net.Conn
 	gateway *fleetGateway
@@ -238,6 +238,15 @@
 	return c.Conn.Write(p)
 }
 
+func (c *targetConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.gateway.has(linksHang) {
+			return n, err
+		}
+	}
+}
+
 func (c *targetConn) Close() error {
 	c.gateway.conns.Delete(c)
 	return c.Conn.Close()
@@ -477,3 +486,20 @@
 		g.Expect(answer.Code).To(Equal(http.StatusOK))
 	})
 }
+
+// A request that was under way when its gateway was cut off was held up to its deadline, though it may run twice.
+func TestRequestUnderWayWhenCutBeginsIsServedByAnotherGateway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(t, 4, 0)
+		defer f.close()
+		f.traffic(fleetWarmUp, fleetWarmUp)
+		cutOff := f.gateways[0]
+		time.AfterFunc(fleetWorkTime/2, func() { cutOff.cut(linksHang) })
+		answer := cutOff.request("a-read", http.MethodGet, readPath)
+		g.Expect(answer.Code).To(Equal(http.StatusOK))
+		runs, _ := f.runs.Load("a-read")
+		g.Expect(runs.(*atomic.Int32).Load()).To(Equal(int32(2)))
+		time.AfterFunc(0, cutOff.heal)
+	})
+}
--- a/internal/gateway/forward/hedge.go
+++ b/internal/gateway/forward/hedge.go
@@ -100,12 +100,31 @@
 			r.cancelFirst()
 			return result.answer
 		}
+		if r.mayRelay() {
+			return r.relay(ctx)
+		}
 		if !r.pause(ctx, again) {
 			return nil
 		}
 	}
 }
 
+// mayRelay says whether another gateway is to serve the hedge, and takes it from the budget.
+func (r *race) mayRelay() bool {
+	return r.req.relayed == nil && r.balancer.isKnownCutOff(r.req.service) && r.mayHedge() && r.svc.spendHedge()
+}
+
+// relay has another gateway serve the hedge, and returns the answer if it counts.
+func (r *race) relay(ctx context.Context) *upstream.Answer {
+	result, ok := r.balancer.relay(ctx, r.req)
+	if !ok || result.failure != nil || !r.win() {
+		result.drop()
+		return nil
+	}
+	r.cancelFirst()
+	return result.answer
+}
+
 // pause waits and says whether a hedge may still be of use: unlike pause.For it also
 // ends with the first send, which must not cancel a hedge that was sent.
 func (r *race) pause(ctx context.Context, d time.Duration) bool {
@@ -121,12 +140,21 @@
 	}
 }
 
+// isOverdue says whether the first send takes longer than was predicted.
+func (r *race) isOverdue() bool {
+	return retry.Overdue(r.balancer.options.Clock().Sub(r.began), r.first.Predicted)
+}
+
+// mayHedge says whether a hedge may be sent now.
+func (r *race) mayHedge() bool {
+	contended := r.svc.isContended(r.balancer.options.Clock())
+	return retry.MayHedge(contended, r.isOverdue()) && r.svc.canSpendHedge() && !r.balancer.verdictOn(r.req).IsSuspect()
+}
+
 // find takes a target for the hedge, if the budget allows one and a target suits.
 func (r *race) find(ctx context.Context) *candidate {
 	b := r.balancer
-	now := b.options.Clock()
-	overdue := retry.Overdue(now.Sub(r.began), r.first.Predicted)
-	if !retry.MayHedge(r.svc.isContended(now), overdue) || !r.svc.canSpendHedge() || b.verdictOn(r.req).IsSuspect() {
+	if !r.mayHedge() {
 		return nil
 	}
 	avoid := append([]catalog.Life{r.first.target.Life()}, r.req.avoid...)
@@ -134,7 +162,7 @@
 	if found == nil {
 		return nil
 	}
-	suits := retry.SuitsHedge(&found.Candidate, overdue) && !found.Cold
+	suits := retry.SuitsHedge(&found.Candidate, r.isOverdue()) && !found.Cold
 	if !suits || ctx.Err() != nil || !b.admitTo(ctx, r.req, found) || !r.svc.spendHedge() {
 		b.release(found)
 		return nil
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -236,7 +236,6 @@
 		return nil, failure
 	}
 	began := b.options.Clock()
-	req.config = max(req.config, b.configVersion()) // another one may be in force by now
 	b.relays.begin(began, via)
 	answer, failure := b.exchangeWith(ctx, req, via)
 	answered := failure == nil
@@ -370,7 +369,7 @@
 	h.Set(headerRelayedBy, b.relays.options.Self)
 	h.Set(headerRelayClient, req.in.RemoteAddr)
 	h.Set(headerRelayService, req.service)
-	h.Set(headerRelayConfig, strconv.FormatUint(req.config, 10))
+	h.Set(headerRelayConfig, strconv.FormatUint(b.configVersion(), 10)) // the request may have come under an earlier one
 	h.Set(headerRelaySends, strconv.Itoa(int(req.sends.Load())))
 	out := upstream.Request{Method: req.in.Method, URI: req.in.RequestURI, Host: req.in.Host, Header: h, Body: req.body, ID: req.id}
 	if req.in.ProtoAtLeast(1, 1) {
