core/gateway/relay: names; a client that leaves says nothing of its gateway

A gateway that had failed once, long ago, was passed over when a client left during its next relayed request, however soon. Gateways that serve a service are called that: a server is a target. A refusal whose list of gateways can't be encoded is logged.

--- a/core/gateway/relay/gateways.go
+++ b/core/gateway/relay/gateways.go
@@ -24,12 +24,12 @@
 	// maxRecords bounds the failures that are kept: those of all gateways of a view, for some
 	// dozens of services each.
 	maxRecords = 4096
-	// maxServers bounds the gateways that are remembered as serving a service: enough that those
+	// maxServing bounds the gateways that are remembered as serving a service: enough that those
 	// of a large fleet spread their requests, few enough to be found in moments.
-	maxServers = 8
-	// serverTTL is how long after a gateway was last known to serve a service it is preferred.
-	serverTTL = 10 * time.Second
-	// One of exploreOdds requests looks for another gateway that serves while fewer than maxServers
+	maxServing = 8
+	// servingTTL is how long after a gateway was last known to serve a service it is preferred.
+	servingTTL = 10 * time.Second
+	// One of exploreOdds requests looks for another gateway that serves while fewer than maxServing
 	// are known, so that the first ones that were found don't take all requests.
 	exploreOdds = 2
 	// silentAfter is how long a gateway may answer none of the requests that it was relayed until
@@ -44,8 +44,8 @@
 type Gateways struct {
 	tier    func(hall string) locality.Tier
 	records map[subject]*record
-	// servers are gateways that serve a service, the latest that was added last.
-	servers map[string][]server
+	// serving are gateways that serve a service, the latest that was added last.
+	serving map[string][]serving
 	// pending are the gateways that have relayed requests under way.
 	pending map[string]*pending
 }
@@ -56,8 +56,8 @@
 	since    time.Time // it answered none since
 }
 
-// server is a gateway that is known to serve a service.
-type server struct {
+// serving is a gateway that is known to serve a service.
+type serving struct {
 	member.Box
 	at time.Time
 	// referred says that another gateway named it, and this one was not served by it yet.
@@ -75,7 +75,7 @@
 
 // NewGateways returns Gateways of which nothing was observed; tier tells how far a hall is.
 func NewGateways(tier func(hall string) locality.Tier) *Gateways {
-	return &Gateways{tier: tier, records: map[subject]*record{}, servers: map[string][]server{}, pending: map[string]*pending{}}
+	return &Gateways{tier: tier, records: map[subject]*record{}, serving: map[string][]serving{}, pending: map[string]*pending{}}
 }
 
 // Choose draws a gateway that is not passed over now for requests of a service: mostly one that
@@ -83,14 +83,14 @@
 // none in the own. Those that answer nothing come last. All of a region are equally likely, so that
 // no hall's gateways take the requests of those of their hall that are cut off.
 func (g *Gateways) Choose(now time.Time, service string, known []member.Box, intn func(n int) int) (via member.Box, ok bool) {
-	servers := g.listServers(now, service)
+	proven := g.listServing(now, service)
 	known = slices.DeleteFunc(slices.Clone(known), func(b member.Box) bool {
-		return slices.ContainsFunc(servers, func(s member.Box) bool { return s.ID == b.ID })
+		return slices.ContainsFunc(proven, func(s member.Box) bool { return s.ID == b.ID })
 	})
 	for _, c := range []class{{}, {isFar: true}, {isSilent: true}, {isFar: true, isSilent: true}} {
-		from := g.usable(now, service, servers, c)
+		from := g.usable(now, service, proven, c)
 		others := g.usable(now, service, known, c)
-		if len(from) == 0 || len(from) < maxServers && len(others) > 0 && intn(exploreOdds) == 0 {
+		if len(from) == 0 || len(from) < maxServing && len(others) > 0 && intn(exploreOdds) == 0 {
 			from = others
 		}
 		if len(from) > 0 {
@@ -138,13 +138,13 @@
 // RecordEnd records the end of a relayed request, and whether the gateway answered it. A silent
 // gateway that did not counts as unavailable.
 func (g *Gateways) RecordEnd(now time.Time, id string, answered bool) {
-	if !answered && g.isSilent(now, id) {
-		g.RecordUnavailable(now, id)
-	}
 	p := g.pending[id]
 	if p == nil {
 		return
 	}
+	if !answered && now.Sub(p.since) >= silentAfter {
+		g.RecordUnavailable(now, id)
+	}
 	if answered {
 		p.since = now
 	}
@@ -154,10 +154,10 @@
 	}
 }
 
-// listServers lists the gateways that are known to serve a service.
-func (g *Gateways) listServers(now time.Time, service string) (out []member.Box) {
-	for _, s := range g.servers[service] {
-		if now.Sub(s.at) < serverTTL {
+// listServing lists the gateways that are known to serve a service.
+func (g *Gateways) listServing(now time.Time, service string) (out []member.Box) {
+	for _, s := range g.serving[service] {
+		if now.Sub(s.at) < servingTTL {
 			out = append(out, s.Box)
 		}
 	}
@@ -167,8 +167,8 @@
 // Referrals draws some gateways that served requests of a service lately, for one that asks this
 // gateway and is refused.
 func (g *Gateways) Referrals(now time.Time, service string, intn func(n int) int) (out []member.Box) {
-	for _, s := range g.servers[service] {
-		if !s.referred && now.Sub(s.at) < serverTTL {
+	for _, s := range g.serving[service] {
+		if !s.referred && now.Sub(s.at) < servingTTL {
 			out = append(out, s.Box)
 		}
 	}
@@ -182,22 +182,22 @@
 // RecordReferrals records that another gateway named some that served requests of a service.
 func (g *Gateways) RecordReferrals(now time.Time, service string, named []member.Box) {
 	for _, b := range named[:min(len(named), maxReferrals)] {
-		isKnown := slices.ContainsFunc(g.servers[service], func(s server) bool { return s.ID == b.ID })
+		isKnown := slices.ContainsFunc(g.serving[service], func(s serving) bool { return s.ID == b.ID })
 		if !isKnown && !g.isPassedOver(now, subject{b.ID, service}) {
-			g.addServer(service, server{Box: b, at: now, referred: true})
+			g.addServing(service, serving{Box: b, at: now, referred: true})
 		}
 	}
 }
 
-// addServer adds a gateway that serves a service in place of the one that was added first, if
+// addServing adds a gateway that serves a service in place of the one that was added first, if
 // there are many.
-func (g *Gateways) addServer(service string, s server) {
-	servers := append(g.servers[service], s)
-	g.servers[service] = servers[max(len(servers)-maxServers, 0):]
+func (g *Gateways) addServing(service string, s serving) {
+	all := append(g.serving[service], s)
+	g.serving[service] = all[max(len(all)-maxServing, 0):]
 }
 
-func (g *Gateways) removeServer(id, service string) {
-	g.servers[service] = slices.DeleteFunc(g.servers[service], func(s server) bool { return s.ID == id })
+func (g *Gateways) removeServing(id, service string) {
+	g.serving[service] = slices.DeleteFunc(g.serving[service], func(s serving) bool { return s.ID == id })
 }
 
 func (g *Gateways) isPassedOver(now time.Time, s subject) bool {
@@ -212,20 +212,20 @@
 func (g *Gateways) RecordServed(now time.Time, via member.Box, service string) {
 	delete(g.records, subject{gateway: via.ID})
 	delete(g.records, subject{via.ID, service})
-	for i, s := range g.servers[service] {
+	for i, s := range g.serving[service] {
 		if s.ID == via.ID {
-			g.servers[service][i] = server{Box: via, at: now}
+			g.serving[service][i] = serving{Box: via, at: now}
 			return
 		}
 	}
-	g.addServer(service, server{Box: via, at: now})
+	g.addServing(service, serving{Box: via, at: now})
 }
 
 // RecordUnavailable records that a gateway could not be reached, or serves no relayed request.
 func (g *Gateways) RecordUnavailable(now time.Time, id string) {
 	g.recordFailure(now, subject{gateway: id}, unavailableBackOff)
-	for service := range g.servers {
-		g.removeServer(id, service)
+	for service := range g.serving {
+		g.removeServing(id, service)
 	}
 }
 
@@ -237,7 +237,7 @@
 // RecordCutOff records that a gateway reaches none or few targets of a service either.
 func (g *Gateways) RecordCutOff(now time.Time, id, service string) {
 	g.recordFailure(now, subject{id, service}, cutOffBackOff)
-	g.removeServer(id, service)
+	g.removeServing(id, service)
 }
 
 func (g *Gateways) recordFailure(now time.Time, s subject, initial time.Duration) {
--- a/internal/gateway/forward/answer.go
+++ b/internal/gateway/forward/answer.go
@@ -49,11 +49,7 @@
 	out.Set(h.options.Names.RequestID, req.id)
 	out.Set(verdict.Header, f.Verdict().String())
 	if req.relayed != nil {
-		out.Set(headerRelayReason, string(f.Reason()))
-		if req.config > 0 {
-			out.Set(headerRelayConfig, strconv.FormatUint(req.config, 10))
-		}
-		h.balancer.relays.refer(h.options.Clock(), req.service, out)
+		h.explainRefusal(out, req, f)
 	}
 	if pause := f.RetryAfter(); pause > 0 {
 		out.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
@@ -65,3 +61,15 @@
 	w.WriteHeader(f.Status())
 	h.report(req, f.Status(), f)
 }
+
+// explainRefusal tells the gateway that relayed a request why it is refused, by which version of the
+// configuration, and which gateways serve its service.
+func (h *Handler) explainRefusal(out http.Header, req *request, f *verdict.Error) {
+	out.Set(headerRelayReason, string(f.Reason()))
+	if req.config > 0 {
+		out.Set(headerRelayConfig, strconv.FormatUint(req.config, 10))
+	}
+	if err := h.balancer.relays.refer(h.options.Clock(), req.service, out); err != nil {
+		h.options.Log.Error("gateways that serve a service can't be named", "service", req.service, "error", err.Error())
+	}
+}
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -55,7 +55,7 @@
 	headerRelaySends   = "Sprucecrank-Relay-Sends"   // how often it was sent to targets already
 	headerRelayHeld    = "Sprucecrank-Relay-Held-Ms" // for how long it was held already
 	headerRelayReason  = "Sprucecrank-Relay-Reason"  // why it was refused
-	headerRelayServers = "Sprucecrank-Relay-Servers" // gateways that serve the service, as JSON
+	headerRelayServing = "Sprucecrank-Relay-Serving" // gateways that serve the service, as JSON
 )
 
 // Relay configures how requests are relayed to other gateways whose targets this one can't
@@ -91,23 +91,24 @@
 }
 
 // refer names gateways that serve a service in the head of a refusal.
-func (r *relays) refer(now time.Time, service string, head http.Header) {
+func (r *relays) refer(now time.Time, service string, head http.Header) error {
 	r.mu.Lock()
 	named := r.tried.Referrals(now, service, rand.IntN)
 	r.mu.Unlock()
 	if len(named) == 0 {
-		return
+		return nil
 	}
 	text, err := json.Marshal(named)
 	if err != nil {
-		return // a member.Box can always be encoded
+		return trace.Wrap(err)
 	}
-	head.Set(headerRelayServers, string(text))
+	head.Set(headerRelayServing, string(text))
+	return nil
 }
 
 // recordReferrals learns from the gateways that a refusal of another one names.
 func (r *relays) recordReferrals(now time.Time, service string, head http.Header) error {
-	text := head.Get(headerRelayServers)
+	text := head.Get(headerRelayServing)
 	if text == "" {
 		return nil
 	}
