--- /dev/null
+++ b/internal/gateway/forward/paths.go
@@ -0,0 +1,34 @@
+package forward
+
+import (
+	"context"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/placement"
+)
+
+// isCutOff says whether no target of a request's service answers this gateway.
+func (b *balancer) isCutOff(req *request, svc *service) bool {
+	return svc.isCutOff(b.options.Clock(), len(b.targets(req)))
+}
+
+// isKnownCutOff says whether no target of a service answers this gateway, by a look that was taken
+// a moment ago.
+func (b *balancer) isKnownCutOff(service string) bool {
+	svc, ok := b.services.find(service)
+	now := b.options.Clock()
+	return ok && svc.isCutOff(now, len(b.options.Snapshot().Targets(service))) && svc.failedLately(now)
+}
+
+// tryPaths probes some targets of a service while none answers, now and then, so that it is noticed
+// when one does again. No request waits for it.
+func (b *balancer) tryPaths(req *request, svc *service) {
+	if !svc.triesNow(b.options.Clock()) {
+		return
+	}
+	order := b.order(req, svc, b.targets(req), nil)
+	targets := append(order.Near(), order.Far()...)
+	like := &request{service: req.service, healthPath: req.healthPath, coldRate: req.coldRate, route: req.route}
+	for _, target := range targets[:min(len(targets), placement.FallbackWidth)] {
+		go func() { b.release(b.probe(context.Background(), like, svc, target)) }()
+	}
+}
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -2,26 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"math/rand/v2"
-	"net/http"
-	"slices"
 	"strconv"
-	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
-	"github.com/sprucecrank/sprucecrank/core/gateway/deadline"
-	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
-	"github.com/sprucecrank/sprucecrank/core/gateway/placement"
-	"github.com/sprucecrank/sprucecrank/core/gateway/relay"
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
-	"github.com/sprucecrank/sprucecrank/internal/pause"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -37,13 +24,6 @@
 	// that one which does not answer by then hangs; at most relayMarginShare of the time left.
 	relayMargin      = 20 * time.Millisecond
 	relayMarginShare = 0.1
-	// maxRelayed is how many relayed requests a gateway serves at the same time: those of a few
-	// gateways like itself. Beyond that its own clients would wait for them.
-	maxRelayed = 64
-	// configTimeout is how long a request waits for a version of the configuration that another
-	// gateway has in force already, and configPoll how often it looks.
-	configTimeout = 50 * time.Millisecond
-	configPoll    = 5 * time.Millisecond
 )
 
 // Headers of relayed requests, and of their answers. They never leave the fleet.
@@ -58,126 +38,6 @@
 	headerRelayServing = "Sprucecrank-Relay-Serving" // gateways that serve the service, as JSON
 )
 
-// Relay configures how requests are relayed to other gateways whose targets this one can't
-// reach.
-type Relay struct {
-	// Self is the id of this gateway.
-	Self string
-	// Gateways lists some that relay requests; nil for none.
-	Gateways func() []member.Box
-	// Pool keeps the connections to them.
-	Pool *upstream.Pool
-}
-
-// relays chooses the gateways that serve requests in place of this one.
-type relays struct {
-	options Relay
-	mu      sync.Mutex
-	tried   *relay.Gateways
-}
-
-func newRelays(o Relay, places *places) *relays {
-	if o.Gateways == nil {
-		o.Gateways = func() []member.Box { return nil }
-	}
-	return &relays{options: o, tried: relay.NewGateways(func(hall string) locality.Tier { return places.tier(hall) })}
-}
-
-func (r *relays) choose(now time.Time, service string) (member.Box, bool) {
-	known := r.options.Gateways()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.tried.Choose(now, service, known, rand.IntN)
-}
-
-// refer names gateways that serve a service in the head of a refusal.
-func (r *relays) refer(now time.Time, service string, head http.Header) error {
-	r.mu.Lock()
-	named := r.tried.Referrals(now, service, rand.IntN)
-	r.mu.Unlock()
-	if len(named) == 0 {
-		return nil
-	}
-	text, err := json.Marshal(named)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	head.Set(headerRelayServing, string(text))
-	return nil
-}
-
-// recordReferrals learns from the gateways that a refusal of another one names.
-func (r *relays) recordReferrals(now time.Time, service string, head http.Header) error {
-	text := head.Get(headerRelayServing)
-	if text == "" {
-		return nil
-	}
-	var named []member.Box
-	if err := json.Unmarshal([]byte(text), &named); err != nil {
-		return trace.Wrap(err)
-	}
-	named = slices.DeleteFunc(named, func(b member.Box) bool { return b.ID == "" || b.ID == r.options.Self || b.Relay == "" })
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.tried.RecordReferrals(now, service, named)
-	return nil
-}
-
-// begin notes that a request is relayed to a gateway.
-func (r *relays) begin(now time.Time, via member.Box) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.tried.RecordAsked(now, via.ID)
-}
-
-// end notes that a relayed request has ended, and whether the gateway answered it.
-func (r *relays) end(now time.Time, via member.Box, answered bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.tried.RecordEnd(now, via.ID, answered)
-}
-
-// recordOtherVersion learns that a gateway goes by another version of the configuration.
-func (r *relays) recordOtherVersion(now time.Time, via member.Box) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.tried.RecordOtherVersion(now, via.ID)
-}
-
-// record learns from how a relayed request of a service ended; answered says whether the gateway
-// answered it.
-func (r *relays) record(now time.Time, via member.Box, service string, failure *verdict.Error, answered bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if failure == nil {
-		r.tried.RecordServed(now, via, service)
-		return
-	}
-	switch reason := failure.Reason(); {
-	case reason == verdict.ReasonClientGone || reason == verdict.ReasonDeadline: // tells nothing about the gateway
-	case reason == verdict.ReasonQueueFull:
-		r.tried.RecordBusy(now, via.ID)
-	case !answered || reason == verdict.ReasonNotReady:
-		r.tried.RecordUnavailable(now, via.ID)
-	case mayTryAnother(failure):
-		r.tried.RecordCutOff(now, via.ID, service)
-	}
-}
-
-// mayTryAnother reports whether another gateway may serve what one refused or could not be
-// asked: the request has not run, and the reason is that gateway's alone.
-func mayTryAnother(failure *verdict.Error) bool {
-	if failure.Verdict() != verdict.NotRun {
-		return false
-	}
-	switch failure.Reason() {
-	case verdict.ReasonUnreachable, verdict.ReasonQueueFull, verdict.ReasonNotReady, verdict.ReasonNoService, verdict.ReasonNoTarget, verdict.ReasonTargetFailed:
-		return true
-	default:
-		return false
-	}
-}
-
 // relay has other gateways serve a client's request. It reports false if none of them did: the
 // request has not run there.
 func (b *balancer) relay(ctx context.Context, req *request) (result sent, ok bool) {
@@ -204,33 +64,6 @@
 	return max(least, req.route.Objective-b.services.get(req.service).usual(req.route))
 }
 
-// isCutOff says whether no target of a request's service answers this gateway.
-func (b *balancer) isCutOff(req *request, svc *service) bool {
-	return svc.isCutOff(b.options.Clock(), len(b.targets(req)))
-}
-
-// isKnownCutOff says whether no target of a service answers this gateway, by a look that was taken
-// a moment ago.
-func (b *balancer) isKnownCutOff(service string) bool {
-	svc, ok := b.services.find(service)
-	now := b.options.Clock()
-	return ok && svc.isCutOff(now, len(b.options.Snapshot().Targets(service))) && svc.failedLately(now)
-}
-
-// tryPaths probes some targets of a service while none answers, now and then, so that it is noticed
-// when one does again. No request waits for it.
-func (b *balancer) tryPaths(req *request, svc *service) {
-	if !svc.triesNow(b.options.Clock()) {
-		return
-	}
-	order := b.order(req, svc, b.targets(req), nil)
-	targets := append(order.Near(), order.Far()...)
-	like := &request{service: req.service, healthPath: req.healthPath, coldRate: req.coldRate, route: req.route}
-	for _, target := range targets[:min(len(targets), placement.FallbackWidth)] {
-		go func() { b.release(b.probe(context.Background(), like, svc, target)) }()
-	}
-}
-
 // relayTo has one gateway serve a request.
 func (b *balancer) relayTo(ctx context.Context, req *request, via member.Box) (*upstream.Answer, *verdict.Error) {
 	if failure := b.forbiddenNow(req); failure != nil {
@@ -268,68 +101,6 @@
 	return answer, failure
 }
 
-// otherVersion is the version of the configuration that a gateway goes by which refused a request
-// for that reason; 0 for any other answer.
-func otherVersion(a *upstream.Answer, failure *verdict.Error) uint64 {
-	if a == nil || failure == nil || failure.Reason() != verdict.ReasonNotReady {
-		return 0
-	}
-	version, err := strconv.ParseUint(a.Header().Get(headerRelayConfig), 10, 64)
-	if err != nil {
-		return 0 // it knows no configuration, or is of an earlier version
-	}
-	return version
-}
-
-// followVersion waits a moment for a newer version of the configuration that another gateway goes
-// by. A gateway that stays at another version is passed over.
-func (b *balancer) followVersion(ctx context.Context, via member.Box, version uint64) {
-	isNewer := version > b.configVersion()
-	if isNewer && b.awaitVersion(ctx, version) {
-		return
-	}
-	b.relays.recordOtherVersion(b.options.Clock(), via)
-}
-
-// awaitVersion waits a moment for a version of the configuration, or a newer one, and reports
-// whether it is in force.
-func (b *balancer) awaitVersion(ctx context.Context, version uint64) bool {
-	until := b.options.Clock().Add(configTimeout)
-	for b.configVersion() < version {
-		if b.options.Clock().After(until) || !pause.For(ctx, configPoll) {
-			return false
-		}
-	}
-	return true
-}
-
-// configVersion is the version of the configuration in force; 0 if none is known.
-func (b *balancer) configVersion() uint64 {
-	table := b.options.Snapshot().Table()
-	if table == nil {
-		return 0
-	}
-	return table.Version()
-}
-
-// checkVersion is why a relayed request can't be handled by the version of the configuration in
-// force, for which it may wait a moment; nil if it can, or is a client's. A gateway that is cut off
-// says so, whichever version it goes by.
-func (b *balancer) checkVersion(req *request) *verdict.Error {
-	if req.relayed == nil || b.configVersion() == req.relayed.config {
-		return nil
-	}
-	if b.isKnownCutOff(req.relayed.service) {
-		req.service = req.relayed.service
-		return errNoneAnswers
-	}
-	if b.awaitVersion(req.in.Context(), req.relayed.config) && b.configVersion() == req.relayed.config {
-		return nil
-	}
-	req.config = b.configVersion()
-	return notReady("the gateway that relayed the request goes by another configuration")
-}
-
 // forbiddenNow is why a request may not be sent on any more; nil if it may.
 func (b *balancer) forbiddenNow(req *request) *verdict.Error {
 	if failure := b.overdue(req); failure != nil {
@@ -395,74 +166,3 @@
 	}
 	return failure
 }
-
-// relayedFrom is what another gateway decided on a request that it had this one serve.
-type relayedFrom struct {
-	gateway string
-	service string
-	config  uint64
-	sends   int
-	// held is for how long that gateway had held it.
-	held time.Duration
-}
-
-var errNotRelayed = errors.New("the request was not relayed by a gateway")
-
-// takeRelayed removes the headers of a relayed request and returns what they say.
-func takeRelayed(r *http.Request) (*relayedFrom, error) {
-	take := func(name string) string {
-		value := r.Header.Get(name)
-		r.Header.Del(name)
-		return value
-	}
-	from := &relayedFrom{gateway: take(headerRelayedBy), service: take(headerRelayService)}
-	r.RemoteAddr = take(headerRelayClient)
-	config, errConfig := strconv.ParseUint(take(headerRelayConfig), 10, 64)
-	sends, errSends := strconv.Atoi(take(headerRelaySends))
-	held, errHeld := deadline.ParseMilliseconds(take(headerRelayHeld))
-	if from.gateway == "" || errConfig != nil || errSends != nil || errHeld != nil {
-		return nil, errNotRelayed
-	}
-	from.config, from.sends, from.held = config, sends, max(held, 0) // an older gateway does not send it
-	return from, nil
-}
-
-// Relayed returns the handler of requests that other gateways relay.
-func (h *Handler) Relayed() http.Handler { return http.HandlerFunc(h.serveRelayed) }
-
-func (h *Handler) serveRelayed(w http.ResponseWriter, r *http.Request) {
-	defer h.relaying.Add(-1)
-	busy := h.relaying.Add(1) > maxRelayed
-	from, err := takeRelayed(r)
-	req := newRequest(r.Header.Get(h.options.Names.RequestID), r, h.options.Clock())
-	req.relayed = from
-	switch {
-	case err != nil:
-		req.relayed = &relayedFrom{}
-		h.refuse(w, req, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "only gateways may send requests here").WithCause(err))
-	case busy:
-		h.refuse(w, req, verdict.New(verdict.NotRun, verdict.ReasonQueueFull, "the gateway serves as many relayed requests as it takes"))
-	default:
-		h.handle(w, req)
-	}
-}
-
-// maxAttempts is how many sends the request may still have, and has had here.
-func (r *request) maxAttempts() int {
-	if r.relayed == nil {
-		return r.route.MaxAttempts
-	}
-	return r.route.MaxAttempts - r.relayed.sends
-}
-
-// drawService is the service of a request: the one that was drawn where it was taken.
-func (h *Handler) drawService(req *request) string {
-	if req.relayed != nil {
-		for _, share := range req.route.Shares {
-			if share.Service == req.relayed.service {
-				return share.Service
-			}
-		}
-	}
-	return req.route.Pick(h.options.Draw())
-}
