internal/gateway/forward: one check of whether a gateway is known to be cut off

place wrote out what isKnownCutOff checks, and hedges looked the service up by its name though they have it. Both take the service now; its name is the request's, so the count of known targets is the same.

--- a/internal/gateway/forward/hedge.go
+++ b/internal/gateway/forward/hedge.go
@@ -111,7 +111,7 @@
 
 // mayRelay says whether another gateway is to serve the hedge, and takes it from the budget.
 func (r *race) mayRelay() bool {
-	return r.req.relayed == nil && r.balancer.isKnownCutOff(r.req.service) && r.mayHedge() && r.svc.spendHedge()
+	return r.req.relayed == nil && r.balancer.isKnownCutOff(r.svc) && r.mayHedge() && r.svc.spendHedge()
 }
 
 // relay has another gateway serve the hedge, and returns the answer if it counts.
--- a/internal/gateway/forward/paths.go
+++ b/internal/gateway/forward/paths.go
@@ -6,17 +6,15 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/placement"
 )
 
-// isCutOff says whether no target of a request's service answers this gateway.
-func (b *balancer) isCutOff(req *request, svc *service) bool {
-	return svc.isCutOff(b.options.Clock(), len(b.targets(req)))
+// isCutOff says whether no target of a service answers this gateway.
+func (b *balancer) isCutOff(svc *service) bool {
+	return svc.isCutOff(b.options.Clock(), len(b.options.Snapshot().Targets(svc.name)))
 }
 
 // isKnownCutOff says whether no target of a service answers this gateway, by a look that was taken
 // a moment ago.
-func (b *balancer) isKnownCutOff(service string) bool {
-	svc, ok := b.services.find(service)
-	now := b.options.Clock()
-	return ok && svc.isCutOff(now, len(b.options.Snapshot().Targets(service))) && svc.failedLately(now)
+func (b *balancer) isKnownCutOff(svc *service) bool {
+	return b.isCutOff(svc) && svc.failedLately(b.options.Clock())
 }
 
 // tryPaths probes some targets of a service while none answers, now and then, so that it is noticed
--- a/internal/gateway/forward/place.go
+++ b/internal/gateway/forward/place.go
@@ -16,7 +16,7 @@
 		return onTrial, nil
 	}
 	deadlines := placement.NewDeadlines(req.received(), req.route.Objective, svc.usual(req.route))
-	if b.isCutOff(req, svc) && svc.failedLately(b.options.Clock()) {
+	if b.isKnownCutOff(svc) {
 		b.tryPaths(req, svc)
 		return nil, errNoneAnswers
 	}
@@ -49,7 +49,7 @@
 			}
 			return nil, failure
 		}
-		if decision.Action() == placement.Fallback || best == nil && b.isCutOff(req, svc) {
+		if decision.Action() == placement.Fallback || best == nil && b.isCutOff(svc) {
 			return nil, errNoneAnswers
 		}
 		req.waits++
--- a/internal/gateway/forward/relay_version.go
+++ b/internal/gateway/forward/relay_version.go
@@ -69,8 +69,8 @@
 	if req.relayed == nil || b.configVersion() == req.relayed.config {
 		return nil
 	}
-	if b.isKnownCutOff(req.relayed.service) {
-		req.service = req.relayed.service
+	if svc, ok := b.services.find(req.relayed.service); ok && b.isKnownCutOff(svc) {
+		req.service = svc.name
 		return errNoneAnswers
 	}
 	if b.awaitVersion(req.in.Context(), req.relayed.config) && b.configVersion() == req.relayed.config {
