review: case 1, a wrong number in a server's load stops gateways

Of ten servers half spoil 2 in 100 of their answers for 5 s: nine wrong digits behind the slots in Server-Load.

--- a/review/_driver/server.go
+++ b/review/_driver/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -60,6 +61,8 @@
 	record  *record
 	runs    *runs
 	slots   chan struct{}
+	// spoils says of each answer whether the server hands out wrong bytes in it; nil for never.
+	spoils func() bool
 
 	mu      sync.Mutex
 	running int
@@ -100,6 +103,11 @@
 // ServeHTTP implements http.Handler.
 func (b *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Server-Load", b.load())
+	if b.spoils != nil && b.spoils() {
+		wrong := fmt.Sprintf("0,0,%d%09d,100", serverSlots, rand.IntN(1_000_000_000))
+		w.Header().Set("Server-Load", wrong)
+		b.record.line("spoiled   an answer of %s to %s: Server-Load %s", b.id, r.URL.Path, wrong)
+	}
 	w.Header().Set("Keep-Alive", "timeout=10")
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", b.id)
