--- a/review/_driver/server_test.go
+++ b/review/_driver/server_test.go
@@ -94,17 +94,23 @@
 	return false
 }
 
-func (b *server) load() string {
+func (b *server) counts() (running, waiting int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return fmt.Sprintf("%d,%d,%d,100", b.running, b.waiting, serverSlots)
+	return b.running, b.waiting
+}
+
+func (b *server) load() string {
+	running, waiting := b.counts()
+	return fmt.Sprintf("%d,%d,%d,100", running, waiting, serverSlots)
 }
 
 // ServeHTTP implements http.Handler.
 func (b *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Server-Load", b.load())
 	if b.spoils != nil && b.spoils() {
-		wrong := fmt.Sprintf("0,0,%d%09d,100", serverSlots, rand.IntN(1_000_000_000))
+		running, waiting := b.counts()
+		wrong := fmt.Sprintf("%d,%d,%d%09d,100", running, waiting, serverSlots, rand.IntN(1_000_000_000))
 		w.Header().Set("Server-Load", wrong)
 		b.record.line("spoiled   an answer of %s to %s: Server-Load %s", b.id, r.URL.Path, wrong)
 	}
