--- a/review/_driver/driver_test.go
+++ b/review/_driver/driver_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package driver runs one case of the review: it starts the project's own program as processes, plays
 // the clients, the servers and the platform, and checks one rule by what these saw. It exits with 1 if
 // the rule was broken, with 0 if it held, and with 2 if the case could not run. It is built by
--- a/review/_driver/memory_test.go
+++ b/review/_driver/memory_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package driver
 
 import (
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # the clients, the servers, the store and the platform.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go test -c -o target/review-driver ./review/_driver
+go test -c -tags review -o target/review-driver ./review/_driver
