Metrics: what a gateway holds in memory for its callers

Bytes, their peak, how often and for how long they are held are now counted by holder: the body of a request as its client's connection reads it, the data path's copy of it, and the request on its way to a target; beside them the memory of the runtime.

The processes end while bodies are still read, before any copy is made: the buffer doubles as it grows, so that the old one and the new one are there at the same time, and nothing bounds all of them together. The copies of the data path and of the send would come after that.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/gateway/discovery"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/quota"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/signals"
@@ -74,6 +75,7 @@
 	pool           *upstream.Pool
 	relayPool      *upstream.Pool         // connections to gateways that serve requests for this one
 	responseMemory *upstream.MemoryBudget // bounds the memory for buffered responses
+	memory         *membudget.Budget      // what is held in memory for callers
 	forward        *forward.Handler
 	fatal          *fatal.Register   // requests during which targets ended
 	quota          *quota.Limiter    // requests of workspaces that have limits
@@ -155,13 +157,14 @@
 	g.quota.OnUpdate(g.discovery.Wake)
 	g.signals.OnUpdate(g.discovery.Wake)
 	g.signals.OnLeaving(g.discovery.Drain)
+	g.memory = membudget.New(membudget.Options{Clock: o.Clock})
 	g.responseMemory = upstream.NewMemoryBudget(responseMemoryLimit(s))
-	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Budget: g.responseMemory, Opened: g.metrics.Opened, Log: g.log})
-	g.relayPool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Budget: g.responseMemory, Log: g.log})
+	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Budget: g.responseMemory, Memory: g.memory, Opened: g.metrics.Opened, Log: g.log})
+	g.relayPool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Budget: g.responseMemory, Memory: g.memory, Log: g.log})
 	g.forward = forward.New(forward.Options{
 		Names: o.Wire.Headers, Places: g.localityMap.Load, Snapshot: g.discovery.Snapshot, Current: g.discovery.Current,
 		Gateways: g.discovery.GatewayCount, Fatal: g.fatal, Quota: g.quota, TrustsKeys: g.trustsKeys,
-		Signals: g.signals, Ready: g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics,
+		Signals: g.signals, Ready: g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics, Memory: g.memory,
 		Retry: forward.Retry{Ratio: s.RetryRatio},
 		Relay: forward.Relay{Self: s.ID, Gateways: g.discovery.Relays, Pool: g.relayPool},
 	})
@@ -234,7 +237,7 @@
 func (g *Gateway) metricsState() metrics.State {
 	state := metrics.State{
 		Active: g.forward.Active(), ConfigAge: g.discovery.Age().Seconds(), EvacuatedHalls: g.discovery.EvacuatedHallCount(),
-		AnswerBytes: g.responseMemory.Held(), Quarantined: g.fatal.Quarantined(), LimitedTargets: g.quota.LimitedTargets(),
+		AnswerBytes: g.responseMemory.Held(), Memory: g.memoryUsage(), Quarantined: g.fatal.Quarantined(), LimitedTargets: g.quota.LimitedTargets(),
 		CrossRegionServices: g.forward.FarServices(), RoundTrips: g.forward.Trips(),
 		BackingOff: len(g.signals.BackOffs()), Leaving: g.discovery.Snapshot().Leaving(),
 	}
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "github.com/sprucecrank/sprucecrank/core/gateway/memory"
+
 const (
 	// responseMemoryShare is the share of the memory (memory_mb) that buffered responses may
 	// occupy. It is 23 MB on the smallest machine of 184 MB, 14 times what 100 long responses
@@ -17,3 +19,12 @@
 	}
 	return int64(responseMemoryShare * s.MemoryMB * (1 << 20))
 }
+
+// memoryUsage returns what the process holds in memory for its callers.
+func (g *Gateway) memoryUsage() map[memory.Holder]memory.Usage {
+	usage := map[memory.Holder]memory.Usage{}
+	for _, h := range memory.Holders() {
+		usage[h] = g.memory.Usage(h)
+	}
+	return usage
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -83,7 +83,7 @@
 	if g.listeners.relay == nil {
 		return nil
 	}
-	relay := pipeline.New(pipeline.Options{Handler: g.forward.Relayed(), Safe: g.forward.Repeatable, Stopping: g.stopping.Load, Log: g.log})
+	relay := pipeline.New(pipeline.Options{Handler: g.forward.Relayed(), Safe: g.forward.Repeatable, Stopping: g.stopping.Load, Log: g.log, Memory: g.memory})
 	group.Add(func() error {
 		return lifecycle.ServeUntilDrained(relay.Serve, g.listeners.relay, drained)
 	}, func(error) { _ = relay.Close() })
@@ -99,7 +99,7 @@
 func (g *Gateway) addClients(ctx context.Context, group *run.Group, stop func()) {
 	clients := pipeline.New(pipeline.Options{
 		Handler: g.forward, Safe: g.forward.Repeatable, Limits: g.forward.Limits,
-		Stopping: g.stopping.Load, Log: g.log,
+		Stopping: g.stopping.Load, Log: g.log, Memory: g.memory,
 	})
 	drained := make(chan struct{})
 	relay := g.addRelay(group, drained)
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -31,8 +31,10 @@
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
+	"github.com/sprucecrank/sprucecrank/core/gateway/memory"
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/quota"
@@ -83,8 +85,10 @@
 	TrustsKeys func() bool
 	// Metrics may be nil.
 	Metrics *metrics.Metrics
-	Clock   func() time.Time
-	Log     *slog.Logger
+	// Memory counts the bodies of requests that are held; nil for not.
+	Memory *membudget.Budget
+	Clock  func() time.Time
+	Log    *slog.Logger
 	// Draw gives a uniform number in [0, 1).
 	Draw func() float64
 	// Explore says whether a search for a target takes no account of idle
@@ -210,6 +214,8 @@
 	if failure := readBody(req); failure != nil {
 		return nil, failure
 	}
+	hold := h.options.Memory.Hold(memory.Copy, int64(cap(req.body)))
+	defer hold.Release()
 	ctx := h.bound(req)
 	if failure := h.admit(ctx, req); failure != nil {
 		return nil, h.balancer.refused(req, failure)
--- a/internal/gateway/metrics/metrics.go
+++ b/internal/gateway/metrics/metrics.go
@@ -24,6 +24,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/memory"
 	"github.com/sprucecrank/sprucecrank/core/gateway/workspace"
 	"github.com/sprucecrank/sprucecrank/internal/telemetry"
 )
@@ -68,6 +69,8 @@
 	Active int64
 	// AnswerBytes is the number of bytes of answers held in memory on their way to clients.
 	AnswerBytes int64
+	// Memory is what the process holds in memory for its callers.
+	Memory map[memory.Holder]memory.Usage
 	// Quarantined is the number of requests that are sent to no target because targets
 	// end while serving them.
 	Quarantined int
@@ -100,6 +103,9 @@
 	if err := observeWorkspaces(meter, m.workspaces); err != nil {
 		return nil, err
 	}
+	if err := observeMemory(meter, state); err != nil {
+		return nil, err
+	}
 	return m, observe(meter, state)
 }
 
--- a/internal/gateway/pipeline/conn.go
+++ b/internal/gateway/pipeline/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/memory"
 )
 
 const (
@@ -155,7 +157,12 @@
 		return incoming{}, errOr(err, errHeadTooSlow)
 	}
 	defer func() { c.inBody = false }()
-	return c.in.parse(length, c.limits.BodyBytes, c.bodyBegins)
+	hold := c.server.options.Memory.Hold(memory.Body, 0)
+	r, err := c.in.parse(length, c.limits.BodyBytes, c.bodyBegins, hold)
+	if err != nil {
+		hold.Release()
+	}
+	return r, err
 }
 
 // bodyBegins is called between a request's head and its body. A client that waits
--- a/internal/gateway/pipeline/exchange.go
+++ b/internal/gateway/pipeline/exchange.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"runtime/debug"
+
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 )
 
 // exchange is one request of a connection and its answer.
@@ -12,7 +14,8 @@
 	conn    *conn
 	request *http.Request // nil where refusal is set
 	refusal *refused
-	body    int64 // bytes of the request's body
+	body    int64           // bytes of the request's body
+	hold    *membudget.Hold // of the body
 	method  string
 	old     bool // the request is HTTP/1.0
 	closes  bool // the answer is the connection's last
@@ -33,6 +36,7 @@
 	defer c.mu.Unlock()
 	x := c.chain(int64(len(r.body)))
 	x.request, x.method, x.old = r.Request, r.Method, !r.ProtoAtLeast(1, 1)
+	x.hold = r.hold
 	x.closes = closes || c.finished
 	x.start = x.turn
 	if safe {
@@ -70,6 +74,7 @@
 		x.write(a)
 	}
 	x.conn.written(x.body, a)
+	x.hold.Release()
 	a.done()
 }
 
--- a/internal/gateway/pipeline/input.go
+++ b/internal/gateway/pipeline/input.go
@@ -10,6 +10,8 @@
 	"os"
 	"strings"
 	"sync"
+
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 )
 
 const (
@@ -131,6 +133,7 @@
 type incoming struct {
 	*http.Request
 	body    []byte
+	hold    *membudget.Hold // of the body
 	tooLong bool
 }
 
@@ -143,7 +146,7 @@
 // parse reads the request whose head of the given length has arrived, and its body.
 // bodyBegins is called between them; expects says that the client waits to be told
 // to send the body.
-func (in *input) parse(length int, limit int64, bodyBegins func(expects bool) error) (incoming, error) {
+func (in *input) parse(length int, limit int64, bodyBegins func(expects bool) error, hold *membudget.Hold) (incoming, error) {
 	if err := checkHead(in.raw[:length]); err != nil {
 		return incoming{}, err
 	}
@@ -158,10 +161,10 @@
 	if err != nil {
 		return incoming{}, errBadHead
 	}
-	body, err := readBody(r, limit, bodyBegins)
+	body, err := readBody(r, limit, bodyBegins, hold)
 	if errors.Is(err, errBodyTooLong) {
 		r.Body = io.NopCloser(tooLongBody{limit: limit})
-		return incoming{Request: r, tooLong: true}, nil
+		return incoming{Request: r, hold: hold, tooLong: true}, nil
 	}
 	if err != nil {
 		return incoming{}, err
@@ -172,7 +175,7 @@
 		r.Body = io.NopCloser(bytes.NewReader(body))
 	}
 	r.ContentLength, r.TransferEncoding = int64(len(body)), nil
-	return incoming{Request: r, body: body}, nil
+	return incoming{Request: r, body: body, hold: hold}, nil
 }
 
 // expects says whether a client waits to be told before it sends a body.
@@ -185,7 +188,7 @@
 }
 
 // readBody reads a body whole.
-func readBody(r *http.Request, limit int64, begins func(expects bool) error) ([]byte, error) {
+func readBody(r *http.Request, limit int64, begins func(expects bool) error, hold *membudget.Hold) ([]byte, error) {
 	waits, err := expects(r)
 	switch {
 	case err != nil:
@@ -206,7 +209,7 @@
 	if limit > 0 {
 		from = io.LimitReader(r.Body, limit+1)
 	}
-	if _, err := body.ReadFrom(from); err != nil {
+	if _, err := body.ReadFrom(&countedReader{from: from, buffer: &body, hold: hold}); err != nil {
 		return nil, bodyError(err)
 	}
 	if limit > 0 && int64(body.Len()) > limit {
@@ -215,6 +218,19 @@
 	return body.Bytes(), nil
 }
 
+// countedReader counts the memory of the buffer that what it reads goes into.
+type countedReader struct {
+	from   io.Reader
+	buffer *bytes.Buffer
+	hold   *membudget.Hold
+}
+
+// Read implements io.Reader.
+func (r *countedReader) Read(p []byte) (int, error) {
+	r.hold.Resize(int64(r.buffer.Cap()))
+	return r.from.Read(p)
+}
+
 // bodyError is what it means that a body could not be read whole.
 func bodyError(err error) error {
 	var broken *net.OpError
--- a/internal/gateway/pipeline/pipeline.go
+++ b/internal/gateway/pipeline/pipeline.go
@@ -44,6 +44,7 @@
 	"sync"
 	"time"
 
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
 )
 
@@ -92,6 +93,8 @@
 	// Stopping says whether the process is stopping, so that the next request of a
 	// connection is its last; nil for never.
 	Stopping func() bool
+	// Memory counts the bodies of requests that are held; nil for not.
+	Memory *membudget.Budget
 	// Log takes what clients did wrong; nil for nothing.
 	Log *slog.Logger
 	// Clock is the time of the answers' Date; nil for time.Now.
--- a/internal/gateway/upstream/exchange.go
+++ b/internal/gateway/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/memory"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -128,7 +129,9 @@
 	b.WriteString("\r\n")
 	b.Write(r.Body)
 	done := make(chan writeResult, 1)
+	hold := c.pool.options.Memory.Hold(memory.Send, int64(b.Cap()))
 	write := func() {
+		defer hold.Release()
 		n, err := c.net.Write(b.Bytes())
 		done <- writeResult{bytes: n, err: err}
 	}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -41,6 +41,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/quota"
 	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
 	"github.com/sprucecrank/sprucecrank/internal/resetconn"
 	"github.com/sprucecrank/sprucecrank/verdict"
@@ -75,6 +76,8 @@
 	MaxBufferedBytes int
 	// Budget bounds the bytes of answers held in memory; nil means 64 MB.
 	Budget *MemoryBudget
+	// Memory counts the requests that are being written; nil for not.
+	Memory *membudget.Budget
 	// Opened is called for each new connection.
 	Opened func()
 	// Log may be nil, which discards the log.
