--- a/core/gateway/fingerprint/fingerprint.go
+++ b/core/gateway/fingerprint/fingerprint.go
@@ -26,7 +26,8 @@
 // Request holds the parts of a request that its fingerprint is computed from.
 type Request struct {
 	Method, Host, URI string
-	Body              []byte
+	// Body is the body in pieces; how it is divided does not matter.
+	Body [][]byte
 	// Address is the caller's, without a port. Credentials are those that it sends, in a
 	// fixed order, such as its Authorization header.
 	Address     string
@@ -45,7 +46,9 @@
 func Compute(r Request) Fingerprint {
 	content := sha256.New()
 	writeAll(content, r.Method, r.Host, r.URI)
-	content.Write(r.Body)
+	for _, piece := range r.Body {
+		content.Write(piece)
+	}
 	caller := sha256.New()
 	writeAll(caller, r.Address)
 	writeAll(caller, r.Credentials...)
--- a/core/gateway/fingerprint/fingerprint_test.go
+++ b/core/gateway/fingerprint/fingerprint_test.go
@@ -12,7 +12,7 @@
 func TestFingerprintDistinguishesContentAndCaller(t *testing.T) {
 	g := NewWithT(t)
 	request := fingerprint.Request{
-		Method: "POST", Host: "a.example", URI: "/x?y=1", Body: []byte("b"), Address: "10.0.0.1", Credentials: []string{"k"},
+		Method: "POST", Host: "a.example", URI: "/x?y=1", Body: [][]byte{[]byte("b")}, Address: "10.0.0.1", Credentials: []string{"k"},
 	}
 	print := fingerprint.Compute(request)
 	g.Expect(fingerprint.Compute(request)).To(Equal(print))
@@ -21,7 +21,7 @@
 		func(r *fingerprint.Request) { r.Method = "PUT" },
 		func(r *fingerprint.Request) { r.Host = "b.example" },
 		func(r *fingerprint.Request) { r.URI = "/x?y=2" },
-		func(r *fingerprint.Request) { r.Body = []byte("c") },
+		func(r *fingerprint.Request) { r.Body = [][]byte{[]byte("c")} },
 		func(r *fingerprint.Request) { r.Method, r.Host = "POSTa", ".example" },
 	} {
 		other := request
--- a/core/gateway/relay/gateways.go
+++ b/core/gateway/relay/gateways.go
@@ -81,11 +81,13 @@
 // Choose draws a gateway that is not passed over now for requests of a service: mostly one that
 // is known to serve it, else one of the known gateways, one of another region only where there is
 // none in the own. Those that answer nothing come last. All of a region are equally likely, so that
-// no hall's gateways take the requests of those of their hall that are cut off.
-func (g *Gateways) Choose(now time.Time, service string, known []member.Box, intn func(n int) int) (via member.Box, ok bool) {
-	proven := g.listServing(now, service)
+// no hall's gateways take the requests of those of their hall that are cut off. Those whose ids are
+// excluded are not drawn.
+func (g *Gateways) Choose(now time.Time, service string, known []member.Box, intn func(n int) int, excluded ...string) (via member.Box, ok bool) {
+	isExcluded := func(b member.Box) bool { return slices.Contains(excluded, b.ID) }
+	proven := slices.DeleteFunc(g.listServing(now, service), isExcluded)
 	known = slices.DeleteFunc(slices.Clone(known), func(b member.Box) bool {
-		return slices.ContainsFunc(proven, func(s member.Box) bool { return s.ID == b.ID })
+		return isExcluded(b) || slices.ContainsFunc(proven, func(s member.Box) bool { return s.ID == b.ID })
 	})
 	for _, c := range []class{{}, {isFar: true}, {isSilent: true}, {isFar: true, isSilent: true}} {
 		from := g.usable(now, service, proven, c)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
+	"github.com/sprucecrank/sprucecrank/core/gateway/memory"
 	"github.com/sprucecrank/sprucecrank/core/gateway/peers"
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/member"
@@ -66,24 +67,23 @@
 
 // Gateway is one gateway process.
 type Gateway struct {
-	settings       atomic.Pointer[Settings]
-	localityMap    atomic.Pointer[locality.Map]
-	options        Options
-	log            *slog.Logger
-	discovery      *discovery.Follower
-	delivery       *delivery.Delivery // nil if the settings configure no rollouts
-	pool           *upstream.Pool
-	relayPool      *upstream.Pool         // connections to gateways that serve requests for this one
-	responseMemory *upstream.MemoryBudget // bounds the memory for buffered responses
-	memory         *membudget.Budget      // what is held in memory for callers
-	forward        *forward.Handler
-	fatal          *fatal.Register   // requests during which targets ended
-	quota          *quota.Limiter    // requests of workspaces that have limits
-	signals        *signals.Registry // state that targets advertised
-	metrics        *metrics.Metrics  // nil if the settings name no address for them
-	stopping       atomic.Bool
-	assembled      atomic.Bool
-	listeners      listeners
+	settings    atomic.Pointer[Settings]
+	localityMap atomic.Pointer[locality.Map]
+	options     Options
+	log         *slog.Logger
+	discovery   *discovery.Follower
+	delivery    *delivery.Delivery // nil if the settings configure no rollouts
+	pool        *upstream.Pool
+	relayPool   *upstream.Pool    // connections to gateways that serve requests for this one
+	memory      *membudget.Budget // bounds what is held in memory for callers
+	forward     *forward.Handler
+	fatal       *fatal.Register   // requests during which targets ended
+	quota       *quota.Limiter    // requests of workspaces that have limits
+	signals     *signals.Registry // state that targets advertised
+	metrics     *metrics.Metrics  // nil if the settings name no address for them
+	stopping    atomic.Bool
+	assembled   atomic.Bool
+	listeners   listeners
 }
 
 // New assembles a gateway and opens its sockets; it does not serve requests yet.
@@ -157,14 +157,13 @@
 	g.quota.OnUpdate(g.discovery.Wake)
 	g.signals.OnUpdate(g.discovery.Wake)
 	g.signals.OnLeaving(g.discovery.Drain)
-	g.memory = membudget.New(membudget.Options{Clock: o.Clock})
-	g.responseMemory = upstream.NewMemoryBudget(responseMemoryLimit(s))
-	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Budget: g.responseMemory, Memory: g.memory, Opened: g.metrics.Opened, Log: g.log})
-	g.relayPool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Budget: g.responseMemory, Memory: g.memory, Log: g.log})
+	g.memory = membudget.New(membudget.Options{Limits: memoryLimits(s), Clock: o.Clock})
+	g.pool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Budget: g.memory, Opened: g.metrics.Opened, Log: g.log})
+	g.relayPool = upstream.New(upstream.Options{Names: o.Wire.Headers, Clock: o.Clock, Budget: g.memory, Log: g.log})
 	g.forward = forward.New(forward.Options{
 		Names: o.Wire.Headers, Places: g.localityMap.Load, Snapshot: g.discovery.Snapshot, Current: g.discovery.Current,
 		Gateways: g.discovery.GatewayCount, Fatal: g.fatal, Quota: g.quota, TrustsKeys: g.trustsKeys,
-		Signals: g.signals, Ready: g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics, Memory: g.memory,
+		Signals: g.signals, Ready: g.discovery.Ready(), Pool: g.pool, Clock: o.Clock, Log: g.log, Metrics: g.metrics, UsualBodyTime: g.memory.UsualBodyTime,
 		Retry: forward.Retry{Ratio: s.RetryRatio},
 		Relay: forward.Relay{Self: s.ID, Gateways: g.discovery.Relays, Pool: g.relayPool},
 	})
@@ -237,7 +236,7 @@
 func (g *Gateway) metricsState() metrics.State {
 	state := metrics.State{
 		Active: g.forward.Active(), ConfigAge: g.discovery.Age().Seconds(), EvacuatedHalls: g.discovery.EvacuatedHallCount(),
-		AnswerBytes: g.responseMemory.Held(), Memory: g.memoryUsage(), Quarantined: g.fatal.Quarantined(), LimitedTargets: g.quota.LimitedTargets(),
+		AnswerBytes: g.memory.Usage(memory.Answer).Held(), Memory: g.memoryUsage(), MemoryCounts: g.memory.Counts(), Quarantined: g.fatal.Quarantined(), LimitedTargets: g.quota.LimitedTargets(),
 		CrossRegionServices: g.forward.FarServices(), RoundTrips: g.forward.Trips(),
 		BackingOff: len(g.signals.BackOffs()), Leaving: g.discovery.Snapshot().Leaving(),
 	}
@@ -260,6 +259,6 @@
 // Reload applies new settings. Addresses and names stay as they were at startup.
 func (g *Gateway) Reload(s Settings) {
 	g.storeSettings(s)
-	g.responseMemory.SetLimit(responseMemoryLimit(s))
+	g.memory.SetLimits(memoryLimits(s))
 	g.log.Info("settings reloaded", "seeds", s.Seeds)
 }
--- a/gateway/memory_test.go
+++ b/gateway/memory_test.go
@@ -6,9 +6,9 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestResponseMemoryLimitIsAShareOfTheConfiguredMemory(t *testing.T) {
+func TestLimitOfAnswersIsAShareOfTheConfiguredMemory(t *testing.T) {
 	for memory, want := range map[float64]int64{184: 23 << 20, 536: 67 << 20, 0: 64 << 20} {
 		g := NewWithT(t)
-		g.Expect(responseMemoryLimit(Settings{MemoryMB: memory})).To(Equal(want))
+		g.Expect(memoryLimits(Settings{MemoryMB: memory}).Answers()).To(Equal(want))
 	}
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -99,7 +99,7 @@
 func (g *Gateway) addClients(ctx context.Context, group *run.Group, stop func()) {
 	clients := pipeline.New(pipeline.Options{
 		Handler: g.forward, Safe: g.forward.Repeatable, Limits: g.forward.Limits,
-		Stopping: g.stopping.Load, Log: g.log, Memory: g.memory,
+		Stopping: g.stopping.Load, Log: g.log, Memory: g.memory, Patience: g.forward.BodyPatience,
 	})
 	drained := make(chan struct{})
 	relay := g.addRelay(group, drained)
--- a/internal/gateway/forward/balancer.go
+++ b/internal/gateway/forward/balancer.go
@@ -64,6 +64,9 @@
 		chosen, failure := b.place(ctx, req, svc)
 		if req.relayed == nil && (failure == errNoneAnswers || failure == errFewAnswer) {
 			relayed, ok := b.relay(ctx, req)
+			if failure == errFewAnswer && relayed.lacksMemory() {
+				ok = false // a target of its own may have room later
+			}
 			if ok && failure == errFewAnswer {
 				svc.overflowed(b.options.Clock(), relayed.failure == nil)
 			}
@@ -140,6 +143,8 @@
 		return quarantine.LapseAfter()
 	case verdict.ReasonUnauthorized:
 		return 0 // the key will be no better later
+	case verdict.ReasonNoMemory:
+		return failure.RetryAfter() // as the other gateway said
 	case verdict.ReasonTargetLimits:
 		return max(failure.RetryAfter(), refusal.RetryAfter(req.deadline.Client().Sub(b.options.Clock()), b.options.Draw()))
 	case verdict.ReasonTargetsBackOff:
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -31,10 +31,8 @@
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
-	"github.com/sprucecrank/sprucecrank/core/gateway/memory"
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
-	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/quota"
@@ -85,10 +83,11 @@
 	TrustsKeys func() bool
 	// Metrics may be nil.
 	Metrics *metrics.Metrics
-	// Memory counts the bodies of requests that are held; nil for not.
-	Memory *membudget.Budget
-	Clock  func() time.Time
-	Log    *slog.Logger
+	// UsualBodyTime is how long long bodies are usually held, so that it is known when there may be
+	// room for one; nil for not known.
+	UsualBodyTime func() time.Duration
+	Clock         func() time.Time
+	Log           *slog.Logger
 	// Draw gives a uniform number in [0, 1).
 	Draw func() float64
 	// Explore says whether a search for a target takes no account of idle
@@ -144,6 +143,9 @@
 	if o.Signals == nil {
 		o.Signals = signals.New(signals.Options{Clock: o.Clock, Log: o.Log})
 	}
+	if o.UsualBodyTime == nil {
+		o.UsualBodyTime = func() time.Duration { return 0 }
+	}
 	if o.Gateways == nil {
 		o.Gateways = func() int { return 1 }
 	}
@@ -211,11 +213,9 @@
 	if failure := h.route(believed, req); failure != nil {
 		return nil, failure
 	}
-	if failure := readBody(req); failure != nil {
+	if failure := h.readBody(req); failure != nil {
 		return nil, failure
 	}
-	hold := h.options.Memory.Hold(memory.Copy, int64(cap(req.body)))
-	defer hold.Release()
 	ctx := h.bound(req)
 	if failure := h.admit(ctx, req); failure != nil {
 		return nil, h.balancer.refused(req, failure)
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -21,6 +21,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline/pipelinetest"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
@@ -154,6 +155,8 @@
 	wires   sync.Map // of the targets, by address
 	// handler is that of start.
 	handler *forward.Handler
+	// memory is that of clients' connections; nil for no bound.
+	memory *membudget.Budget
 }
 
 func newFixture(t testing.TB, targets ...*standin) *fixture {
@@ -213,7 +216,7 @@
 	handler := forward.New(f.options)
 	f.t.Cleanup(f.options.Pool.Close)
 	f.url = "http://" + pipelinetest.Serve(f.t, pipeline.Options{
-		Handler: handler, Safe: handler.Repeatable, Limits: handler.Limits, Stopping: f.stop.Load,
+		Handler: handler, Safe: handler.Repeatable, Limits: handler.Limits, Stopping: f.stop.Load, Memory: f.memory,
 	})
 	return handler
 }
--- a/internal/gateway/forward/link_test.go
+++ b/internal/gateway/forward/link_test.go
@@ -20,6 +20,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/rollout"
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 )
@@ -150,7 +151,7 @@
 // target, in virtual time.
 type throttled struct {
 	in, out sharedLink // of the gateway, for clients and targets together
-	room    *upstream.MemoryBudget
+	room    *membudget.Budget
 	clients *dialled
 	handler *forward.Handler
 	server  *pipeline.Server
@@ -162,7 +163,7 @@
 // newThrottled begins; answers of up to wholeBytes are read whole, 0 for the default.
 func newThrottled(t *testing.T, wholeBytes int, do http.HandlerFunc) *throttled {
 	t.Helper()
-	n := &throttled{in: newSharedLink(), out: newSharedLink(), room: upstream.NewMemoryBudget(23 << 20), clients: newDialled()}
+	n := &throttled{in: newSharedLink(), out: newSharedLink(), room: answerBudget(23 << 20), clients: newDialled()}
 	targets := newDialled()
 	s := &standin{do: do}
 	s.setLoad("0,0,3,100")
@@ -238,7 +239,7 @@
 				}
 				n := newThrottled(t, most, ofLength)
 				took[whole] = n.fetch(g, "one", bytes)
-				t.Logf("%d bytes, whole %v: %v, %d bytes held", bytes, whole, took[whole], n.room.Peak())
+				t.Logf("%d bytes, whole %v: %v, %d bytes held", bytes, whole, took[whole], peakAnswers(n.room))
 				n.close()
 			}
 			g.Expect(took[true]).To(BeNumerically(">", 2*once))
@@ -266,12 +267,12 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		_, err = io.ReadFull(near, make([]byte, 100_000))
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(n.room.Held()).NotTo(BeZero())
+		g.Expect(heldAnswers(n.room)).NotTo(BeZero())
 		g.Expect(near.Close()).To(Succeed())
 		time.Sleep(500 * time.Millisecond)
 		synctest.Wait()
 		g.Expect(gone).To(BeClosed(), "the target has been told")
-		g.Expect(n.room.Held()).To(BeZero())
+		g.Expect(heldAnswers(n.room)).To(BeZero())
 	})
 }
 
@@ -339,6 +340,6 @@
 		_ = near.Close()
 		synctest.Wait()
 		g.Expect(told).To(BeClosed())
-		g.Expect(n.room.Held()).To(BeZero())
+		g.Expect(heldAnswers(n.room)).To(BeZero())
 	})
 }
--- a/internal/gateway/forward/relay.go
+++ b/internal/gateway/forward/relay.go
@@ -39,20 +39,28 @@
 )
 
 // relay has other gateways serve a client's request. It reports false if none of them did: the
-// request has not run there.
+// request has not run there. One for which another gateway had no memory, and none was left to
+// ask, ends as that one refused it.
 func (b *balancer) relay(ctx context.Context, req *request) (result sent, ok bool) {
+	var full []string // gateways without memory for the request
 	for try := range maxRelayTries {
 		if try > 0 && b.options.Clock().Sub(req.began) > b.relayTime(req) {
 			break
 		}
-		via, found := b.relays.choose(b.options.Clock(), req.service)
+		via, found := b.relays.choose(b.options.Clock(), req.service, full)
 		if !found {
-			return sent{}, false
+			break
 		}
 		result.answer, result.failure = b.relayTo(ctx, req, via)
 		if result.failure == nil || ctx.Err() != nil || !mayTryAnother(result.failure) {
 			return result, true
 		}
+		if result.lacksMemory() {
+			full = append(full, via.ID)
+		}
+	}
+	if result.lacksMemory() {
+		return result, true
 	}
 	return sent{}, false
 }
--- a/internal/gateway/forward/relay_test.go
+++ b/internal/gateway/forward/relay_test.go
@@ -42,6 +42,13 @@
 		relayed.Add(1)
 		serve.ServeHTTP(w, r)
 	})})
+	f.knows(address)
+	return relayed
+}
+
+// knows has a gateway know another one by its address.
+func (f *fixture) knows(address string) {
+	f.t.Helper()
 	if f.options.Relay.Pool == nil {
 		f.options.Relay = forward.Relay{Self: "gateway-a", Pool: upstream.New(upstream.Options{Names: names})}
 		f.t.Cleanup(f.options.Relay.Pool.Close)
@@ -51,7 +58,6 @@
 		known = append(known, f.options.Relay.Gateways()...)
 	}
 	f.options.Relay.Gateways = func() []member.Box { return known }
-	return relayed
 }
 
 func TestARelayedRequestReachesItsTargetAsItsClientSentIt(t *testing.T) {
--- a/internal/gateway/forward/relays.go
+++ b/internal/gateway/forward/relays.go
@@ -42,11 +42,12 @@
 	return &relays{options: o, tried: relay.NewGateways(func(hall string) locality.Tier { return places.tier(hall) })}
 }
 
-func (r *relays) choose(now time.Time, service string) (member.Box, bool) {
+// choose draws a gateway for a request, but for those that are excluded.
+func (r *relays) choose(now time.Time, service string, excluded []string) (member.Box, bool) {
 	known := r.options.Gateways()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.tried.Choose(now, service, known, rand.IntN)
+	return r.tried.Choose(now, service, known, rand.IntN, excluded...)
 }
 
 // refer names gateways that serve a service in the head of a refusal.
@@ -114,6 +115,7 @@
 	}
 	switch reason := failure.Reason(); {
 	case reason == verdict.ReasonClientGone || reason == verdict.ReasonDeadline: // tells nothing about the gateway
+	case reason == verdict.ReasonNoMemory: // tells nothing about requests with other bodies
 	case reason == verdict.ReasonQueueFull:
 		r.tried.RecordBusy(now, via.ID)
 	case !answered || reason == verdict.ReasonNotReady:
@@ -130,7 +132,7 @@
 		return false
 	}
 	switch failure.Reason() {
-	case verdict.ReasonUnreachable, verdict.ReasonQueueFull, verdict.ReasonNotReady, verdict.ReasonNoService, verdict.ReasonNoTarget, verdict.ReasonTargetFailed:
+	case verdict.ReasonUnreachable, verdict.ReasonQueueFull, verdict.ReasonNoMemory, verdict.ReasonNotReady, verdict.ReasonNoService, verdict.ReasonNoTarget, verdict.ReasonTargetFailed:
 		return true
 	default:
 		return false
--- a/internal/gateway/forward/request.go
+++ b/internal/gateway/forward/request.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -15,6 +13,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/refusal"
 	"github.com/sprucecrank/sprucecrank/core/gateway/routing"
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/quota"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
@@ -23,8 +22,8 @@
 type request struct {
 	id      string
 	in      *http.Request
-	body    []byte
-	config  uint64 // the version by which the request is handled
+	body    [][]byte // in pieces
+	config  uint64   // the version by which the request is handled
 	route   *routing.Route
 	service string
 	// healthPath is where the targets of the service answer health probes.
@@ -61,8 +60,11 @@
 	fingerprint func() fingerprint.Fingerprint
 }
 
-// newRequest takes a client's request in.
+// newRequest takes a client's request in, with the time for which its body waited for room.
 func newRequest(id string, in *http.Request, began time.Time) *request {
+	if body, ok := in.Body.(*pipeline.Body); ok {
+		began = began.Add(-body.Waited())
+	}
 	req := &request{id: id, in: in, began: began, end: func() {}}
 	req.fingerprint = sync.OnceValue(req.takeFingerprint)
 	return req
@@ -144,21 +146,3 @@
 		r.idle.Add(1)
 	}
 }
-
-// readBody takes the body in whole, so that a slow client holds no target. The limit
-// on its length is kept by the client's connection (internal/gateway/pipeline).
-func readBody(req *request) *verdict.Error {
-	if req.in.Body == nil || req.in.Body == http.NoBody {
-		return nil
-	}
-	body, err := io.ReadAll(req.in.Body)
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		return verdict.New(verdict.NotRun, verdict.ReasonBodyTooLarge, "the body is larger than the limits allow")
-	}
-	if err != nil {
-		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the body could not be read whole").WithCause(err)
-	}
-	req.body = body
-	return nil
-}
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -20,6 +20,11 @@
 	failure *verdict.Error
 }
 
+// lacksMemory says whether another gateway had no memory for the request.
+func (s sent) lacksMemory() bool {
+	return s.failure != nil && s.failure.Reason() == verdict.ReasonNoMemory
+}
+
 // name is how the send ended, as logs and metrics name it: the status of the
 // target's answer, or why there is none that counts.
 func (s sent) name() string {
--- a/internal/gateway/membudget/membudget.go
+++ b/internal/gateway/membudget/membudget.go
@@ -1,31 +1,87 @@
-// Package membudget records what a gateway process holds in memory for its callers, for all
-// requests together. It guards a memory.Ledger and is safe for concurrent use.
+// Package membudget bounds what a gateway process holds in memory for its callers, for all
+// connections and requests together. A Budget guards a memory.Ledger, lets long bodies wait for
+// room, and has holders give memory back when there is none. The memory of a long body counts
+// until the garbage collector has run, which it does when there is no room otherwise. A Budget is
+// safe for concurrent use.
 //
 // # Usage
 //
-//	budget := membudget.New(membudget.Options{})
-//	hold := budget.Hold(memory.Body, 4096)
+//	budget := membudget.New(membudget.Options{Limits: memory.NewLimits(284 << 20)})
+//	hold, ok := budget.TryHold(memory.Request, 24 << 10)
 //	defer hold.Release()
+//	hold, err := budget.Await(ctx, contentLength, patience) // ErrNoRoom, ErrTooLarge
 package membudget
 
 import (
+	"context"
+	"errors"
+	"runtime"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/memory"
 )
 
+var (
+	// ErrNoRoom means that there is no room for a body now.
+	ErrNoRoom = errors.New("there is no room in memory")
+	// ErrTooLarge means that there is no room for a body at any time.
+	ErrTooLarge = errors.New("the body is larger than the memory for bodies")
+)
+
+const (
+	// maxWaiting bounds the bodies that wait for room at once: what has arrived of each is
+	// held by the system's socket buffers.
+	maxWaiting = 64
+	// reclaimTime is how long a body waits for memory that its holders are giving back.
+	reclaimTime = 100 * time.Millisecond
+)
+
 // Options configure a Budget; zero values are usable.
 type Options struct {
+	// Limits bound what is held; the zero value means those without a bound on the process.
+	Limits memory.Limits
 	// Clock measures how long bytes are held; nil means time.Now.
 	Clock func() time.Time
+	// Collect runs the garbage collector; nil means runtime.GC.
+	Collect func()
 }
 
-// Budget records the memory that a process holds for its callers.
+// Shortage is memory for which there is no room.
+type Shortage struct {
+	bytes int64
+	body  bool
+}
+
+// Bytes returns how many bytes are short.
+func (s Shortage) Bytes() int64 { return s.bytes }
+
+// OfBodies reports whether only bodies that are given up make room: connections do not.
+func (s Shortage) OfBodies() bool { return s.body }
+
+// Reclaim has a holder give back memory that it can do without. It returns how many bytes it
+// gives back, at once or within reclaimTime.
+type Reclaim func(s Shortage) int64
+
+// Budget bounds the memory that a process holds for its callers.
 type Budget struct {
-	clock  func() time.Time
-	mu     sync.Mutex
-	ledger *memory.Ledger
+	clock      func() time.Time
+	collect    func()
+	collecting sync.Mutex // held while the garbage collector runs
+
+	mu       sync.Mutex
+	ledger   *memory.Ledger
+	waiting  []*waiter
+	waits    uint64
+	refusals uint64
+	reclaims []Reclaim
+}
+
+// waiter is a body that waits for room.
+type waiter struct {
+	bytes   int64
+	granted chan *Hold
 }
 
 // New returns a budget of which nothing is held.
@@ -33,59 +89,258 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
-	return &Budget{clock: o.Clock, ledger: memory.NewLedger()}
+	if o.Limits == (memory.Limits{}) {
+		o.Limits = memory.NewLimits(0)
+	}
+	if o.Collect == nil {
+		o.Collect = runtime.GC
+	}
+	return &Budget{clock: o.Clock, collect: o.Collect, ledger: memory.NewLedger(o.Limits)}
+}
+
+// SetLimits changes the limits; bytes already held beyond them stay.
+func (b *Budget) SetLimits(l memory.Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ledger.SetLimits(l)
+	b.grant()
 }
 
-// Hold counts n bytes until the Hold is released. A nil Budget counts nothing.
+// OnShortage adds a function that is called, without any lock held, when there is no room. It
+// must be called before the budget is used.
+func (b *Budget) OnShortage(reclaim Reclaim) { b.reclaims = append(b.reclaims, reclaim) }
+
+// Hold counts n bytes until the Hold is released, also beyond the limits: for what is bounded
+// otherwise.
 func (b *Budget) Hold(h memory.Holder, n int64) *Hold {
-	if b == nil {
-		return nil
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.add(h, n)
+}
+
+// TryHold counts n bytes until the Hold is released, if there is room for them.
+func (b *Budget) TryHold(h memory.Holder, n int64) (*Hold, bool) {
+	if hold, ok := b.tryHold(h, n); ok {
+		return hold, true
+	}
+	if h == memory.Answer {
+		return nil, false
 	}
+	if b.collectGarbage() {
+		if hold, ok := b.tryHold(h, n); ok {
+			return hold, true
+		}
+	}
+	if b.reclaim(h, n) == 0 {
+		return nil, false
+	}
+	return b.tryHold(h, n)
+}
+
+func (b *Budget) tryHold(h memory.Holder, n int64) (*Hold, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.ledger.Fits(h, n) {
+		return nil, false
+	}
+	return b.add(h, n), true
+}
+
+// add counts n bytes; the caller holds the lock.
+func (b *Budget) add(h memory.Holder, n int64) *Hold {
 	b.ledger.Add(h, n)
 	return &Hold{budget: b, holder: h, bytes: n, since: b.clock()}
 }
 
-// Usage returns what a holder holds.
-func (b *Budget) Usage(h memory.Holder) memory.Usage {
+// collectGarbage runs the garbage collector if the memory of bodies that are no longer held may be
+// uncollected, and reports whether it may have been.
+func (b *Budget) collectGarbage() bool {
+	if b.garbage() == 0 {
+		return false
+	}
+	b.collecting.Lock()
+	defer b.collecting.Unlock()
+	n := b.garbage()
+	if n == 0 {
+		return true // collected meanwhile
+	}
+	b.collect()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.ledger.Usage(h)
+	b.ledger.Collected(n)
+	b.grant()
+	return true
 }
 
-// Hold is memory that is held until Release is called. A nil Hold holds nothing.
-type Hold struct {
-	budget *Budget
-	holder memory.Holder
-	bytes  int64
-	since  time.Time
+func (b *Budget) garbage() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.Garbage()
 }
 
-// Resize changes how many bytes are held; it does nothing once they were released.
-func (h *Hold) Resize(n int64) {
-	if h == nil {
-		return
+// released gives room to bodies that wait for it; the caller holds the lock.
+func (b *Budget) released() {
+	b.grant()
+	if len(b.waiting) > 0 && b.ledger.Garbage() > 0 {
+		go b.collectGarbage()
 	}
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	if h.since.IsZero() {
-		return
+}
+
+// reclaim has the holders give memory back and returns how much they do.
+func (b *Budget) reclaim(h memory.Holder, n int64) (freed int64) {
+	short := Shortage{bytes: n, body: !b.needsOthers(h, n)}
+	for _, reclaim := range b.reclaims {
+		if freed >= n {
+			break
+		}
+		short.bytes = n - freed
+		freed += reclaim(short)
 	}
-	h.budget.ledger.Resize(h.holder, h.bytes, n)
-	h.bytes = n
+	return freed
 }
 
-// Release gives the bytes back; it may be called more than once.
-func (h *Hold) Release() {
-	if h == nil {
-		return
+func (b *Budget) needsOthers(h memory.Holder, n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.NeedsOthers(h, n)
+}
+
+// Await holds room for a body of n bytes and waits for it for up to patience. The error is
+// ErrNoRoom, ErrTooLarge, or that of ctx.
+func (b *Budget) Await(ctx context.Context, n int64, patience time.Duration) (*Hold, error) {
+	hold, err := b.tryBody(n)
+	if hold != nil || err != nil {
+		return hold, err
+	}
+	if b.collectGarbage() {
+		if hold, err = b.tryBody(n); hold != nil || err != nil {
+			return hold, err
+		}
 	}
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	if h.since.IsZero() {
+	if b.reclaim(memory.Body, n) > 0 {
+		patience = max(patience, reclaimTime)
+	}
+	w := b.enqueue(n, patience)
+	if w == nil {
+		return nil, ErrNoRoom
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case hold := <-w.granted:
+		return hold, nil
+	case <-timer.C:
+		err = ErrNoRoom
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	return b.leave(w, err)
+}
+
+// tryBody holds room for a body if there is room for it and no other one of its length waits.
+func (b *Budget) tryBody(n int64) (*Hold, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case !b.ledger.MayEverFit(n):
+		return nil, ErrTooLarge
+	case b.ledger.Fits(memory.Body, n):
+		return b.add(memory.Body, n), nil
+	default:
+		return nil, nil
+	}
+}
+
+// enqueue has a body wait for room; nil if it may not.
+func (b *Budget) enqueue(n int64, patience time.Duration) *waiter {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if patience <= 0 || len(b.waiting) >= maxWaiting {
+		b.refusals++
+		return nil
+	}
+	w := &waiter{bytes: n, granted: make(chan *Hold, 1)}
+	b.waiting = append(b.waiting, w)
+	b.waits++
+	b.released() // room may have been given back meanwhile
+	return w
+}
+
+// leave ends a wait that brought nothing, or returns the room that it was granted meanwhile.
+func (b *Budget) leave(w *waiter, err error) (*Hold, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case hold := <-w.granted:
+		return hold, nil
+	default:
+	}
+	b.waiting = slices.DeleteFunc(b.waiting, func(other *waiter) bool { return other == w })
+	b.refusals++
+	return nil, err
+}
+
+// grant gives room to bodies that wait for it; the caller holds the lock.
+func (b *Budget) grant() {
+	if len(b.waiting) == 0 {
 		return
 	}
-	h.budget.ledger.Remove(h.holder, h.bytes, h.budget.clock().Sub(h.since))
-	h.since = time.Time{}
+	lengths := make([]int64, len(b.waiting))
+	for i, w := range b.waiting {
+		lengths[i] = w.bytes
+	}
+	granted := b.ledger.Grant(lengths)
+	for _, i := range granted {
+		b.waiting[i].granted <- b.add(memory.Body, lengths[i])
+	}
+	for i := len(granted) - 1; i >= 0; i-- {
+		b.waiting = slices.Delete(b.waiting, granted[i], granted[i]+1)
+	}
+}
+
+// Usage returns what a holder holds.
+func (b *Budget) Usage(h memory.Holder) memory.Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.Usage(h)
+}
+
+// MayEverFit reports whether a body of n bytes can be held if no other one is.
+func (b *Budget) MayEverFit(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.MayEverFit(n)
+}
+
+// UsualBodyTime returns how long a long body is usually held; 0 if none was yet.
+func (b *Budget) UsualBodyTime() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.UsualBodyTime()
+}
+
+// Counts are how bodies fared that found no room at first.
+type Counts struct {
+	waiting         int
+	waits, refusals uint64
+	limit           int64
+}
+
+// Waiting returns how many wait now.
+func (c Counts) Waiting() int { return c.waiting }
+
+// Waits returns how many have begun to wait, and Refusals how many got no room.
+func (c Counts) Waits() uint64 { return c.waits }
+
+// Refusals returns how many got no room.
+func (c Counts) Refusals() uint64 { return c.refusals }
+
+// Limit returns how many bytes all holders together may hold.
+func (c Counts) Limit() int64 { return c.limit }
+
+// Counts returns how bodies fared that found no room at first.
+func (b *Budget) Counts() Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Counts{waiting: len(b.waiting), waits: b.waits, refusals: b.refusals, limit: b.ledger.Limits().Total()}
 }
--- a/internal/gateway/metrics/metrics.go
+++ b/internal/gateway/metrics/metrics.go
@@ -26,6 +26,7 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/memory"
 	"github.com/sprucecrank/sprucecrank/core/gateway/workspace"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 	"github.com/sprucecrank/sprucecrank/internal/telemetry"
 )
 
@@ -71,6 +72,8 @@
 	AnswerBytes int64
 	// Memory is what the process holds in memory for its callers.
 	Memory map[memory.Holder]memory.Usage
+	// MemoryCounts are how bodies fared for which there was no room at first.
+	MemoryCounts membudget.Counts
 	// Quarantined is the number of requests that are sent to no target because targets
 	// end while serving them.
 	Quarantined int
--- a/internal/gateway/metrics/metrics_test.go
+++ b/internal/gateway/metrics/metrics_test.go
@@ -14,7 +14,7 @@
 
 func TestScrapeShowsStateAndCounters(t *testing.T) {
 	g := NewWithT(t)
-	held := memory.NewLedger()
+	held := memory.NewLedger(memory.NewLimits(0))
 	held.Add(memory.Body, 60)
 	held.Add(memory.Body, 10)
 	held.Remove(memory.Body, 60, 2*time.Second)
--- a/internal/gateway/pipeline/conn.go
+++ b/internal/gateway/pipeline/conn.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sprucecrank/sprucecrank/core/gateway/memory"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 )
 
 const (
@@ -34,6 +34,11 @@
 	waiting atomic.Bool   // one stands by
 	limits  Limits        // in force for the request that is read
 	inBody  bool          // of that request the head was read
+	hold    *membudget.Hold
+	arrival arrival // of the request that is read
+	// readCtx ends when nothing more is to be read.
+	readCtx     context.Context
+	stopReading context.CancelFunc
 
 	mu       sync.Mutex
 	phase    phase
@@ -42,21 +47,24 @@
 	finished bool          // the server shuts down
 	bounded  bool          // a deadline shorter than the idle time is set for reads
 	idle     time.Duration // how long the connection may rest
+	resting  time.Time     // since when it rests
+	evicted  bool          // the request that is read is given up for want of room
 	tail     chan struct{} // closed once the latest request was answered
 	barrier  chan struct{} // closed once the latest request that is not safe was
 	room     chan struct{} // holds one token when a blocked reader should look again
 }
 
-func newConn(s *Server, accepted net.Conn) *conn {
+func newConn(s *Server, accepted net.Conn, hold *membudget.Hold) *conn {
 	ctx, cancel := context.WithCancel(s.ctx)
+	readCtx, stopReading := context.WithCancel(ctx)
 	none := make(chan struct{})
 	close(none)
 	c := &conn{
 		server: s, net: accepted, remote: accepted.RemoteAddr().String(), ctx: ctx, cancel: cancel,
 		window: newWindow(), tail: none, barrier: none, room: make(chan struct{}, 1),
-		reading: make(chan struct{}),
+		reading: make(chan struct{}), hold: hold, readCtx: readCtx, stopReading: stopReading,
 	}
-	c.in.read = c.read
+	c.in.read, c.in.grow = c.read, c.growInput
 	return c
 }
 
@@ -143,12 +151,15 @@
 // next waits for a whole request.
 func (c *conn) next() (incoming, error) {
 	c.limits = c.server.options.limits()
+	c.shrinkInput()
 	for len(c.in.raw) == 0 {
 		c.rest()
 		if err := c.fill(); err != nil {
 			return incoming{}, errOr(err, errClientLeft)
 		}
 	}
+	c.arrival.begin(0)
+	defer c.arrival.end()
 	if !c.in.hasHead() {
 		c.arrive(c.limits.HeadTimeout)
 	}
@@ -157,12 +168,13 @@
 		return incoming{}, errOr(err, errHeadTooSlow)
 	}
 	defer func() { c.inBody = false }()
-	hold := c.server.options.Memory.Hold(memory.Body, 0)
-	r, err := c.in.parse(length, c.limits.BodyBytes, c.bodyBegins, hold)
+	hold := c.holdRequest(length)
+	r, body, err := c.in.parse(c.readCtx, length, &bodyReader{conn: c, limit: c.limits.BodyBytes, request: hold})
 	if err != nil {
 		hold.Release()
+		return incoming{}, err
 	}
-	return r, err
+	return incoming{Request: r, body: body, hold: hold}, nil
 }
 
 // bodyBegins is called between a request's head and its body. A client that waits
@@ -194,6 +206,8 @@
 	switch {
 	case asRefused(err) != nil || errors.Is(err, errFinished):
 		return err
+	case errors.Is(err, ErrNoRoom):
+		return errHeadNoRoom
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return late
 	default:
@@ -219,8 +233,10 @@
 		c.arrive(c.limits.IdleTimeout)
 	}
 	n, err := c.net.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isFinished() {
-		return 0, errFinished
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		if ended := c.whyEnded(); ended != nil {
+			return 0, ended
+		}
 	}
 	if n > 0 {
 		return n, nil
--- a/internal/gateway/pipeline/exchange.go
+++ b/internal/gateway/pipeline/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 
 	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 )
@@ -15,7 +16,8 @@
 	request *http.Request // nil where refusal is set
 	refusal *refused
 	body    int64           // bytes of the request's body
-	hold    *membudget.Hold // of the body
+	hold    *membudget.Hold // of all but a long body
+	sent    *Body           // the request's body; nil where refusal is set
 	method  string
 	old     bool // the request is HTTP/1.0
 	closes  bool // the answer is the connection's last
@@ -30,13 +32,13 @@
 // before anything behind it is read.
 func (c *conn) admit(r incoming) *exchange {
 	safe := c.server.options.Safe(r.Request)
-	closes := r.Close || r.tooLong || c.server.options.Stopping()
+	closes := r.Close || r.body.err != nil || c.server.options.Stopping()
 	r.RemoteAddr = c.remote
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	x := c.chain(int64(len(r.body)))
+	x := c.chain(r.body.length)
 	x.request, x.method, x.old = r.Request, r.Method, !r.ProtoAtLeast(1, 1)
-	x.hold = r.hold
+	x.hold, x.sent = r.hold, r.body
 	x.closes = closes || c.finished
 	x.start = x.turn
 	if safe {
@@ -69,6 +71,9 @@
 func (x *exchange) serve() {
 	defer close(x.done)
 	a := x.answer()
+	if x.sent != nil {
+		x.sent.drop()
+	}
 	x.conn.made(a)
 	if a != nil && x.await(x.turn) {
 		x.write(a)
@@ -92,6 +97,9 @@
 func (x *exchange) answer() *answer {
 	if x.refusal != nil {
 		a := newAnswer(x)
+		if x.refusal.retryAfter > 0 {
+			a.Header().Set("Retry-After", strconv.Itoa(x.refusal.retryAfter))
+		}
 		a.WriteHeader(x.refusal.status)
 		return a
 	}
--- a/internal/gateway/pipeline/head.go
+++ b/internal/gateway/pipeline/head.go
@@ -13,6 +13,8 @@
 type refused struct {
 	status int
 	detail string
+	// retryAfter is when the client may come back, in seconds; 0 where that is not known.
+	retryAfter int
 }
 
 // Error implements error.
@@ -20,19 +22,20 @@
 
 // Why requests are refused. The texts go to the log.
 var (
-	errHeadTooLong   = &refused{http.StatusRequestHeaderFieldsTooLarge, "the head is longer than the limits allow"}
-	errHeadTooSlow   = &refused{http.StatusRequestTimeout, "the head was not sent in the time that the limits allow"}
-	errBodyTooSlow   = &refused{http.StatusRequestTimeout, "the body came to a rest"}
-	errBadBody       = &refused{http.StatusBadRequest, "the body's framing is broken"}
-	errBadLine       = &refused{http.StatusBadRequest, "a line of the head does not end in CR LF, or holds a control character"}
-	errBadField      = &refused{http.StatusBadRequest, "a header field has no valid name, or white space where none may be"}
-	errBadHost       = &refused{http.StatusBadRequest, "the request does not name one host"}
-	errBadHead       = &refused{http.StatusBadRequest, "the head is no HTTP request"}
-	errLengths       = &refused{http.StatusBadRequest, "the request states its length more than once"}
-	errLengthChunked = &refused{http.StatusBadRequest, "the request has a length and is chunked"}
-	errEncoding      = &refused{http.StatusNotImplemented, "the transfer encoding is not chunked"}
-	errExpectation   = &refused{http.StatusExpectationFailed, "the client expects something other than 100-continue"}
-	errVersion       = &refused{http.StatusHTTPVersionNotSupported, "the version is neither HTTP/1.0 nor HTTP/1.1"}
+	errHeadTooLong   = &refused{status: http.StatusRequestHeaderFieldsTooLarge, detail: "the head is longer than the limits allow"}
+	errHeadTooSlow   = &refused{status: http.StatusRequestTimeout, detail: "the head was not sent in the time that the limits allow"}
+	errBodyTooSlow   = &refused{status: http.StatusRequestTimeout, detail: "the body came to a rest"}
+	errBadBody       = &refused{status: http.StatusBadRequest, detail: "the body's framing is broken"}
+	errBadLine       = &refused{status: http.StatusBadRequest, detail: "a line of the head does not end in CR LF, or holds a control character"}
+	errBadField      = &refused{status: http.StatusBadRequest, detail: "a header field has no valid name, or white space where none may be"}
+	errBadHost       = &refused{status: http.StatusBadRequest, detail: "the request does not name one host"}
+	errBadHead       = &refused{status: http.StatusBadRequest, detail: "the head is no HTTP request"}
+	errLengths       = &refused{status: http.StatusBadRequest, detail: "the request states its length more than once"}
+	errLengthChunked = &refused{status: http.StatusBadRequest, detail: "the request has a length and is chunked"}
+	errEncoding      = &refused{status: http.StatusNotImplemented, detail: "the transfer encoding is not chunked"}
+	errExpectation   = &refused{status: http.StatusExpectationFailed, detail: "the client expects something other than 100-continue"}
+	errHeadNoRoom    = &refused{status: http.StatusServiceUnavailable, detail: "there is no room in memory for the head", retryAfter: 1}
+	errVersion       = &refused{status: http.StatusHTTPVersionNotSupported, detail: "the version is neither HTTP/1.0 nor HTTP/1.1"}
 )
 
 // asRefused is the refusal that an error means; nil if it means none.
--- a/internal/gateway/pipeline/input.go
+++ b/internal/gateway/pipeline/input.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -18,9 +19,6 @@
 	// readBytes is the room for what a connection brings, in bytes; it grows with
 	// a longer head. Ordinary heads fit.
 	readBytes = 4 << 10
-	// wholeBytes is the longest body, in bytes, that gets its room at once.
-	// A client may announce more than it sends.
-	wholeBytes = 64 << 10
 )
 
 // Why no request can be read, where none is refused.
@@ -29,8 +27,6 @@
 	errClientLeft = errors.New("the client left")
 	// errFinished says that the server shuts down before another request has come.
 	errFinished = errors.New("the server shuts down")
-	// errBodyTooLong says that a body is longer than the limits allow.
-	errBodyTooLong = errors.New("the body is longer than the limits allow")
 )
 
 // parsers are the readers that the library's parser needs, shared so that idle
@@ -41,6 +37,7 @@
 // goroutine at a time, that which reads, uses it.
 type input struct {
 	read func([]byte) (int, error) // waits for bytes
+	grow func(bytes int) error     // holds room for a longer buffer
 	raw  []byte
 	head int // bytes of raw that the parser may read as the head; 0 while it reads a body
 }
@@ -48,9 +45,9 @@
 // fill waits for more bytes.
 func (in *input) fill() error {
 	if len(in.raw) == cap(in.raw) {
-		grown := make([]byte, len(in.raw), max(2*cap(in.raw), readBytes))
-		copy(grown, in.raw)
-		in.raw = grown
+		if err := in.growTo(max(2*cap(in.raw), readBytes)); err != nil {
+			return err
+		}
 	}
 	n, err := in.read(in.raw[len(in.raw):cap(in.raw)])
 	in.raw = in.raw[:len(in.raw)+n]
@@ -60,6 +57,30 @@
 	return err
 }
 
+// growTo makes the buffer longer.
+func (in *input) growTo(bytes int) error {
+	if err := in.grow(bytes); err != nil {
+		return err
+	}
+	in.resize(bytes)
+	return nil
+}
+
+func (in *input) resize(bytes int) {
+	resized := make([]byte, len(in.raw), bytes)
+	copy(resized, in.raw)
+	in.raw = resized
+}
+
+// shrink drops the memory of a long head, and reports whether there was any.
+func (in *input) shrink() bool {
+	if cap(in.raw) <= readBytes || len(in.raw) > readBytes {
+		return false
+	}
+	in.resize(readBytes)
+	return true
+}
+
 // hasRoom says whether fill may go on while nobody takes what has arrived.
 func (in *input) hasRoom() bool { return len(in.raw) < readBytes }
 
@@ -128,27 +149,18 @@
 	return bytes.Count(head, []byte("\n")) != bytes.Count(head, []byte("\r\n"))
 }
 
-// incoming is a request that has arrived whole, but for a body beyond the limit:
-// the handler learns of that by an *http.MaxBytesError when it reads the body.
+// incoming is a request that has arrived whole, but for a body that may not be read: the
+// handler learns of that when it reads the body.
 type incoming struct {
 	*http.Request
-	body    []byte
-	hold    *membudget.Hold // of the body
-	tooLong bool
+	body *Body
+	hold *membudget.Hold // of all but a long body
 }
 
-// tooLongBody is a body beyond the limit.
-type tooLongBody struct{ limit int64 }
-
-// Read implements io.Reader.
-func (b tooLongBody) Read([]byte) (int, error) { return 0, &http.MaxBytesError{Limit: b.limit} }
-
 // parse reads the request whose head of the given length has arrived, and its body.
-// bodyBegins is called between them; expects says that the client waits to be told
-// to send the body.
-func (in *input) parse(length int, limit int64, bodyBegins func(expects bool) error, hold *membudget.Hold) (incoming, error) {
+func (in *input) parse(ctx context.Context, length int, body *bodyReader) (*http.Request, *Body, error) {
 	if err := checkHead(in.raw[:length]); err != nil {
-		return incoming{}, err
+		return nil, nil, err
 	}
 	parser := parsers.Get().(*bufio.Reader)
 	parser.Reset(in)
@@ -159,23 +171,21 @@
 	in.head = length
 	r, err := http.ReadRequest(parser)
 	if err != nil {
-		return incoming{}, errBadHead
-	}
-	body, err := readBody(r, limit, bodyBegins, hold)
-	if errors.Is(err, errBodyTooLong) {
-		r.Body = io.NopCloser(tooLongBody{limit: limit})
-		return incoming{Request: r, hold: hold, tooLong: true}, nil
+		return nil, nil, errBadHead
 	}
+	got, err := body.read(ctx, r)
 	if err != nil {
-		return incoming{}, err
+		return nil, nil, err
+	}
+	if got.err == nil {
+		in.putBack(parser)
 	}
-	in.putBack(parser)
 	r.Body = http.NoBody
-	if len(body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(body))
+	if got.length > 0 || got.err != nil {
+		r.Body = got
 	}
-	r.ContentLength, r.TransferEncoding = int64(len(body)), nil
-	return incoming{Request: r, body: body, hold: hold}, nil
+	r.ContentLength, r.TransferEncoding = got.length, nil
+	return r, got, nil
 }
 
 // expects says whether a client waits to be told before it sends a body.
@@ -187,50 +197,6 @@
 	return expected != "" && r.ProtoAtLeast(1, 1), nil
 }
 
-// readBody reads a body whole.
-func readBody(r *http.Request, limit int64, begins func(expects bool) error, hold *membudget.Hold) ([]byte, error) {
-	waits, err := expects(r)
-	switch {
-	case err != nil:
-		return nil, err
-	case r.Body == http.NoBody:
-		return nil, nil
-	case limit > 0 && r.ContentLength > limit:
-		return nil, errBodyTooLong
-	}
-	if err := begins(waits); err != nil {
-		return nil, err
-	}
-	var body bytes.Buffer
-	if r.ContentLength > 0 {
-		body.Grow(int(min(r.ContentLength, wholeBytes)) + bytes.MinRead)
-	}
-	var from io.Reader = r.Body
-	if limit > 0 {
-		from = io.LimitReader(r.Body, limit+1)
-	}
-	if _, err := body.ReadFrom(&countedReader{from: from, buffer: &body, hold: hold}); err != nil {
-		return nil, bodyError(err)
-	}
-	if limit > 0 && int64(body.Len()) > limit {
-		return nil, errBodyTooLong
-	}
-	return body.Bytes(), nil
-}
-
-// countedReader counts the memory of the buffer that what it reads goes into.
-type countedReader struct {
-	from   io.Reader
-	buffer *bytes.Buffer
-	hold   *membudget.Hold
-}
-
-// Read implements io.Reader.
-func (r *countedReader) Read(p []byte) (int, error) {
-	r.hold.Resize(int64(r.buffer.Cap()))
-	return r.from.Read(p)
-}
-
 // bodyError is what it means that a body could not be read whole.
 func bodyError(err error) error {
 	var broken *net.OpError
--- a/internal/gateway/pipeline/pipeline.go
+++ b/internal/gateway/pipeline/pipeline.go
@@ -22,6 +22,10 @@
 //     closed.
 //   - Requests in flight and bytes held for a connection are bounded; beyond the
 //     bounds nothing more is read from it.
+//   - What is held for all connections is bounded by Options.Memory. A long body is read
+//     once there is room for all of it; the handler learns of one for which there is none
+//     by ErrNoRoom or ErrTooLarge. Where room is short, connections that rest are closed and
+//     requests that arrive too slowly are given up (reclaim.go).
 //
 // A handler cannot close the connection by a header: it may panic with
 // http.ErrAbortHandler where no answer may be given, or no more of one.
@@ -44,6 +48,7 @@
 	"sync"
 	"time"
 
+	"github.com/sprucecrank/sprucecrank/core/gateway/memory"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
 )
@@ -93,8 +98,11 @@
 	// Stopping says whether the process is stopping, so that the next request of a
 	// connection is its last; nil for never.
 	Stopping func() bool
-	// Memory counts the bodies of requests that are held; nil for not.
+	// Memory bounds what is held for all connections; nil for no bound.
 	Memory *membudget.Budget
+	// Patience is how long a request may wait for room for its body before that is read; nil
+	// for not at all.
+	Patience func(*http.Request) time.Duration
 	// Log takes what clients did wrong; nil for nothing.
 	Log *slog.Logger
 	// Clock is the time of the answers' Date; nil for time.Now.
@@ -109,6 +117,12 @@
 	if o.Limits == nil {
 		o.Limits = func() Limits { return Limits{} }
 	}
+	if o.Memory == nil {
+		o.Memory = membudget.New(membudget.Options{})
+	}
+	if o.Patience == nil {
+		o.Patience = func(*http.Request) time.Duration { return 0 }
+	}
 	if o.Stopping == nil {
 		o.Stopping = func() bool { return false }
 	}
@@ -145,12 +159,15 @@
 	closed    bool
 	listeners []net.Listener
 	conns     map[*conn]struct{}
+	reclaimed time.Time // when connections were last looked through for memory in vain
 }
 
 // New makes a server that serves nothing yet.
 func New(o Options) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{options: o.withDefaults(), ctx: ctx, cancel: cancel, conns: map[*conn]struct{}{}}
+	s := &Server{options: o.withDefaults(), ctx: ctx, cancel: cancel, conns: map[*conn]struct{}{}}
+	s.options.Memory.OnShortage(s.reclaim)
+	return s
 }
 
 // Serve accepts connections until Shutdown or Close, and returns
@@ -173,7 +190,12 @@
 			pause.For(s.ctx, acceptPause)
 			continue
 		}
-		c := newConn(s, accepted)
+		hold, ok := s.options.Memory.TryHold(memory.Connection, connBytes)
+		if !ok {
+			s.turnAway(accepted)
+			continue
+		}
+		c := newConn(s, accepted, hold)
 		if s.add(c) {
 			go c.serve()
 		}
@@ -209,6 +231,7 @@
 }
 
 func (s *Server) remove(c *conn) {
+	c.hold.Release()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
--- a/internal/gateway/pipeline/state.go
+++ b/internal/gateway/pipeline/state.go
@@ -34,10 +34,20 @@
 	return true
 }
 
-func (c *conn) isFinished() bool {
+// whyEnded is why a read was ended whose deadline has passed; nil if its time ran out.
+func (c *conn) whyEnded() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.finished
+	switch {
+	case c.finished:
+		return errFinished
+	case c.evicted && c.arrival.isActive():
+		return ErrNoRoom
+	case c.evicted: // too late: the request had arrived
+		return errFinished
+	default:
+		return nil
+	}
 }
 
 // rest begins to wait for a request; the idle time runs while none is in flight.
@@ -45,7 +55,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = resting
-	c.idle = c.limits.IdleTimeout
+	c.idle, c.resting = c.limits.IdleTimeout, time.Now()
 	c.setRestDeadline()
 }
 
@@ -53,7 +63,7 @@
 // While requests are in flight a deadline of before may stand: fill passes over it.
 func (c *conn) setRestDeadline() {
 	switch {
-	case c.finished:
+	case c.finished || c.evicted:
 		c.setReadDeadline(past)
 	case c.window.isEmpty():
 		c.setReadDeadline(time.Now().Add(c.idle))
@@ -75,7 +85,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = arriving
-	if c.finished {
+	if c.finished || c.evicted {
 		c.setReadDeadline(past)
 		return
 	}
@@ -104,6 +114,7 @@
 		return
 	}
 	c.finished = true
+	c.stopReading()
 	c.wake()
 }
 
--- a/internal/gateway/upstream/answer.go
+++ b/internal/gateway/upstream/answer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -16,15 +17,15 @@
 // Close must be called when an answer is no longer needed. Until then it holds its
 // bytes, and a streamed one its connection.
 type Answer struct {
-	status   int
-	header   http.Header
-	notRun   bool
-	signals  signal.Signals
-	length   int64 // of the body; -1 if unknown
-	body     []byte
-	budget   *MemoryBudget
-	reserved int         // bytes reserved in budget
-	stream   *bodyStream // nil if the body is buffered
+	status  int
+	header  http.Header
+	notRun  bool
+	signals signal.Signals
+	length  int64 // of the body; -1 if unknown
+	body    []byte
+	budget  *membudget.Budget
+	hold    *membudget.Hold // of the bytes that are in memory; nil for none
+	stream  *bodyStream     // nil if the body is buffered
 }
 
 // Status returns the HTTP status.
@@ -86,8 +87,8 @@
 	if a.stream != nil {
 		a.stream.abandon()
 	}
-	a.budget.release(a.reserved)
-	a.reserved, a.body = 0, nil
+	a.hold.Release()
+	a.body = nil
 }
 
 // bodyStream is the part of an answer's body that is still unread on its connection.
@@ -134,11 +135,10 @@
 // queued behind this one.
 func (a *Answer) newStreamBuffer() []byte {
 	size := streamBufferBytes
-	if !a.budget.reserve(size) {
+	if !a.reserve(size, false) {
 		size = minStreamBufferBytes
-		a.budget.forceReserve(size)
+		a.reserve(size, true)
 	}
-	a.reserved += size
 	return make([]byte, size)
 }
 
--- a/internal/gateway/upstream/body.go
+++ b/internal/gateway/upstream/body.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"slices"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/memory"
 )
 
 const (
@@ -73,7 +75,7 @@
 			return false, limitError(mayStream)
 		}
 		a.body = slices.Grow(a.body, growBytes)
-		a.reserve(cap(a.body)-a.reserved, true) // Grow may allocate more
+		a.hold.Resize(int64(cap(a.body))) // Grow may allocate more
 		n, err := readFull(body, a.body[length:length+growBytes])
 		a.body = a.body[:length+n]
 		if err == io.EOF {
@@ -89,14 +91,17 @@
 // reserve reserves n bytes of the budget and reports whether it could. With force it exceeds
 // the limit, as for a short answer that must be buffered.
 func (a *Answer) reserve(n int, force bool) bool {
-	if !a.budget.reserve(n) {
-		if !force {
-			return false
-		}
-		a.budget.forceReserve(n)
+	if a.hold == nil {
+		a.hold = a.budget.Hold(memory.Answer, 0)
+	}
+	total := a.hold.Bytes() + int64(n)
+	if a.hold.TryResize(total) {
+		return true
+	}
+	if force {
+		a.hold.Resize(total)
 	}
-	a.reserved += n
-	return true
+	return force
 }
 
 // limitError returns the error for an answer that exceeds a limit of buffering: nil if it may be
--- a/internal/gateway/upstream/exchange.go
+++ b/internal/gateway/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -22,6 +23,9 @@
 	maxSyncWriteBytes = 2 << 10
 	// maxSurplusAnswers bounds how many answers of other requests are dropped in one exchange.
 	maxSurplusAnswers = 4
+	// maxCopiedBytes is the longest body, in bytes, that is copied behind its head, so that both
+	// are written at once. It fits memory.SmallBody.
+	maxCopiedBytes = memory.SmallBody
 	// requestHeadBytes is the space preallocated for the head of a request.
 	requestHeadBytes = 512
 )
@@ -33,7 +37,8 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the body in pieces; they must not change until the exchange has ended.
+	Body [][]byte
 	// ID is the request's id, which the answer must repeat.
 	ID string
 	// MayStream reports whether a long answer with this status may be streamed; notRun
@@ -113,29 +118,24 @@
 func (c *Conn) interrupt() { _ = c.net.Close() }
 
 type writeResult struct {
-	bytes int
+	bytes int64
 	err   error
 }
 
 // send writes the request and sends the result of the write on the channel.
 func (c *Conn) send(r Request) <-chan writeResult {
-	var b bytes.Buffer
-	b.Grow(requestHeadBytes + len(r.Body))
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
-	_ = r.Header.Write(&b) // writing to a buffer does not fail
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
-	}
-	b.WriteString("\r\n")
-	b.Write(r.Body)
+	parts, length := r.encode()
 	done := make(chan writeResult, 1)
-	hold := c.pool.options.Memory.Hold(memory.Send, int64(b.Cap()))
 	write := func() {
-		defer hold.Release()
-		n, err := c.net.Write(b.Bytes())
+		if len(parts) == 1 { // cheaper than a write of several parts
+			n, err := c.net.Write(parts[0])
+			done <- writeResult{bytes: int64(n), err: err}
+			return
+		}
+		n, err := parts.WriteTo(c.net)
 		done <- writeResult{bytes: n, err: err}
 	}
-	if b.Len() <= maxSyncWriteBytes {
+	if length <= maxSyncWriteBytes {
 		write()
 	} else {
 		go write()
@@ -143,6 +143,34 @@
 	return done
 }
 
+// encode returns the request as it is written, and its length in bytes. A long body is not
+// copied.
+func (r Request) encode() (parts net.Buffers, length int64) {
+	body := 0
+	for _, piece := range r.Body {
+		body += len(piece)
+	}
+	isCopied := body <= maxCopiedBytes
+	var b bytes.Buffer
+	if isCopied {
+		b.Grow(requestHeadBytes + body)
+	}
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
+	_ = r.Header.Write(&b) // writing to a buffer does not fail
+	if body > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+		b.WriteString("Content-Length: " + strconv.Itoa(body) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	if !isCopied {
+		length = int64(b.Len() + body)
+		return append(net.Buffers{b.Bytes()}, r.Body...), length
+	}
+	for _, piece := range r.Body {
+		b.Write(piece)
+	}
+	return net.Buffers{b.Bytes()}, int64(b.Len())
+}
+
 // receive reads answers up to the one to this request; selfDelimited says whether its
 // framing allows another exchange once it has ended.
 func (c *Conn) receive(r Request) (answer *Answer, selfDelimited bool, err error) {
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -12,7 +12,7 @@
 // to an earlier request is dropped, wherever it is on the connection. A short
 // answer is buffered first; a long one is streamed as fast as the caller reads it,
 // if the caller allows it (body.go). All bytes of answers that are held in memory
-// are counted in a MemoryBudget.
+// are counted in a membudget.Budget.
 //
 // # Usage
 //
@@ -58,8 +58,6 @@
 	readBufferSize = 4 << 10
 	// defaultMaxAnswerBytes bounds an answer that must be buffered.
 	defaultMaxAnswerBytes = 8 << 20
-	// defaultBudgetBytes is the memory budget for answers if none is given.
-	defaultBudgetBytes = 64 << 20
 	// dialTimeout bounds dialling, which takes about 1 ms.
 	dialTimeout = time.Second
 )
@@ -75,9 +73,7 @@
 	// streamed; 0 means the default.
 	MaxBufferedBytes int
 	// Budget bounds the bytes of answers held in memory; nil means 64 MB.
-	Budget *MemoryBudget
-	// Memory counts the requests that are being written; nil for not.
-	Memory *membudget.Budget
+	Budget *membudget.Budget
 	// Opened is called for each new connection.
 	Opened func()
 	// Log may be nil, which discards the log.
@@ -107,7 +103,7 @@
 		o.MaxBufferedBytes = defaultMaxBufferedBytes
 	}
 	if o.Budget == nil {
-		o.Budget = NewMemoryBudget(defaultBudgetBytes)
+		o.Budget = membudget.New(membudget.Options{})
 	}
 	if o.Opened == nil {
 		o.Opened = func() {}
--- a/internal/gateway/upstream/upstream_test.go
+++ b/internal/gateway/upstream/upstream_test.go
@@ -270,7 +270,7 @@
 		bodies <- string(body)
 	})
 	pool := newPool()
-	long := upstream.Request{Method: http.MethodPost, URI: "/", Host: "h", ID: "one", Header: http.Header{}, Body: []byte(strings.Repeat("a", 4<<20))}
+	long := upstream.Request{Method: http.MethodPost, URI: "/", Host: "h", ID: "one", Header: http.Header{}, Body: [][]byte{[]byte(strings.Repeat("a", 4<<20))}}
 	a, failure := exchange(t, pool, s, long)
 	g.Expect(failure).To(BeNil())
 	g.Expect(a.Status()).To(Equal(http.StatusServiceUnavailable))
--- a/internal/gateway/upstream/ways_test.go
+++ b/internal/gateway/upstream/ways_test.go
@@ -47,7 +47,7 @@
 		}
 	}
 	for name, body := range bodies {
-		if writes := strings.Contains(body, ".net.Write(") || strings.Contains(body, "(c.net,"); writes {
+		if writes := strings.Contains(body, ".net.Write(") || strings.Contains(body, "(c.net,") || strings.Contains(body, "(c.net)"); writes {
 			g.Expect(writers).To(HaveKey(name), "%s writes to a target", name)
 		}
 	}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -82,6 +82,7 @@
 	ReasonQuota            Reason = "quota-exceeded"
 	ReasonTargetLimits     Reason = "target-limits"
 	ReasonTargetsBackOff   Reason = "targets-back-off"
+	ReasonNoMemory         Reason = "no-memory"
 )
 
 // statuses maps each reason to the HTTP status of its answer.
