internal/gateway/upstream: the head of an answer is bounded

No caller saw it so far.

Now 256 kB are read for the head of one answer, interim ones among them; then the connection is closed and the send has failed as one that may have run.

TestTheHeadOfAnAnswerIsBounded: before, a head of 1 GB was read whole, and 1 MB of interim answers passed over; now both fail, and a head of 100 kB is read.

The bytes of heads are not counted in the budget: 256 kB for each send under way is what is left to a fleet of targets that all do so.

--- a/internal/gateway/upstream/exchange.go
+++ b/internal/gateway/upstream/exchange.go
@@ -205,8 +205,11 @@
 }
 
 // readHead reads the head of the next answer on the connection and skips interim
-// (1xx) ones.
+// (1xx) ones. All of them together are bounded, so that a target that never ends a head does not
+// take up the memory.
 func (c *Conn) readHead(method string) (*http.Response, error) {
+	c.head.limit(maxAnswerHeadBytes)
+	defer c.head.limit(unlimited)
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil || response.StatusCode >= http.StatusOK {
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -142,6 +142,7 @@
 	target      catalog.Target
 	net         net.Conn
 	reader      *bufio.Reader
+	head        *headReader // what reader reads from
 	exchanges   int
 	dialTime    time.Duration
 	idleTimeout time.Duration
@@ -204,10 +205,11 @@
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no connection to the target could be made").WithCause(err)
 	}
 	p.options.Opened()
+	head := newHeadReader(raw)
 	return &Conn{
-		pool: p, target: target, net: raw, idleTimeout: defaultIdleTimeout, reusable: true,
+		pool: p, target: target, net: raw, head: head, idleTimeout: defaultIdleTimeout, reusable: true,
 		dialTime: p.options.Clock().Sub(start),
-		reader:   bufio.NewReaderSize(raw, readBufferSize),
+		reader:   bufio.NewReaderSize(head, readBufferSize),
 	}, nil
 }
 
