Soak: clients with large, slow and endless bodies; each process's peak of memory

Gateways have the memory of the users' smallest machines (136 MB). Beside the other clients some send bodies of up to 16 MB, whole or in chunks, fast or slowly, leave halfway through heads and bodies, read answers slowly, or open connections that rest. What they send is checked like all else. The peak of each process (VmHWM, every 50 ms) must stay within its memory.

--- a/e2e/gateway/memory_test.go
+++ b/e2e/gateway/memory_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -205,21 +204,11 @@
 // peakMemory returns the most memory that a process had resident, in bytes.
 func peakMemory(t *testing.T, pid int) int {
 	t.Helper()
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(raw)) {
-		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
-			kilobytes, err := strconv.Atoi(fields[1])
-			if err != nil {
-				t.Fatal(err)
-			}
-			return kilobytes << 10
-		}
+	peak, err := residentPeak(pid)
+	if err != nil || peak == 0 {
+		t.Fatalf("process %d has ended: %v", pid, err)
 	}
-	t.Fatalf("process %d has ended", pid)
-	return 0
+	return peak
 }
 
 // upload is a request with a body, as a client sends it.
--- a/e2e/gateway/soak_test.go
+++ b/e2e/gateway/soak_test.go
@@ -66,6 +66,10 @@
 	for n := range pipeliningClients {
 		clients.Go(func() { w.pipelining(ctx, seed, n) })
 	}
+	for n := range largeClients {
+		clients.Go(func() { w.large(ctx, seed, n) })
+	}
+	clients.Go(func() { w.watchMemory(ctx) })
 	for n := range keyedClients {
 		clients.Go(func() { w.keyed(ctx, seed, n) })
 	}
@@ -510,6 +514,7 @@
 
 // check looks at what must hold of the whole run.
 func (w *world) check() {
+	w.checkMemory()
 	w.checkLimits()
 	w.records.mu.Lock()
 	defer w.records.mu.Unlock()
--- a/e2e/gateway/soak_world_test.go
+++ b/e2e/gateway/soak_world_test.go
@@ -275,6 +275,8 @@
 	healed   time.Duration // when all faults were over, since began
 	fatals   fatals
 	keys     *keys
+	// peaks are the most memory that gateways used.
+	peaks peaks
 	// frozen and harmed are when gateways were frozen and ways to targets harmed.
 	frozen, harmed spans
 	after          sync.WaitGroup // what goes on beyond the event that began it
@@ -306,7 +308,7 @@
 	for i := range gateways {
 		g := &soakGateway{process: newProcess(t, fmt.Sprint("gateway-", i), address, &[]string{}), index: i}
 		g.clients, g.peers, g.store = w.proxy(g.addresses["listen"]), w.proxy(g.addresses["peer_listen"]), w.proxy(address)
-		g.extra = storetest.Object{"peer_advertise": g.peers.Address(), "hall": fmt.Sprint("hall-", i%2), "watch_trust_s": 3, "restore_within_s": 2.3, "evacuate_within_s": 5, "quota_tolerance": 20}
+		g.extra = storetest.Object{"peer_advertise": g.peers.Address(), "hall": fmt.Sprint("hall-", i%2), "watch_trust_s": 3, "restore_within_s": 2.3, "evacuate_within_s": 5, "quota_tolerance": 20, "memory_mb": soakMemory}
 		seeds = append(seeds, g.peers.Address())
 		w.gateways = append(w.gateways, g)
 	}
@@ -414,7 +416,7 @@
 		rules = append(rules, w.rule(versionPath(v), "safe", soakService))
 	}
 	w.store.Put(storetest.Config, "main", storetest.Object{
-		"version": version, "tenants": w.keys.workspaces(), "limits": storetest.Object{"maxBodyBytes": 1 << 20},
+		"version": version, "tenants": w.keys.workspaces(), "limits": storetest.Object{"maxBodyBytes": soakBody},
 		"listeners": []storetest.Object{{"hostname": "shop.example", "rules": rules}},
 		"clusters": []storetest.Object{
 			{"name": soakService, "healthCheckPath": "/health", "maxConnections": 200, "warmupPerS": soakColdRate},
