internal/gateway/membudget: the collector runs at most every 50 ms for want of room

Now it runs at most every 50 ms for want of room; bodies that wait get the room then. And a body whose client is yet to be told to send it does not count as one that arrives slowly.

TestTheMemoryOfABodyCountsUntilItIsCollected: 100 bodies that follow one another take 100 runs, 50 ms apart or more; before, they took no time at all.

--- a/internal/gateway/membudget/membudget.go
+++ b/internal/gateway/membudget/membudget.go
@@ -36,6 +36,9 @@
 	maxWaiting = 64
 	// reclaimTime is how long a body waits for memory that its holders are giving back.
 	reclaimTime = 100 * time.Millisecond
+	// minCollectInterval is the least time between two runs of the garbage collector for want of
+	// room. A run takes some milliseconds of processor time.
+	minCollectInterval = 50 * time.Millisecond
 )
 
 // Options configure a Budget; zero values are usable.
@@ -70,12 +73,14 @@
 	collect    func()
 	collecting sync.Mutex // held while the garbage collector runs
 
-	mu       sync.Mutex
-	ledger   *memory.Ledger
-	waiting  []*waiter
-	waits    uint64
-	refusals uint64
-	reclaims []Reclaim
+	mu          sync.Mutex
+	ledger      *memory.Ledger
+	collectedAt time.Time
+	scheduled   bool // a run of the garbage collector
+	waiting     []*waiter
+	waits       uint64
+	refusals    uint64
+	reclaims    []Reclaim
 }
 
 // waiter is a body that waits for room.
@@ -153,37 +158,60 @@
 }
 
 // collectGarbage runs the garbage collector if the memory of bodies that are no longer held may be
-// uncollected, and reports whether it may have been.
+// uncollected, and reports whether it was run. It is not if it was a moment ago.
 func (b *Budget) collectGarbage() bool {
-	if b.garbage() == 0 {
+	if n, in := b.garbage(); n == 0 || in > 0 {
 		return false
 	}
 	b.collecting.Lock()
 	defer b.collecting.Unlock()
-	n := b.garbage()
-	if n == 0 {
+	n, in := b.garbage()
+	if n == 0 || in > 0 {
 		return true // collected meanwhile
 	}
 	b.collect()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ledger.Collected(n)
-	b.grant()
+	b.collectedAt = b.clock()
+	b.released()
 	return true
 }
 
-func (b *Budget) garbage() int64 {
+// garbage returns how many bytes may be uncollected, and in what time the garbage collector may run.
+func (b *Budget) garbage() (n int64, in time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.ledger.Garbage()
+	return b.ledger.Garbage(), b.collectIn()
 }
 
-// released gives room to bodies that wait for it; the caller holds the lock.
+// collectIn returns in what time the garbage collector may run; the caller holds the lock.
+func (b *Budget) collectIn() time.Duration {
+	if b.collectedAt.IsZero() {
+		return 0
+	}
+	return max(minCollectInterval-b.clock().Sub(b.collectedAt), 0)
+}
+
+// released gives room to bodies that wait for it, now and once garbage is collected; the caller
+// holds the lock.
 func (b *Budget) released() {
 	b.grant()
-	if len(b.waiting) > 0 && b.ledger.Garbage() > 0 {
-		go b.collectGarbage()
+	if len(b.waiting) == 0 || b.ledger.Garbage() == 0 || b.scheduled {
+		return
 	}
+	b.scheduled = true
+	time.AfterFunc(b.collectIn(), b.collectScheduled)
+}
+
+func (b *Budget) collectScheduled() {
+	b.mu.Lock()
+	b.scheduled = false
+	b.mu.Unlock()
+	b.collectGarbage()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.released()
 }
 
 // reclaim has the holders give memory back and returns how much they do.
--- a/internal/gateway/membudget/membudget_test.go
+++ b/internal/gateway/membudget/membudget_test.go
@@ -134,3 +134,35 @@
 		g.Expect(short.OfBodies()).To(Equal(c.ofBodies))
 	}
 }
+
+// Guards against a heap that grows beside its garbage, and against a collector that runs for each body.
+func TestTheMemoryOfABodyCountsUntilItIsCollected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		runs := 0
+		b := membudget.New(membudget.Options{Limits: memory.NewLimits(100 * mb), Collect: func() { runs++ }})
+		for range 2 {
+			hold, err := b.Await(t.Context(), 20*mb, 0)
+			g.Expect(err).NotTo(HaveOccurred())
+			hold.Release()
+		}
+		g.Expect(runs).To(BeZero(), "there was room")
+		hold, err := b.Await(t.Context(), 48*mb, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(runs).To(Equal(1))
+		began := time.Now()
+		for range 100 {
+			hold.Release()
+			hold, err = b.Await(t.Context(), 48*mb, time.Minute)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		g.Expect(runs).To(Equal(101))
+		g.Expect(time.Since(began)).To(BeNumerically(">=", 100*50*time.Millisecond))
+		hold.Release()
+		_, ok := b.TryHold(memory.Request, 30*mb)
+		g.Expect(ok).To(BeFalse(), "the last one may not be collected yet, and the collector ran a moment ago")
+		time.Sleep(50 * time.Millisecond)
+		_, ok = b.TryHold(memory.Request, 30*mb)
+		g.Expect(ok).To(BeTrue())
+	})
+}
--- a/internal/gateway/pipeline/body.go
+++ b/internal/gateway/pipeline/body.go
@@ -108,15 +108,16 @@
 		body.refuse(&http.MaxBytesError{Limit: br.limit})
 		return body, nil
 	}
+	br.conn.arrival.wait()
 	if err := br.reserve(ctx, body, r); err != nil {
 		body.refuse(err)
 		return body, nil
 	}
-	br.conn.arrival.begin(r.ContentLength)
 	if err := br.conn.bodyBegins(waits); err != nil {
 		body.hold.Release()
 		return nil, err
 	}
+	br.conn.arrival.begin(r.ContentLength)
 	err = br.readPieces(body, r.Body, r.ContentLength)
 	if isOwn(err) {
 		body.refuse(err)
@@ -149,7 +150,6 @@
 	}
 	began := time.Now()
 	options := &br.conn.server.options
-	br.conn.arrival.wait()
 	hold, err := options.Memory.Await(ctx, length, options.Patience(r))
 	body.hold, body.waited = hold, time.Since(began)
 	if errors.Is(err, membudget.ErrTooLarge) {
--- a/internal/gateway/pipeline/reclaim.go
+++ b/internal/gateway/pipeline/reclaim.go
@@ -96,7 +96,8 @@
 	a.announced, a.arrived = announced, 0
 }
 
-// wait notes that nothing is read of a body until there is room for it.
+// wait notes that nothing is read of a body until there is room for it, and its client is told to
+// send it.
 func (a *arrival) wait() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
