core/gateway/estimate: a wrong number of slots stops no gateway

Cause: which slots are better left free was found by trying each number of requests from 1 to the slots, with the lock of the service held.

Looked for elsewhere: a predicted time that overflowed to a negative one is bounded, and so is the time that a target says it warms up.

Why it holds: no step depends on a number from outside any more.

--- a/core/gateway/estimate/levels.go
+++ b/core/gateway/estimate/levels.go
@@ -118,10 +118,15 @@
 
 // limit returns the number of concurrent requests with which a target with the given
 // number of slots does the most work a second: all of its slots, unless fewer gain
-// noticeably.
+// noticeably. Of a level only the fullest target is considered, since it does the most
+// work, so that the time does not grow with the slots.
 func (l *levels) limit(slots int) int {
 	bestLimit, bestRate := slots, minLimitGain*l.rate(slots, slots)
-	for active := 1; active < slots; active++ {
+	for level := range levelCount {
+		active := (level + 1) * slots / levelCount
+		if active < 1 || active >= slots {
+			continue
+		}
 		if rate := l.rate(active, slots); rate > bestRate {
 			bestLimit, bestRate = active, rate
 		}
--- a/core/gateway/load/load.go
+++ b/core/gateway/load/load.go
@@ -24,6 +24,13 @@
 	"time"
 )
 
+// MaxCount is the highest number that a report may have in any of its fields. No target
+// works on so many requests at once; a higher number is an error of the target.
+const MaxCount = 1 << 20
+
+// maxPredicted bounds the predicted time of a request.
+const maxPredicted = 24 * time.Hour
+
 // Report is the load that a target reported. The zero Report is that of a target without
 // slots.
 type Report struct {
@@ -36,9 +43,9 @@
 
 // New returns a report of running and waiting requests at a target with the given slots,
 // received at the given time. slowness is the ratio of the current time of work to its
-// usual time: 1 is the usual speed, 2 half of it.
+// usual time: 1 is the usual speed, 2 half of it. Slots beyond MaxCount count as MaxCount.
 func New(running, waiting, slots int, slowness float64, receivedAt time.Time) Report {
-	return Report{running: running, waiting: waiting, slots: slots, slowness: slowness, receivedAt: receivedAt}
+	return Report{running: running, waiting: waiting, slots: min(slots, MaxCount), slowness: slowness, receivedAt: receivedAt}
 }
 
 // Running returns how many requests the target works on.
@@ -57,7 +64,7 @@
 func (r Report) At() time.Time { return r.receivedAt }
 
 // ErrReport is returned for text that is not a load report.
-var ErrReport = errors.New("a load report must have three or four comma-separated whole numbers: running, waiting, slots, percent")
+var ErrReport = errors.New("a load report must have three or four comma-separated whole numbers of up to 1048576: running, waiting, slots, percent")
 
 // Indexes of the numbers of a report on the wire, and the maximum count.
 const (
@@ -88,7 +95,7 @@
 	numbers[slownessField] = usualPercent
 	for i, field := range fields {
 		n, err := strconv.Atoi(strings.TrimSpace(field))
-		if err != nil || n < 0 {
+		if err != nil || n < 0 || n > MaxCount {
 			return Report{}, ErrReport
 		}
 		numbers[i] = n
@@ -120,9 +127,8 @@
 	if r.slots > 1 {
 		work *= 1 + fullnessWeight*float64(r.running)/float64(r.slots)
 	}
-	if r.Free() > 0 {
-		return time.Duration(work)
+	if r.Free() == 0 {
+		work *= 1 + float64(r.waiting+1)/float64(r.slots)
 	}
-	queue := float64(r.waiting+1) / float64(r.slots)
-	return time.Duration(work * (1 + queue))
+	return time.Duration(min(work, float64(maxPredicted)))
 }
--- a/core/gateway/load/load_test.go
+++ b/core/gateway/load/load_test.go
@@ -25,7 +25,7 @@
 	r, err = load.Parse("0,0,3", now)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(r.Slowness()).To(Equal(1.0))
-	for _, bad := range []string{"", "1,2", "1,2,3,4,5", "a,0,3", "-1,0,3", "1,,3"} {
+	for _, bad := range []string{"", "1,2", "1,2,3,4,5", "a,0,3", "-1,0,3", "1,,3", "0,0,3728190345,100", "0,0,1048577", "1048577,0,3", "0,1048577,3", "0,0,3,1048577"} {
 		_, err := load.Parse(bad, now)
 		g.Expect(err).To(MatchError(load.ErrReport), bad)
 	}
@@ -50,6 +50,14 @@
 	}
 }
 
+// Guards against a prediction that overflows and makes the slowest target look the fastest.
+func TestPredictionOfTheHighestNumbersIsNotNegative(t *testing.T) {
+	g := NewWithT(t)
+	r, err := load.Parse("1048576,1048576,1,1048576", time.Time{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Predict(time.Hour, 8)).To(BeNumerically(">", time.Hour))
+}
+
 func TestTargetWithOneSlotHasNoLastSlot(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(report(0, 0, 1, 1).LastSlot()).To(BeFalse())
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -720,3 +720,20 @@
 		})
 	}
 }
+
+// Guards against a gateway that stands still for a wrong number in the load that a target reports (review/1).
+func TestAWrongNumberOfSlotsHoldsNoRequestBack(t *testing.T) {
+	for _, slots := range []string{"3728190345", "999999999999999999", "1048576"} {
+		t.Run(slots, func(t *testing.T) {
+			g := NewWithT(t)
+			spoilt, sound := newStandin(t, "s1", "shop", "a", ok), newStandin(t, "s2", "shop", "a", ok)
+			spoilt.setLoad("0,0," + slots + ",100")
+			sound.setLoad("0,0,3,100")
+			f := newFixture(t, spoilt, sound).start()
+			for range 20 {
+				g.Expect(f.read().status).To(Equal(http.StatusOK))
+				g.Expect(f.order().status).To(Equal(http.StatusOK))
+			}
+		})
+	}
+}
--- a/internal/gateway/upstream/probe.go
+++ b/internal/gateway/upstream/probe.go
@@ -11,6 +11,9 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/quota"
 )
 
+// maxWarmup bounds how much longer a target may say that it warms up.
+const maxWarmup = time.Hour
+
 // errWrongInstance means that another target answered at the address.
 var errWrongInstance = errors.New("another target answered the health check")
 
@@ -76,11 +79,15 @@
 func (c *Conn) parseHealth(response *http.Response, start time.Time) Health {
 	names, now := c.pool.options.Names, c.pool.options.Clock()
 	h := Health{healthy: response.StatusCode == http.StatusOK, took: now.Sub(start)}
-	if report, err := load.Parse(response.Header.Get(names.Load), now); err == nil {
-		h.load, h.hasLoad = report, true
+	if text := response.Header.Get(names.Load); text != "" {
+		report, err := load.Parse(text, now)
+		if err != nil {
+			c.pool.options.Log.Warn("invalid load report of a target ignored", "target", c.target.ID, "error", err.Error())
+		}
+		h.load, h.hasLoad = report, err == nil
 	}
 	if ms, err := strconv.ParseFloat(response.Header.Get(names.Warmup), 64); err == nil && ms > 0 {
-		h.warmup = time.Duration(ms * float64(time.Millisecond))
+		h.warmup = time.Duration(min(ms*float64(time.Millisecond), float64(maxWarmup)))
 	}
 	return h
 }
