internal/gateway/forward: clients that found no room don't come back together

Found by reading: a client that was refused for want of memory, and would wait for less than a body is usually held, was told to come back within 150 ms of all others like it. They are now spread over half of that time, at least. TestARequestWithoutRoomIsNotRunAndToldWhenToComeBack bounds the pause from both sides.

--- a/internal/gateway/forward/body.go
+++ b/internal/gateway/forward/body.go
@@ -16,6 +16,9 @@
 	// bodyPatience is the share of the time that a request has for which its body may wait for
 	// room: the rest is for the target.
 	bodyPatience = 0.5
+	// minNoRoomSpread is over how many times the usual time of a body clients that found no
+	// room come back, at least.
+	minNoRoomSpread = 2
 	// defaultBodyTime is how long a body is taken to be held if none was yet.
 	defaultBodyTime = time.Second
 )
@@ -80,6 +83,7 @@
 		usual = defaultBodyTime
 	}
 	left := req.deadline.Client().Sub(h.options.Clock())
+	left = max(left, minNoRoomSpread*usual) // clients that would wait for less don't come back together
 	pause := refusal.RetryAfterUnavailable(usual, left, h.options.Draw())
 	return verdict.New(verdict.NotRun, verdict.ReasonNoMemory, "there is no room in memory for the request").WithRetryAfter(pause)
 }
--- a/internal/gateway/forward/body_test.go
+++ b/internal/gateway/forward/body_test.go
@@ -19,10 +19,10 @@
 
 func TestARequestWithoutRoomIsNotRunAndToldWhenToComeBack(t *testing.T) {
 	for name, c := range map[string]struct {
-		usual, least time.Duration
+		usual, least, most time.Duration
 	}{
-		"bodies are held for seconds": {3 * time.Second, 3 * time.Second},
-		"none was held yet":           {0, time.Second},
+		"bodies are held for seconds": {3 * time.Second, 3 * time.Second, 4500 * time.Millisecond},
+		"none was held yet":           {0, time.Second, 1500 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -31,14 +31,15 @@
 			limits := memory.NewLimits(10 << 20)
 			f.memory = membudget.New(membudget.Options{Limits: limits})
 			f.options.UsualBodyTime = func() time.Duration { return c.usual }
+			f.options.Draw = func() float64 { return 0.999 }
 			f.start()
 			full := f.memory.Hold(memory.Request, limits.Total()-(20<<10)) // a connection fits
-			got := f.order()
+			got := f.send(t.Context(), http.MethodPost, orderPath, names.Deadline, "500")
 			g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
 			g.Expect(got.header.Get(verdict.Header)).To(Equal(verdict.NotRun.String()))
 			pause, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(pause).To(BeNumerically(">=", c.least.Seconds()))
+			g.Expect(pause).To(And(BeNumerically(">", c.least.Seconds()+0.4), BeNumerically("<=", c.most.Seconds())))
 			g.Expect(target.runs.Load()).To(BeZero())
 			full.Release()
 			g.Expect(f.order().status).To(Equal(http.StatusOK))
--- a/internal/gateway/membudget/membudget.go
+++ b/internal/gateway/membudget/membudget.go
@@ -13,10 +13,8 @@
 package membudget
 
 import (
-	"context"
 	"errors"
 	"runtime"
-	"slices"
 	"sync"
 	"time"
 
@@ -76,19 +74,13 @@
 	mu          sync.Mutex
 	ledger      *memory.Ledger
 	collectedAt time.Time
-	scheduled   bool // a run of the garbage collector
+	scheduled   bool // collectScheduled will be called
 	waiting     []*waiter
 	waits       uint64
 	refusals    uint64
 	reclaims    []Reclaim
 }
 
-// waiter is a body that waits for room.
-type waiter struct {
-	bytes   int64
-	granted chan *Hold
-}
-
 // New returns a budget of which nothing is held.
 func New(o Options) *Budget {
 	if o.Clock == nil {
@@ -178,14 +170,15 @@
 	return true
 }
 
-// garbage returns how many bytes may be uncollected, and in what time the garbage collector may run.
+// garbage returns how many bytes may be uncollected, and after what time the garbage
+// collector may run.
 func (b *Budget) garbage() (n int64, in time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.ledger.Garbage(), b.collectIn()
 }
 
-// collectIn returns in what time the garbage collector may run; the caller holds the lock.
+// collectIn returns after what time the garbage collector may run; the caller holds the lock.
 func (b *Budget) collectIn() time.Duration {
 	if b.collectedAt.IsZero() {
 		return 0
@@ -204,6 +197,7 @@
 	time.AfterFunc(b.collectIn(), b.collectScheduled)
 }
 
+// collectScheduled runs the garbage collector for bodies that wait for room.
 func (b *Budget) collectScheduled() {
 	b.mu.Lock()
 	b.scheduled = false
@@ -233,99 +227,6 @@
 	return b.ledger.NeedsOthers(h, n)
 }
 
-// Await holds room for a body of n bytes and waits for it for up to patience. The error is
-// ErrNoRoom, ErrTooLarge, or that of ctx.
-func (b *Budget) Await(ctx context.Context, n int64, patience time.Duration) (*Hold, error) {
-	hold, err := b.tryBody(n)
-	if hold != nil || err != nil {
-		return hold, err
-	}
-	if b.collectGarbage() {
-		if hold, err = b.tryBody(n); hold != nil || err != nil {
-			return hold, err
-		}
-	}
-	if b.reclaim(memory.Body, n) > 0 {
-		patience = max(patience, reclaimTime)
-	}
-	w := b.enqueue(n, patience)
-	if w == nil {
-		return nil, ErrNoRoom
-	}
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case hold := <-w.granted:
-		return hold, nil
-	case <-timer.C:
-		err = ErrNoRoom
-	case <-ctx.Done():
-		err = ctx.Err()
-	}
-	return b.leave(w, err)
-}
-
-// tryBody holds room for a body if there is room for it and no other one of its length waits.
-func (b *Budget) tryBody(n int64) (*Hold, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	switch {
-	case !b.ledger.MayEverFit(n):
-		return nil, ErrTooLarge
-	case b.ledger.Fits(memory.Body, n):
-		return b.add(memory.Body, n), nil
-	default:
-		return nil, nil
-	}
-}
-
-// enqueue has a body wait for room; nil if it may not.
-func (b *Budget) enqueue(n int64, patience time.Duration) *waiter {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if patience <= 0 || len(b.waiting) >= maxWaiting {
-		b.refusals++
-		return nil
-	}
-	w := &waiter{bytes: n, granted: make(chan *Hold, 1)}
-	b.waiting = append(b.waiting, w)
-	b.waits++
-	b.released() // room may have been given back meanwhile
-	return w
-}
-
-// leave ends a wait that brought nothing, or returns the room that it was granted meanwhile.
-func (b *Budget) leave(w *waiter, err error) (*Hold, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	select {
-	case hold := <-w.granted:
-		return hold, nil
-	default:
-	}
-	b.waiting = slices.DeleteFunc(b.waiting, func(other *waiter) bool { return other == w })
-	b.refusals++
-	return nil, err
-}
-
-// grant gives room to bodies that wait for it; the caller holds the lock.
-func (b *Budget) grant() {
-	if len(b.waiting) == 0 {
-		return
-	}
-	lengths := make([]int64, len(b.waiting))
-	for i, w := range b.waiting {
-		lengths[i] = w.bytes
-	}
-	granted := b.ledger.Grant(lengths)
-	for _, i := range granted {
-		b.waiting[i].granted <- b.add(memory.Body, lengths[i])
-	}
-	for i := len(granted) - 1; i >= 0; i-- {
-		b.waiting = slices.Delete(b.waiting, granted[i], granted[i]+1)
-	}
-}
-
 // Usage returns what a holder holds.
 func (b *Budget) Usage(h memory.Holder) memory.Usage {
 	b.mu.Lock()
