--- a/internal/gateway/forward/link_test.go
+++ b/internal/gateway/forward/link_test.go
@@ -21,6 +21,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget/membudgettest"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 )
@@ -163,7 +164,7 @@
 // newThrottled begins; answers of up to wholeBytes are read whole, 0 for the default.
 func newThrottled(t *testing.T, wholeBytes int, do http.HandlerFunc) *throttled {
 	t.Helper()
-	n := &throttled{in: newSharedLink(), out: newSharedLink(), room: answerBudget(23 << 20), clients: newDialled()}
+	n := &throttled{in: newSharedLink(), out: newSharedLink(), room: membudgettest.ForAnswers(23 << 20), clients: newDialled()}
 	targets := newDialled()
 	s := &standin{do: do}
 	s.setLoad("0,0,3,100")
@@ -239,7 +240,7 @@
 				}
 				n := newThrottled(t, most, ofLength)
 				took[whole] = n.fetch(g, "one", bytes)
-				t.Logf("%d bytes, whole %v: %v, %d bytes held", bytes, whole, took[whole], peakAnswers(n.room))
+				t.Logf("%d bytes, whole %v: %v, %d bytes held", bytes, whole, took[whole], membudgettest.PeakAnswers(n.room))
 				n.close()
 			}
 			g.Expect(took[true]).To(BeNumerically(">", 2*once))
@@ -267,12 +268,12 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		_, err = io.ReadFull(near, make([]byte, 100_000))
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(heldAnswers(n.room)).NotTo(BeZero())
+		g.Expect(membudgettest.HeldAnswers(n.room)).NotTo(BeZero())
 		g.Expect(near.Close()).To(Succeed())
 		time.Sleep(500 * time.Millisecond)
 		synctest.Wait()
 		g.Expect(gone).To(BeClosed(), "the target has been told")
-		g.Expect(heldAnswers(n.room)).To(BeZero())
+		g.Expect(membudgettest.HeldAnswers(n.room)).To(BeZero())
 	})
 }
 
@@ -340,6 +341,6 @@
 		_ = near.Close()
 		synctest.Wait()
 		g.Expect(told).To(BeClosed())
-		g.Expect(heldAnswers(n.room)).To(BeZero())
+		g.Expect(membudgettest.HeldAnswers(n.room)).To(BeZero())
 	})
 }
--- a/internal/gateway/forward/stream_test.go
+++ b/internal/gateway/forward/stream_test.go
@@ -18,6 +18,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/forward"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget/membudgettest"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
@@ -50,7 +51,7 @@
 
 // withRoom gives the fixture room for answers.
 func (f *fixture) withRoom(bytes int64) *membudget.Budget {
-	room := answerBudget(bytes)
+	room := membudgettest.ForAnswers(bytes)
 	f.options.Pool = upstream.New(upstream.Options{Names: names, Budget: room})
 	return room
 }
@@ -73,8 +74,8 @@
 				expectLong(g, f.read())
 				expectLong(g, f.order())
 			}
-			g.Eventually(heldAnswers, eventual).WithArguments(room).Should(BeZero())
-			g.Expect(peakAnswers(room)).To(BeNumerically("<", 64<<10))
+			g.Eventually(membudgettest.HeldAnswers, eventual).WithArguments(room).Should(BeZero())
+			g.Expect(membudgettest.PeakAnswers(room)).To(BeNumerically("<", 64<<10))
 			g.Expect(f.options.Pool.Idle()[catalog.Life{ID: "s1"}]).To(Equal(1), "its connection serves again")
 		})
 	}
@@ -93,7 +94,7 @@
 			g.Expect(got.err).To(MatchError(io.ErrUnexpectedEOF))
 			g.Expect(broken.runs.Load()).To(Equal(int32(1)))
 			g.Expect(sound.runs.Load()).To(BeZero(), "what was begun can't be begun again")
-			g.Eventually(heldAnswers, eventual).WithArguments(room).Should(BeZero())
+			g.Eventually(membudgettest.HeldAnswers, eventual).WithArguments(room).Should(BeZero())
 			// The target that broke off is left alone now.
 			g.Expect(f.read().body).To(Equal("whole answer"))
 			g.Expect(broken.runs.Load()).To(Equal(int32(1)))
@@ -110,7 +111,7 @@
 	f.start()
 	g.Expect(f.read().body).To(Equal("whole answer"))
 	g.Expect(broken.runs.Load()).To(Equal(int32(1)))
-	g.Eventually(heldAnswers, eventual).WithArguments(room).Should(BeZero())
+	g.Eventually(membudgettest.HeldAnswers, eventual).WithArguments(room).Should(BeZero())
 }
 
 func TestALongAnswerOfAHedgeIsWholeAndTheLoserFreed(t *testing.T) {
@@ -135,7 +136,7 @@
 	expectLong(g, f.read())
 	g.Expect(quick.runs.Load()).To(Equal(int32(1)))
 	g.Eventually(gone, eventual).Should(BeClosed())
-	g.Eventually(heldAnswers, eventual).WithArguments(room).Should(BeZero())
+	g.Eventually(membudgettest.HeldAnswers, eventual).WithArguments(room).Should(BeZero())
 }
 
 func TestOfTwoLongAnswersOneIsPassedOnAndTheOtherFreed(t *testing.T) {
@@ -166,7 +167,7 @@
 	raced.Store(true)
 	expectLong(g, f.read())
 	g.Expect(first.runs.Load() + second.runs.Load()).To(Equal(int32(12)))
-	g.Eventually(heldAnswers, eventual).WithArguments(room).Should(BeZero())
+	g.Eventually(membudgettest.HeldAnswers, eventual).WithArguments(room).Should(BeZero())
 }
 
 func TestAClientThatLeavesMidwayFreesTheTargetAndTheBytes(t *testing.T) {
@@ -186,10 +187,10 @@
 	client := f.open()
 	client.expectHead(g)
 	g.Consistently(gone).ShouldNot(BeClosed())
-	g.Expect(heldAnswers(room)).To(BeNumerically("<", 64<<10))
+	g.Expect(membudgettest.HeldAnswers(room)).To(BeNumerically("<", 64<<10))
 	_ = client.conn.Close()
 	g.Eventually(gone, eventual).Should(BeClosed())
-	g.Eventually(heldAnswers, eventual).WithArguments(room).Should(BeZero())
+	g.Eventually(membudgettest.HeldAnswers, eventual).WithArguments(room).Should(BeZero())
 }
 
 // slowClient has asked for a long answer and takes of it what a test says.
@@ -247,8 +248,8 @@
 	for _, body := range bodies {
 		g.Expect(bytes.Equal(body, longBody)).To(BeTrue())
 	}
-	g.Expect(peakAnswers(room)).To(BeNumerically("<=", limit+clients*least))
-	g.Eventually(heldAnswers, eventual).WithArguments(room).Should(BeZero())
+	g.Expect(membudgettest.PeakAnswers(room)).To(BeNumerically("<=", limit+clients*least))
+	g.Eventually(membudgettest.HeldAnswers, eventual).WithArguments(room).Should(BeZero())
 }
 
 // lineWriter hands out each log line.
--- a/internal/gateway/upstream/answer_test.go
+++ b/internal/gateway/upstream/answer_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
 	"github.com/sprucecrank/sprucecrank/core/gateway/memory"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget/membudgettest"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
@@ -79,7 +80,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			s := serve(t, func(conn net.Conn, r *http.Request, _ int32) { write(conn, c.answer(r.Header.Get(names.RequestID))) })
-			budget := answerBudget(1 << 20)
+			budget := membudgettest.ForAnswers(1 << 20)
 			pool := upstream.New(upstream.Options{Names: names, Budget: budget})
 			for _, id := range []string{"one", "two"} {
 				conn, answer := startStreamed(g, t.Context(), pool, s.target, id)
@@ -97,10 +98,10 @@
 				g.Expect(answer.BytesRead()).To(Equal(longBytes))
 				answer.Close()
 				g.Expect(ends).To(Equal(1))
-				g.Expect(heldAnswers(budget)).To(BeZero())
+				g.Expect(membudgettest.HeldAnswers(budget)).To(BeZero())
 			}
 			g.Expect(s.accepted.Load()).To(Equal(int32(1)))
-			g.Expect(peakAnswers(budget)).To(BeNumerically("<", 64<<10))
+			g.Expect(membudgettest.PeakAnswers(budget)).To(BeNumerically("<", 64<<10))
 		})
 	}
 }
@@ -125,7 +126,7 @@
 					}
 					write(conn, wholeAnswer(id, c.body))
 				})
-				budget := answerBudget(2 << 20)
+				budget := membudgettest.ForAnswers(2 << 20)
 				r := request("one")
 				r.MayStream = c.streams
 				answer, failure := exchange(t, upstream.New(upstream.Options{Names: names, Budget: budget}), s, r)
@@ -133,9 +134,9 @@
 				g.Expect(answer.Buffered()).To(BeTrue())
 				g.Expect(string(answer.Body()) == c.body).To(BeTrue())
 				g.Expect(answer.Length()).To(Equal(int64(len(c.body))))
-				g.Expect(heldAnswers(budget)).To(BeNumerically(">=", len(c.body)))
+				g.Expect(membudgettest.HeldAnswers(budget)).To(BeNumerically(">=", len(c.body)))
 				answer.Close()
-				g.Expect(heldAnswers(budget)).To(BeZero())
+				g.Expect(membudgettest.HeldAnswers(budget)).To(BeZero())
 			})
 		}
 	}
@@ -156,7 +157,7 @@
 			s := serve(t, func(conn net.Conn, r *http.Request, _ int32) {
 				write(conn, strings.Replace(wholeAnswer(r.Header.Get(names.RequestID), body), "200 OK", c.status, 1))
 			})
-			budget := answerBudget(0)
+			budget := membudgettest.ForAnswers(0)
 			pool := upstream.New(upstream.Options{Names: names, Budget: budget})
 			for _, budgetLeft := range []bool{false, true} {
 				if budgetLeft {
@@ -178,7 +179,7 @@
 				g.Expect(got).To(Equal(body))
 				answer.Close()
 				pool.Put(conn)
-				g.Expect(heldAnswers(budget)).To(BeZero())
+				g.Expect(membudgettest.HeldAnswers(budget)).To(BeZero())
 			}
 			g.Expect(s.accepted.Load()).To(Equal(int32(1)))
 		})
@@ -208,7 +209,7 @@
 				}
 				_ = conn.Close()
 			})
-			budget := answerBudget(1 << 20)
+			budget := membudgettest.ForAnswers(1 << 20)
 			conn, answer := startStreamed(g, t.Context(), upstream.New(upstream.Options{Names: names, Budget: budget}), s.target, "one")
 			var ended *verdict.Error
 			answer.OnEnd(func(failure *verdict.Error) { ended = failure })
@@ -221,7 +222,7 @@
 			g.Expect(ended.Reason()).To(Equal(verdict.ReasonTargetFailed))
 			g.Expect(ended.Verdict()).To(Equal(verdict.MayHaveRun))
 			answer.Close()
-			g.Expect(heldAnswers(budget)).To(BeZero())
+			g.Expect(membudgettest.HeldAnswers(budget)).To(BeZero())
 			g.Expect(conn.Target()).To(Equal(s.target))
 		})
 	}
@@ -275,7 +276,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		target := &pipeTarget{}
-		budget := answerBudget(1 << 20)
+		budget := membudgettest.ForAnswers(1 << 20)
 		pool := upstream.New(upstream.Options{Names: names, Budget: budget, Dial: target.dial})
 		conn, answer := startStreamed(g, t.Context(), pool, catalog.Target{ID: "t"}, "one")
 		answer.OnEnd(func(*verdict.Error) { pool.Put(conn) })
@@ -287,7 +288,7 @@
 		time.Sleep(7 * time.Second)
 		synctest.Wait()
 		g.Expect(target.conns[0].written.Load()).To(Equal(first), "nothing more was read")
-		g.Expect(heldAnswers(budget)).To(BeNumerically("<", 32<<10))
+		g.Expect(membudgettest.HeldAnswers(budget)).To(BeNumerically("<", 32<<10))
 		got, err := readRest(answer)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(got).NotTo(BeEmpty())
@@ -307,7 +308,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				target := &pipeTarget{}
-				budget := answerBudget(1 << 20)
+				budget := membudgettest.ForAnswers(1 << 20)
 				pool := upstream.New(upstream.Options{Names: names, Budget: budget, Dial: target.dial})
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
@@ -325,7 +326,7 @@
 				answer.Close()
 				answer.Close()
 				g.Expect(answer.BackpressureTime()).To(Equal(3*time.Second), "the target was blocked for this time")
-				g.Expect(heldAnswers(budget)).To(BeZero())
+				g.Expect(membudgettest.HeldAnswers(budget)).To(BeZero())
 				g.Expect(ends).To(HaveLen(1))
 				g.Expect(ends[0].Reason()).To(Equal(verdict.ReasonClientGone), "not counted as a failure of the target")
 			})
@@ -342,7 +343,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		target := &pipeTarget{}
-		budget := answerBudget(limit)
+		budget := membudgettest.ForAnswers(limit)
 		pool := upstream.New(upstream.Options{Names: names, Budget: budget, Dial: target.dial})
 		var open []*upstream.Answer
 		for range answers {
@@ -351,14 +352,14 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			open = append(open, answer)
 		}
-		g.Expect(heldAnswers(budget)).To(BeNumerically(">", limit-(16<<10)), "the budget is used")
+		g.Expect(membudgettest.HeldAnswers(budget)).To(BeNumerically(">", limit-(16<<10)), "the budget is used")
 		for _, answer := range open {
 			_, err := readRest(answer)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(answer.BytesRead()).To(Equal(longBytes))
 			answer.Close()
 		}
-		g.Expect(peakAnswers(budget)).To(BeNumerically("<=", limit+answers*minBytes))
-		g.Expect(heldAnswers(budget)).To(BeZero())
+		g.Expect(membudgettest.PeakAnswers(budget)).To(BeNumerically("<=", limit+answers*minBytes))
+		g.Expect(membudgettest.HeldAnswers(budget)).To(BeZero())
 	})
 }
