--- a/core/gateway/estimate/levels_test.go
+++ b/core/gateway/estimate/levels_test.go
@@ -37,8 +37,7 @@
 	}
 }
 
-// Guards against a gateway that stands still for a wrong number of slots (review/1): a prediction takes the
-// same steps whatever the number is.
+// Guards against a gateway that stands still for a wrong number of slots (review/1).
 func TestAPredictionEndsWhateverTheNumberOfSlots(t *testing.T) {
 	g := NewWithT(t)
 	s := New()
--- a/core/gateway/memory/memory_test.go
+++ b/core/gateway/memory/memory_test.go
@@ -34,8 +34,7 @@
 	g.Expect(names).To(HaveLen(len(memory.Holders())))
 }
 
-// Of every deployment's memory a body of the longest length that the users allow must fit, and the
-// limits together leave the process a part of it.
+// Guards against limits by which the longest body that the users allow is too long for some deployment.
 func TestLimitsFollowTheMemoryOfTheProcess(t *testing.T) {
 	for _, process := range []int64{136 * mb, 184 * mb, 284 * mb, 1048 * mb} {
 		g := NewWithT(t)
--- a/e2e/gateway/memory_test.go
+++ b/e2e/gateway/memory_test.go
@@ -25,8 +25,7 @@
 
 const (
 	megabyte = 1 << 20
-	// longestBody is the longest body that the configuration of these tests allows, as the users'
-	// configurations do, in bytes.
+	// longestBody is the longest body that the configuration allows, as the users' do, in bytes.
 	longestBody = 64 * megabyte
 	// longestHead is the longest head that it allows.
 	longestHead = 16 << 10
@@ -114,8 +113,7 @@
 	processes []*process
 	attempts  atomic.Int64
 	pids      []int
-	// clientsComeBack says that clients of short requests may be refused, or have their connections
-	// closed unread, and come back.
+	// clientsComeBack says that clients of short requests may be refused, and come back.
 	clientsComeBack bool
 }
 
