internal/gateway/membudget: one way to make room, one pair of errors

Found by reading the whole change once more; behaviour stays as it is. - TryHold, TryResize and Await each tried, ran the collector, tried, had holders give back and tried again. makeRoom does it for all three. Holds grow by what is asked for (TryGrow), so that callers need not read their length first. - pipeline.ErrNoRoom and ErrTooLarge repeated those of membudget, with a translation between; handlers see membudget's now. - The room that is left for bodies was worked out twice in the ledger, and the text of load.ErrReport repeated MaxCount.

--- a/core/gateway/load/load.go
+++ b/core/gateway/load/load.go
@@ -17,7 +17,7 @@
 package load
 
 import (
-	"errors"
+	"fmt"
 	"math"
 	"strconv"
 	"strings"
@@ -64,7 +64,7 @@
 func (r Report) At() time.Time { return r.receivedAt }
 
 // ErrReport is returned for text that is not a load report.
-var ErrReport = errors.New("a load report must have three or four comma-separated whole numbers of up to 1048576: running, waiting, slots, percent")
+var ErrReport = fmt.Errorf("a load report must have three or four comma-separated whole numbers of up to %d: running, waiting, slots, percent", MaxCount)
 
 // Indexes of the numbers of a report on the wire, and the maximum count.
 const (
--- a/core/gateway/memory/memory.go
+++ b/core/gateway/memory/memory.go
@@ -148,7 +148,7 @@
 	case Request:
 		return true
 	case Body:
-		return l.fitsShared(n) && n <= l.limits.body-l.usage[Body].held-l.garbage
+		return l.fitsShared(n) && l.fitsBodies(n)
 	case Answer:
 		return l.fitsShared(n) && n <= l.limits.answer-l.usage[Answer].held
 	default:
@@ -160,10 +160,14 @@
 	return n <= l.limits.shared-(l.held+l.garbage-l.usage[Request].held)
 }
 
+func (l *Ledger) fitsBodies(n int64) bool {
+	return n <= l.limits.body-l.usage[Body].held-l.garbage
+}
+
 // NeedsOthers reports whether n more bytes would fit if other holders gave back enough: false if
 // the limit of the holder itself leaves no room.
 func (l *Ledger) NeedsOthers(h Holder, n int64) bool {
-	return h != Body || n <= l.limits.body-l.usage[Body].held-l.garbage
+	return h != Body || l.fitsBodies(n)
 }
 
 // MayEverFit reports whether a body of n bytes can be held if no other one is.
--- a/internal/gateway/forward/body.go
+++ b/internal/gateway/forward/body.go
@@ -8,6 +8,7 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/deadline"
 	"github.com/sprucecrank/sprucecrank/core/gateway/refusal"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/pipeline"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
@@ -56,9 +57,9 @@
 		return nil
 	case errors.As(err, &tooLong):
 		return verdict.New(verdict.NotRun, verdict.ReasonBodyTooLarge, "the body is larger than the limits allow")
-	case errors.Is(err, pipeline.ErrTooLarge):
+	case errors.Is(err, membudget.ErrTooLarge):
 		return verdict.New(verdict.NotRun, verdict.ReasonBodyTooLarge, "the body is larger than the memory allows").WithCause(err)
-	case errors.Is(err, pipeline.ErrNoRoom):
+	case errors.Is(err, membudget.ErrNoRoom):
 		return h.noRoom(req).WithCause(err)
 	default:
 		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the body could not be read whole").WithCause(err)
--- a/internal/gateway/membudget/hold.go
+++ b/internal/gateway/membudget/hold.go
@@ -24,40 +24,39 @@
 	return h.bytes
 }
 
-// TryResize changes how many bytes are held, if there is room for more, and reports whether
-// there was.
-func (h *Hold) TryResize(n int64) bool {
-	if h.tryResize(n, false) {
+// TryGrow holds n more bytes, if there is room for them, and reports whether there was.
+func (h *Hold) TryGrow(n int64) bool {
+	ok, _ := h.budget.makeRoom(h.holder, n, func() bool { return h.tryGrow(n) })
+	return ok
+}
+
+func (h *Hold) tryGrow(n int64) bool {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.since.IsZero() {
 		return true
 	}
-	if h.holder == memory.Answer {
+	if !h.budget.ledger.Fits(h.holder, n) {
 		return false
 	}
-	if h.budget.collectGarbage() && h.tryResize(n, false) {
-		return true
-	}
-	return h.budget.reclaim(h.holder, n-h.Bytes()) > 0 && h.tryResize(n, false)
+	h.budget.ledger.Add(h.holder, n)
+	h.bytes += n
+	return true
 }
 
 // Resize changes how many bytes are held, also beyond the limits.
-func (h *Hold) Resize(n int64) { h.tryResize(n, true) }
-
-func (h *Hold) tryResize(n int64, force bool) bool {
+func (h *Hold) Resize(n int64) {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	if h.since.IsZero() {
-		return true
-	}
-	if !force && !h.budget.ledger.Fits(h.holder, n-h.bytes) {
-		return false
+		return
 	}
-	h.budget.ledger.Add(h.holder, n-h.bytes)
 	isLess := n < h.bytes
+	h.budget.ledger.Add(h.holder, n-h.bytes)
 	h.bytes = n
 	if isLess {
 		h.budget.released()
 	}
-	return true
 }
 
 // Release gives the bytes back; it may be called more than once.
--- a/internal/gateway/membudget/membudget.go
+++ b/internal/gateway/membudget/membudget.go
@@ -116,31 +116,42 @@
 }
 
 // TryHold counts n bytes until the Hold is released, if there is room for them.
-func (b *Budget) TryHold(h memory.Holder, n int64) (*Hold, bool) {
-	if hold, ok := b.tryHold(h, n); ok {
-		return hold, true
-	}
-	if h == memory.Answer {
-		return nil, false
-	}
-	if b.collectGarbage() {
-		if hold, ok := b.tryHold(h, n); ok {
-			return hold, true
+func (b *Budget) TryHold(h memory.Holder, n int64) (hold *Hold, ok bool) {
+	hold, _ = b.tryHold(h, n)
+	return hold, hold != nil
+}
+
+// tryHold holds n bytes, also where bodies wait for more, and returns what makeRoom does; the Hold
+// is nil if there is no room.
+func (b *Budget) tryHold(h memory.Holder, n int64) (hold *Hold, freed int64) {
+	_, freed = b.makeRoom(h, n, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if !b.ledger.Fits(h, n) {
+			return false
 		}
-	}
-	if b.reclaim(h, n) == 0 {
-		return nil, false
-	}
-	return b.tryHold(h, n)
+		hold = b.add(h, n)
+		return true
+	})
+	return hold, freed
 }
 
-func (b *Budget) tryHold(h memory.Holder, n int64) (*Hold, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.ledger.Fits(h, n) {
-		return nil, false
+// makeRoom calls try, which takes n bytes if there is room for them, and calls it again where room
+// was made: by the garbage collector, and then by holders that give memory back. For answers no
+// room is made: they go on in small pieces. It returns whether there was room, and how many
+// bytes holders give back.
+func (b *Budget) makeRoom(h memory.Holder, n int64, try func() bool) (ok bool, freed int64) {
+	if try() {
+		return true, 0
+	}
+	if h == memory.Answer {
+		return false, 0
+	}
+	if b.collectGarbage() && try() {
+		return true, 0
 	}
-	return b.add(h, n), true
+	freed = b.reclaim(h, n)
+	return freed > 0 && try(), freed
 }
 
 // add counts n bytes; the caller holds the lock.
--- a/internal/gateway/membudget/wait.go
+++ b/internal/gateway/membudget/wait.go
@@ -17,16 +17,14 @@
 // Await holds room for a body of n bytes and waits for it for up to patience. The error is
 // ErrNoRoom, ErrTooLarge, or that of ctx.
 func (b *Budget) Await(ctx context.Context, n int64, patience time.Duration) (*Hold, error) {
-	hold, err := b.tryBody(n)
-	if hold != nil || err != nil {
-		return hold, err
+	if !b.MayEverFit(n) {
+		return nil, ErrTooLarge
 	}
-	if b.collectGarbage() {
-		if hold, err = b.tryBody(n); hold != nil || err != nil {
-			return hold, err
-		}
+	hold, freed := b.tryHold(memory.Body, n)
+	if hold != nil {
+		return hold, nil
 	}
-	if b.reclaim(memory.Body, n) > 0 {
+	if freed > 0 {
 		patience = max(patience, reclaimTime)
 	}
 	w := b.enqueue(n, patience)
@@ -39,25 +37,9 @@
 	case hold := <-w.granted:
 		return hold, nil
 	case <-timer.C:
-		err = ErrNoRoom
+		return b.leave(w, ErrNoRoom)
 	case <-ctx.Done():
-		err = ctx.Err()
-	}
-	return b.leave(w, err)
-}
-
-// tryBody holds room for a body if there is room for it now, also where others wait for more; the
-// Hold is nil if there is none.
-func (b *Budget) tryBody(n int64) (*Hold, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	switch {
-	case !b.ledger.MayEverFit(n):
-		return nil, ErrTooLarge
-	case b.ledger.Fits(memory.Body, n):
-		return b.add(memory.Body, n), nil
-	default:
-		return nil, nil
+		return b.leave(w, ctx.Err())
 	}
 }
 
--- a/internal/gateway/pipeline/body.go
+++ b/internal/gateway/pipeline/body.go
@@ -25,14 +25,6 @@
 	bodyCopies = 2
 )
 
-// Reasons why a body was not read, as reading it returns them.
-var (
-	// ErrNoRoom means that there was no room in memory for the request.
-	ErrNoRoom = errors.New("there is no room in memory for the request")
-	// ErrTooLarge means that the process can never hold a body of that length.
-	ErrTooLarge = errors.New("the body is larger than the memory for bodies")
-)
-
 // Body is the body of a request, held whole and in pieces.
 type Body struct {
 	pieces [][]byte
@@ -53,8 +45,8 @@
 // Waited returns how long the body waited for room before it was read.
 func (b *Body) Waited() time.Duration { return b.waited }
 
-// Read implements io.Reader. It returns ErrNoRoom, ErrTooLarge or an *http.MaxBytesError for
-// a body that was not read.
+// Read implements io.Reader. It returns membudget.ErrNoRoom, membudget.ErrTooLarge or an
+// *http.MaxBytesError for a body that was not read.
 func (b *Body) Read(p []byte) (int, error) {
 	if b.err != nil {
 		return 0, b.err
@@ -100,7 +92,7 @@
 	case err != nil:
 		return nil, err
 	case br.request == nil:
-		body.refuse(ErrNoRoom)
+		body.refuse(membudget.ErrNoRoom)
 		return body, nil
 	case r.Body == http.NoBody:
 		return body, nil
@@ -133,7 +125,7 @@
 // isOwn reports whether an error belongs to the body rather than to its connection.
 func isOwn(err error) bool {
 	var tooLong *http.MaxBytesError
-	return errors.Is(err, ErrNoRoom) || errors.Is(err, ErrTooLarge) || errors.As(err, &tooLong)
+	return errors.Is(err, membudget.ErrNoRoom) || errors.Is(err, membudget.ErrTooLarge) || errors.As(err, &tooLong)
 }
 
 // reserve holds room for a body of an announced length, and waits for it.
@@ -143,8 +135,8 @@
 	case length < 0:
 		return nil // room is held as it arrives
 	case length <= memory.SmallBody:
-		if !br.request.TryResize(br.request.Bytes() + bodyCopies*length) {
-			return ErrNoRoom
+		if !br.request.TryGrow(bodyCopies * length) {
+			return membudget.ErrNoRoom
 		}
 		return nil
 	}
@@ -152,13 +144,10 @@
 	options := &br.conn.server.options
 	hold, err := options.Memory.Await(ctx, length, options.Patience(r))
 	body.hold, body.waited = hold, time.Since(began)
-	if errors.Is(err, membudget.ErrTooLarge) {
-		return ErrTooLarge
+	if err != nil && !errors.Is(err, membudget.ErrTooLarge) {
+		return membudget.ErrNoRoom // also where the server shuts down, or the client has left
 	}
-	if err != nil {
-		return ErrNoRoom
-	}
-	return nil
+	return err
 }
 
 // readPieces reads a body into pieces. The length is -1 if it is not announced.
@@ -195,25 +184,25 @@
 		return int(min(left, pieceBytes)), nil
 	}
 	size := min(max(body.length, firstPieceBytes), pieceBytes)
-	if br.grow(body, body.length+size) {
+	if br.grow(body, size) {
 		return int(size), nil
 	}
 	if br.conn.server.options.Memory.MayEverFit(body.length + size) {
-		return 0, ErrNoRoom
+		return 0, membudget.ErrNoRoom
 	}
-	return 0, ErrTooLarge
+	return 0, membudget.ErrTooLarge
 }
 
-// grow holds room for a body of a length that was not announced. It does not wait: other bodies
-// that wait halfway would keep the room that this one waits for.
-func (br *bodyReader) grow(body *Body, length int64) bool {
-	if length <= memory.SmallBody {
-		return br.request.TryResize(br.request.Bytes() + bodyCopies*(length-body.length))
+// grow holds room for n more bytes of a body whose length was not announced. It does not wait:
+// other bodies that wait halfway would keep the room that this one waits for.
+func (br *bodyReader) grow(body *Body, n int64) bool {
+	if body.length+n <= memory.SmallBody {
+		return br.request.TryGrow(bodyCopies * n)
 	}
 	if body.hold != nil {
-		return body.hold.TryResize(length)
+		return body.hold.TryGrow(n)
 	}
-	hold, ok := br.conn.server.options.Memory.TryHold(memory.Body, length)
+	hold, ok := br.conn.server.options.Memory.TryHold(memory.Body, body.length+n)
 	body.hold = hold
 	return ok
 }
--- a/internal/gateway/pipeline/conn.go
+++ b/internal/gateway/pipeline/conn.go
@@ -206,7 +206,7 @@
 	switch {
 	case asRefused(err) != nil || errors.Is(err, errFinished):
 		return err
-	case errors.Is(err, ErrNoRoom):
+	case errors.Is(err, membudget.ErrNoRoom):
 		return errHeadNoRoom
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return late
--- a/internal/gateway/pipeline/memory_test.go
+++ b/internal/gateway/pipeline/memory_test.go
@@ -33,7 +33,7 @@
 
 func (u *upload) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
-	if errors.Is(err, pipeline.ErrNoRoom) {
+	if errors.Is(err, membudget.ErrNoRoom) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gateway/pipeline/pipeline.go
+++ b/internal/gateway/pipeline/pipeline.go
@@ -24,7 +24,7 @@
 //     bounds nothing more is read from it.
 //   - What is held for all connections is bounded by Options.Memory. A long body is read
 //     once there is room for all of it; the handler learns of one for which there is none
-//     by ErrNoRoom or ErrTooLarge. Where room is short, connections that rest are closed and
+//     by membudget.ErrNoRoom or ErrTooLarge. Where room is short, connections that rest are closed and
 //     requests that arrive too slowly are given up (reclaim.go).
 //
 // A handler cannot close the connection by a header: it may panic with
--- a/internal/gateway/pipeline/reclaim.go
+++ b/internal/gateway/pipeline/reclaim.go
@@ -56,8 +56,8 @@
 	if bytes <= readBytes {
 		return nil
 	}
-	if !c.hold.TryResize(int64(connBytes + bytes)) {
-		return ErrNoRoom
+	if !c.hold.TryGrow(int64(connBytes+bytes) - c.hold.Bytes()) {
+		return membudget.ErrNoRoom
 	}
 	return nil
 }
--- a/internal/gateway/pipeline/state.go
+++ b/internal/gateway/pipeline/state.go
@@ -1,6 +1,10 @@
 package pipeline
 
-import "time"
+import (
+	"time"
+
+	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
+)
 
 // This file holds what the goroutines of one connection share, under its lock: what
 // the reading one waits for, and until when.
@@ -42,7 +46,7 @@
 	case c.finished:
 		return errFinished
 	case c.evicted && c.arrival.isActive():
-		return ErrNoRoom
+		return membudget.ErrNoRoom
 	case c.evicted: // too late: the request had arrived
 		return errFinished
 	default:
--- a/internal/gateway/upstream/body.go
+++ b/internal/gateway/upstream/body.go
@@ -94,12 +94,11 @@
 	if a.hold == nil {
 		a.hold = a.budget.Hold(memory.Answer, 0)
 	}
-	total := a.hold.Bytes() + int64(n)
-	if a.hold.TryResize(total) {
+	if a.hold.TryGrow(int64(n)) {
 		return true
 	}
 	if force {
-		a.hold.Resize(total)
+		a.hold.Resize(a.hold.Bytes() + int64(n))
 	}
 	return force
 }
