--- a/e2e/gateway/memory_test.go
+++ b/e2e/gateway/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"crypto/sha256"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -31,6 +32,8 @@
 	longestHead = 16 << 10
 )
 
+var loneBodies = flag.Int("memory.bodies", 3, "how many bodies of the longest length are sent one after the other")
+
 // leastMemory is the memory of the users' smallest machines, in megabytes.
 const leastMemory = 136
 
@@ -429,17 +432,19 @@
 
 // Guards against a body within the operator's limit that is refused although no other one is held.
 func TestALoneBodyOfTheLongestLengthIsServedByTheSmallestMachine(t *testing.T) {
-	for _, chunked := range []bool{false, true} {
-		t.Run(fmt.Sprint("chunked ", chunked), func(t *testing.T) {
-			t.Parallel()
-			r := newMemoryRig(t, leastMemory, 1)
-			r.beside(func() {
-				for range 3 {
-					r.g.Expect(r.sendAll(1, upload{path: "/book/", length: longestBody, chunked: chunked})).To(Equal(1))
-				}
+	for _, memoryMB := range []int{leastMemory, 284} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprint(memoryMB, " MB, chunked ", chunked), func(t *testing.T) {
+				t.Parallel()
+				r := newMemoryRig(t, memoryMB, 1)
+				r.beside(func() {
+					for range *loneBodies {
+						r.g.Expect(r.sendAll(1, upload{path: "/book/", length: longestBody, chunked: chunked})).To(Equal(1))
+					}
+				})
+				r.checkMemory()
 			})
-			r.checkMemory()
-		})
+		}
 	}
 }
 
