internal/httpconn: an answer that a reset cut off is not complete

Callers that uploaded a long body got a part of a 200 without a length as the whole answer, where the target reset its connection while the upload was written.

Cause: the system reports a reset to one call only. The write received it, and the read after it looked like an orderly end, which is how an answer without a length ends. Evidence: TestAnswerCutByAResetDuringTheUploadFails failed before, buffered and streamed, where the read returned io.EOF and the write ECONNRESET; never where the upload was written to its end, since the read receives the error then.

A connection keeps the error that a write received. At the end of the stream it ends the write that is in progress, awaits its result, and reports a reset as one. EPIPE is no reset: the system reports it where the orderly end came first, so that a whole answer that comes before the upload was read stays one (TestWholeAnswerDuringTheUploadIsReturned). A write with a result leaves no way for the error to be missed: the one read and the one write are all calls on a connection.

--- a/internal/gateway/upstream/exchange.go
+++ b/internal/gateway/upstream/exchange.go
@@ -132,7 +132,7 @@
 			done <- writeResult{bytes: int64(n), err: err}
 			return
 		}
-		n, err := parts.WriteTo(c.net)
+		n, err := c.net.WriteBuffers(parts)
 		done <- writeResult{bytes: n, err: err}
 	}
 	if length <= maxSyncWriteBytes {
--- /dev/null
+++ b/internal/gateway/upstream/reset_test.go
@@ -0,0 +1,101 @@
+package upstream_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
+	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
+	"github.com/sprucecrank/sprucecrank/internal/httpconn/httpconntest"
+	"github.com/sprucecrank/sprucecrank/verdict"
+)
+
+// ways are the two in which an answer is read.
+var ways = map[string]upstream.Options{
+	"buffered": {Names: names},
+	"streamed": {Names: names, MaxBufferedBytes: 1},
+}
+
+// readWhole exchanges a request on a new connection and reads the answer to its end.
+func readWhole(ctx context.Context, t *testing.T, o upstream.Options, address string, r upstream.Request) (string, *verdict.Error) {
+	t.Helper()
+	conn, failure := upstream.New(o).Open(ctx, catalog.Target{ID: "target-1", Address: address})
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer conn.Close()
+	if o.MaxBufferedBytes > 0 {
+		r.MayStream = func(int, bool) bool { return true }
+	}
+	answer, failure := conn.Exchange(ctx, r)
+	if failure != nil {
+		return "", failure
+	}
+	defer answer.Close()
+	var body bytes.Buffer
+	body.Write(answer.Body())
+	for !answer.Buffered() {
+		piece, err := answer.Next()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return body.String(), err.(*verdict.Error)
+		}
+		body.Write(piece)
+	}
+	return body.String(), nil
+}
+
+// upload is a request that its target has not read when it answers.
+func upload() upstream.Request {
+	r := request("one")
+	r.Method, r.Body = http.MethodPost, [][]byte{make([]byte, 16<<20)}
+	return r
+}
+
+// requestLine is the field that all answers to request("one") need.
+var requestLine = names.RequestID + ": one\r\n"
+
+// Guards against an answer without a length that a reset cut off while the upload was written,
+// and that reached the client as complete.
+func TestAnswerCutByAResetDuringTheUploadFails(t *testing.T) {
+	for way, options := range ways {
+		t.Run(way, func(t *testing.T) {
+			g := NewWithT(t)
+			address := httpconntest.Serve(t, func(conn net.Conn, _ *http.Request) {
+				httpconntest.WriteAndReset(conn, "HTTP/1.1 200 OK\r\n"+requestLine+"\r\npart of it")
+			})
+			for range 20 {
+				body, failure := readWhole(t.Context(), t, options, address, upload())
+				g.Expect(failure).NotTo(BeNil(), "read as complete: %q", body)
+				g.Expect(failure.Reason()).To(Equal(verdict.ReasonTargetFailed))
+			}
+		})
+	}
+}
+
+// Guards against whole answers that are refused because they came before the upload was read.
+func TestWholeAnswerDuringTheUploadIsReturned(t *testing.T) {
+	for name, length := range map[string]string{"with a length": "Content-Length: 3\r\n", "without a length": ""} {
+		for way, options := range ways {
+			t.Run(name+", "+way, func(t *testing.T) {
+				g := NewWithT(t)
+				address := httpconntest.Serve(t, func(conn net.Conn, _ *http.Request) {
+					httpconntest.WriteAndReadOn(conn, "HTTP/1.1 200 OK\r\n"+requestLine+length+"\r\n123")
+				})
+				for range 20 {
+					body, failure := readWhole(t.Context(), t, options, address, upload())
+					g.Expect(failure).To(BeNil())
+					g.Expect(body).To(Equal("123"))
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -33,7 +33,6 @@
 	"bufio"
 	"context"
 	"log/slog"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -43,6 +42,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/signal"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/membudget"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/internal/httpconn"
 	"github.com/sprucecrank/sprucecrank/internal/resetconn"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
@@ -140,7 +140,7 @@
 type Conn struct {
 	pool        *Pool
 	target      catalog.Target
-	net         net.Conn
+	net         *httpconn.Conn
 	reader      *bufio.Reader
 	head        *headReader // what reader reads from
 	exchanges   int
@@ -205,9 +205,10 @@
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonUnreachable, "no connection to the target could be made").WithCause(err)
 	}
 	p.options.Opened()
-	head := newHeadReader(raw)
+	conn := httpconn.New(raw)
+	head := newHeadReader(conn)
 	return &Conn{
-		pool: p, target: target, net: raw, head: head, idleTimeout: defaultIdleTimeout, reusable: true,
+		pool: p, target: target, net: conn, head: head, idleTimeout: defaultIdleTimeout, reusable: true,
 		dialTime: p.options.Clock().Sub(start),
 		reader:   bufio.NewReaderSize(head, readBufferSize),
 	}, nil
@@ -238,7 +239,7 @@
 	if c.pool.options.Clock().Sub(c.idleSince) > c.idleTimeout || c.reader.Buffered() > 0 {
 		return false
 	}
-	sysConn, ok := c.net.(syscall.Conn)
+	sysConn, ok := c.net.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
