internal/httpconn: what the protocol calls no answer fails, wherever it shows

Callers got answers that are none: with a status of 600 or 999, with framing bytes in the body where the name of the coding's field held a blank or the version was 1.0, cut at the end of the connection where that of the length did, and with the line passed on. After a status of 000 the bytes behind it were read as the answer, or nothing until the deadline. Health checks were believed likewise.

Cause: net/http's parser is lenient. It takes three digits or a sign for a status, names of fields with blanks, any major version, control bytes in the status line, and ignores a coding in HTTP/1.0; readers trusted it.

The bytes of heads are checked as they arrive, against the grammar and the statuses of RFC 9110 and 9112; interim answers are heads like others, and 101 is none, since no request asks for it. The bound on heads moved there, so that all readers have it. Names of trailer fields are checked where a body ends. TestUnusualAnswersAreReturned keeps what the protocol allows: statuses that are not registered, folded values, no reason phrase.

--- a/internal/gateway/upstream/exchange.go
+++ b/internal/gateway/upstream/exchange.go
@@ -176,7 +176,7 @@
 func (c *Conn) receive(r Request) (answer *Answer, selfDelimited bool, err error) {
 	names := c.pool.options.Names
 	for range maxSurplusAnswers {
-		response, err := c.readHead(r.Method)
+		response, err := c.net.ReadAnswer(c.reader, r.Method)
 		if err != nil {
 			return nil, false, err
 		}
@@ -204,20 +204,6 @@
 	return nil, false, errTooManySurplus
 }
 
-// readHead reads the head of the next answer on the connection and skips interim
-// (1xx) ones. All of them together are bounded, so that a target that never ends a head does not
-// take up the memory.
-func (c *Conn) readHead(method string) (*http.Response, error) {
-	c.head.limit(maxAnswerHeadBytes)
-	defer c.head.limit(unlimited)
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
-		}
-	}
-}
-
 // isSelfDelimited reports whether the end of an answer is known from its framing, without
 // the connection being closed.
 func isSelfDelimited(r *http.Response) bool {
--- a/internal/gateway/upstream/reset_test.go
+++ b/internal/gateway/upstream/invalid_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -63,6 +65,52 @@
 // requestLine is the field that all answers to request("one") need.
 var requestLine = names.RequestID + ": one\r\n"
 
+// Guards against answers that the protocol does not allow reaching clients.
+func TestInvalidAnswersFail(t *testing.T) {
+	for way, options := range ways {
+		for name, answer := range httpconntest.Invalid(requestLine) {
+			t.Run(way+", "+name, func(t *testing.T) {
+				g := NewWithT(t)
+				address := httpconntest.Serve(t, func(conn net.Conn, _ *http.Request) { httpconntest.Write(conn, answer) })
+				_, failure := readWhole(t.Context(), t, options, address, request("one"))
+				g.Expect(failure).NotTo(BeNil())
+				g.Expect(failure.Reason()).To(Equal(verdict.ReasonTargetFailed))
+				g.Expect(failure.Verdict()).To(Equal(verdict.MayHaveRun))
+			})
+		}
+	}
+}
+
+// Guards against a check of answers that refuses what the protocol allows.
+func TestUnusualAnswersAreReturned(t *testing.T) {
+	for way, options := range ways {
+		for name, answer := range httpconntest.Valid(requestLine) {
+			t.Run(way+", "+name, func(t *testing.T) {
+				g := NewWithT(t)
+				address := httpconntest.Serve(t, func(conn net.Conn, _ *http.Request) { httpconntest.Write(conn, answer) })
+				body, failure := readWhole(t.Context(), t, options, address, request("one"))
+				g.Expect(failure).To(BeNil())
+				g.Expect(body).To(Equal("123"))
+			})
+		}
+	}
+}
+
+// Guards against health checks that believe an answer that is none.
+func TestInvalidAnswersToHealthChecksFail(t *testing.T) {
+	for name, answer := range httpconntest.Invalid("") {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			address := httpconntest.Serve(t, func(conn net.Conn, _ *http.Request) { httpconntest.Write(conn, answer) })
+			conn, failure := newPool().Open(t.Context(), catalog.Target{ID: "target-1", Address: address})
+			g.Expect(failure).To(BeNil())
+			defer conn.Close()
+			_, err := conn.Probe("/health", 10*time.Second)
+			g.Expect(err).To(HaveOccurred())
+		})
+	}
+}
+
 // Guards against an answer without a length that a reset cut off while the upload was written,
 // and that reached the client as complete.
 func TestAnswerCutByAResetDuringTheUploadFails(t *testing.T) {
@@ -99,3 +147,23 @@
 		}
 	}
 }
+
+// Guards against answers without an end that take up memory or time.
+func TestEndlessAnswersAreBounded(t *testing.T) {
+	for name, answer := range httpconntest.Endless(requestLine) {
+		for way, options := range ways {
+			t.Run(name+", "+way, func(t *testing.T) {
+				g := NewWithT(t)
+				address := httpconntest.Serve(t, func(conn net.Conn, _ *http.Request) { httpconntest.WriteEndlessly(conn, answer) })
+				// Only a streamed body goes on until the deadline.
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				body, failure := readWhole(ctx, t, options, address, request("one"))
+				g.Expect(failure).NotTo(BeNil(), fmt.Sprint(len(body)))
+				if way == "buffered" {
+					g.Expect(failure.Reason()).To(Equal(verdict.ReasonTargetFailed))
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/upstream/probe.go
+++ b/internal/gateway/upstream/probe.go
@@ -54,7 +54,7 @@
 	if _, err := io.WriteString(c.net, request); err != nil {
 		return Health{}, err
 	}
-	response, err := c.readHead(http.MethodGet)
+	response, err := c.net.ReadAnswer(c.reader, http.MethodGet)
 	if err != nil {
 		return Health{}, err
 	}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -5,8 +5,8 @@
 // docs/DESIGN.md, "Why our own connections".
 //
 // It owns the idle connections. It trusts framing and request ids from targets only
-// as far as it can check them; a connection with any irregularity is closed and not
-// used again.
+// as far as it can check them (httpconn checks what the protocol allows); a connection
+// with any irregularity is closed and not used again.
 //
 // An answer is returned only if it repeats the id of the request: a surplus answer
 // to an earlier request is dropped, wherever it is on the connection. A short
@@ -142,7 +142,6 @@
 	target      catalog.Target
 	net         *httpconn.Conn
 	reader      *bufio.Reader
-	head        *headReader // what reader reads from
 	exchanges   int
 	dialTime    time.Duration
 	idleTimeout time.Duration
@@ -206,11 +205,10 @@
 	}
 	p.options.Opened()
 	conn := httpconn.New(raw)
-	head := newHeadReader(conn)
 	return &Conn{
-		pool: p, target: target, net: conn, head: head, idleTimeout: defaultIdleTimeout, reusable: true,
+		pool: p, target: target, net: conn, idleTimeout: defaultIdleTimeout, reusable: true,
 		dialTime: p.options.Clock().Sub(start),
-		reader:   bufio.NewReaderSize(head, readBufferSize),
+		reader:   bufio.NewReaderSize(conn, readBufferSize),
 	}, nil
 }
 
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -1,18 +1,35 @@
-// Package httpconn provides connections of clients of HTTP/1 that report how the server ended
-// them: one that was reset never reads as one that ended in order, even if a concurrent write
-// has received the error of the reset.
+// Package httpconn provides connections from which only valid HTTP/1 answers can be read
+// (RFC 9110, RFC 9112). The parser of net/http is more lenient: it accepts statuses that do
+// not exist, field names with blanks, and a transfer coding that it ignores.
+//
+// A connection reports an answer that the protocol does not allow as an error of Read, which
+// the reader treats like any other failure of its server:
+//
+//   - The heads of an answer, interim ones included, are checked as they arrive (head.go):
+//     status line, names and values of fields, and a bound on the bytes of all of them.
+//   - A connection that was reset never reads as one that ended in order, even if a
+//     concurrent write has received the error of the reset.
+//   - The names of trailer fields are checked at the end of a body (trailer.go).
+//
+// What net/http checks itself is left to it: lengths, chunks, and bodies that break off.
 //
 // # Usage
 //
+// A reader with connections of its own:
+//
 //	conn := httpconn.New(raw)
 //	reader := bufio.NewReader(conn)
+//	response, err := conn.ReadAnswer(reader, http.MethodGet)
 package httpconn
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,6 +45,10 @@
 // another one may write.
 type Conn struct {
 	net.Conn
+	head head
+	// expects is set while heads are checked. The reader clears it; a goroutine that begins an
+	// exchange on an idle connection sets it.
+	expects atomic.Bool
 	// writing holds a token while a write is in progress, which guards broken.
 	writing chan struct{}
 	// broken is the error of the network that a write received.
@@ -41,12 +62,45 @@
 	return &Conn{Conn: raw, writing: make(chan struct{}, 1)}
 }
 
+// ReadAnswer reads the head of the answer to a request of some method from a reader of the
+// connection, and skips interim answers. The error is ErrInvalid, ErrHeadTooLong, or one of
+// net/http or the network.
+func (c *Conn) ReadAnswer(reader *bufio.Reader, method string) (*http.Response, error) {
+	c.expectAnswer()
+	buffered, err := reader.Peek(reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if _, err := c.check(buffered); err != nil {
+		return nil, err
+	}
+	for {
+		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= minFinalStatus {
+			checkTrailer(response)
+			return response, nil
+		}
+	}
+}
+
+// expectAnswer checks the bytes that follow as the heads of an answer.
+func (c *Conn) expectAnswer() {
+	c.head = head{}
+	c.expects.Store(true)
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.failed != nil {
 		return 0, c.failed
 	}
 	n, err := c.Conn.Read(p)
+	if checked, invalid := c.check(p[:n]); invalid != nil {
+		n, err = checked, invalid
+	}
 	if err == io.EOF {
 		err = c.endOfStream()
 	}
@@ -56,6 +110,18 @@
 	return n, err
 }
 
+// check checks bytes that were read, and returns how many of them may be passed on.
+func (c *Conn) check(p []byte) (int, error) {
+	if !c.expects.Load() {
+		return len(p), nil
+	}
+	n, err := c.head.check(p)
+	if err != nil || c.head.isComplete() {
+		c.expects.Store(false)
+	}
+	return n, err
+}
+
 // endOfStream returns io.EOF if the server closed the connection in order. The system reports
 // a reset to one call only, which may have been a write; later reads then look like an orderly
 // end. No more than the answer is expected of the server, so a write that is in progress is
