internal/box/entry: a box takes no answer that is none

Callers of a box got statuses of 000 and 600, framing bytes as body, and a part of an answer as the whole where a reset cut it off during the upload; a box kept such answers for repetition of requests that run at most once.

Cause: the transport of net/http has the same parser and the same ends as the gateway's reader had.

The connections of the box's transport check answers as those of the gateway do (httpconn.NewTransport).

--- a/internal/box/entry/send.go
+++ b/internal/box/entry/send.go
@@ -19,6 +19,7 @@
 	"github.com/sprucecrank/sprucecrank/core/box/ledger"
 	"github.com/sprucecrank/sprucecrank/internal/box/telemetry"
 	"github.com/sprucecrank/sprucecrank/internal/headers"
+	"github.com/sprucecrank/sprucecrank/internal/httpconn"
 	"github.com/sprucecrank/sprucecrank/internal/resetconn"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
@@ -33,25 +34,25 @@
 	longestShedPause = time.Minute
 )
 
-// transports keeps one http.Transport for each limit of connections per target.
+// transports keeps one transport for each limit of connections per target.
 type transports struct {
 	dial  resetconn.Dial
 	mu    sync.Mutex
-	kept  map[int]*http.Transport
-	fresh map[int]*http.Transport
+	kept  map[int]*httpconn.Transport
+	fresh map[int]*httpconn.Transport
 }
 
 func newTransports(dial resetconn.Dial) *transports {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &transports{dial: resetconn.Dialer(dial), kept: map[int]*http.Transport{}, fresh: map[int]*http.Transport{}}
+	return &transports{dial: resetconn.Dialer(dial), kept: map[int]*httpconn.Transport{}, fresh: map[int]*httpconn.Transport{}}
 }
 
 // get finds the transport for a limit. A fresh one never uses a connection
 // twice: no request on it can meet a connection that the target is closing,
 // nor an answer that another request left behind.
-func (t *transports) get(limit int, fresh bool) *http.Transport {
+func (t *transports) get(limit int, fresh bool) *httpconn.Transport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	set := t.kept
@@ -59,7 +60,7 @@
 		set = t.fresh
 	}
 	if set[limit] == nil {
-		set[limit] = &http.Transport{
+		set[limit] = httpconn.NewTransport(&http.Transport{
 			DialContext:            t.dial,
 			MaxConnsPerHost:        limit,
 			MaxIdleConnsPerHost:    limit,
@@ -67,7 +68,7 @@
 			DisableCompression:     true,
 			DisableKeepAlives:      fresh,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		}
+		})
 	}
 	return set[limit]
 }
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -20,6 +20,10 @@
 //	conn := httpconn.New(raw)
 //	reader := bufio.NewReader(conn)
 //	response, err := conn.ReadAnswer(reader, http.MethodGet)
+//
+// A client of net/http:
+//
+//	client := &http.Client{Transport: httpconn.NewTransport(&http.Transport{})}
 package httpconn
 
 import (
@@ -55,11 +59,15 @@
 	broken error
 	// failed is the error that reading ended with.
 	failed error
+	// holdErrors delays the error of a write until reading has ended; ended is closed then.
+	holdErrors bool
+	ended      chan struct{}
+	isEnded    atomic.Bool
 }
 
 // New returns a Conn that uses raw.
 func New(raw net.Conn) *Conn {
-	return &Conn{Conn: raw, writing: make(chan struct{}, 1)}
+	return &Conn{Conn: raw, writing: make(chan struct{}, 1), ended: make(chan struct{})}
 }
 
 // ReadAnswer reads the head of the answer to a request of some method from a reader of the
@@ -106,6 +114,7 @@
 	}
 	if err != nil && !isTimeout(err) {
 		c.failed = err
+		c.end()
 	}
 	return n, err
 }
@@ -152,9 +161,17 @@
 	return c.write(func() (int64, error) { return buffers.WriteTo(c.Conn) })
 }
 
-// write writes and keeps the error of a connection that broke. EPIPE is none: the
-// system reports it after an orderly end, and after an error that was reported before.
 func (c *Conn) write(write func() (int64, error)) (int64, error) {
+	n, err := c.recordedWrite(write)
+	if err != nil && c.holdErrors {
+		<-c.ended
+	}
+	return n, err
+}
+
+// recordedWrite writes and keeps the error of a connection that broke. EPIPE is none: the
+// system reports it after an orderly end, and after an error that was reported before.
+func (c *Conn) recordedWrite(write func() (int64, error)) (int64, error) {
 	c.writing <- struct{}{}
 	defer func() { <-c.writing }()
 	n, err := write()
@@ -165,6 +182,19 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
+
+// end records that nothing more is read.
+func (c *Conn) end() {
+	if c.isEnded.CompareAndSwap(false, true) {
+		close(c.ended)
+	}
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
