Clients of the store and the command line take no answer that is none

Bodies without an end were cut at 64 MB and taken as whole, or read until the time ran out by the command line.

All three use httpconn's transport, and read bodies by httpconn.ReadBody, which fails beyond a bound. The gateway's bound is 16 MB now: a page of a list has about a megabyte, and 64 MB read with net/http's growing buffer are more than the memory of a small box.

--- a/box/store/store.go
+++ b/box/store/store.go
@@ -23,7 +23,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -33,6 +32,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/sprucecrank/sprucecrank/internal/httpconn"
 )
 
 // Errors of the object API.
@@ -55,6 +56,9 @@
 // MaxValue is the largest value that the platform holds, in bytes.
 const MaxValue = 1 << 20
 
+// maxAnswer bounds an answer, in bytes: a list holds many values.
+const maxAnswer = 64 * MaxValue
+
 // Object is one value at one version. Versions of a key only grow.
 type Object struct {
 	Key     string          `json:"key"`
@@ -125,7 +129,7 @@
 	}
 	return &Client{
 		base:    "http://" + o.Address,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		http:    &http.Client{Transport: httpconn.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64})},
 		limiter: rate.NewLimiter(limit, o.Burst),
 		timeout: o.Timeout,
 	}
@@ -230,8 +234,7 @@
 	if err != nil {
 		return result{}, transportError(write, err)
 	}
-	defer func() { _ = res.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(res.Body, 64*MaxValue))
+	raw, err := httpconn.ReadBody(res, maxAnswer)
 	if err != nil {
 		return result{}, transportError(write, err)
 	}
--- a/internal/cli/cmdutil/cmdutil.go
+++ b/internal/cli/cmdutil/cmdutil.go
@@ -23,6 +23,7 @@
 	"github.com/google/uuid"
 
 	"github.com/sprucecrank/sprucecrank/box/store"
+	"github.com/sprucecrank/sprucecrank/internal/httpconn"
 )
 
 // Streams are where a command reads and writes.
@@ -49,12 +50,17 @@
 	User       func() string
 }
 
-const httpTimeout = 5 * time.Second
+const (
+	httpTimeout = 5 * time.Second
+	// maxAnswer bounds an answer of an administration API, in bytes.
+	maxAnswer = 64 << 20
+)
 
 // NewFactory makes the real dependencies.
 func NewFactory(s Streams) *Factory {
 	f := &Factory{
-		IO: s, HTTP: &http.Client{Timeout: httpTimeout}, Clock: time.Now,
+		IO: s, Clock: time.Now,
+		HTTP:  &http.Client{Timeout: httpTimeout, Transport: httpconn.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})},
 		NewID: uuid.NewString, User: currentUser,
 	}
 	f.Platform = func() *store.Client {
@@ -101,7 +107,10 @@
 	if err != nil {
 		return fmt.Errorf("the box does not answer: %w", err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	body, err := httpconn.ReadBody(response, maxAnswer)
+	if err != nil {
+		return fmt.Errorf("the answer of %s can't be read: %w", url, err)
+	}
 	if response.StatusCode == http.StatusUnauthorized {
 		return fmt.Errorf("%s refused the call: set --admin-token to the box's admin_token", url)
 	}
@@ -111,7 +120,7 @@
 	if into == nil {
 		return nil
 	}
-	return json.NewDecoder(response.Body).Decode(into)
+	return json.Unmarshal(body, into)
 }
 
 // Exit codes of the commands.
--- a/internal/gateway/jsoncall/jsoncall.go
+++ b/internal/gateway/jsoncall/jsoncall.go
@@ -21,12 +21,14 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/sprucecrank/sprucecrank/internal/httpconn"
 )
 
 const (
-	// maxResponse bounds the size of a response, in bytes; an object of the store has at
-	// most a megabyte.
-	maxResponse = 64 << 20
+	// maxResponse bounds the size of a response, in bytes: a page of a list has about a
+	// megabyte, the changes of some seconds a few.
+	maxResponse = 16 << 20
 	// connectTimeout bounds the dialing of a connection. The store answers within
 	// milliseconds.
 	connectTimeout = time.Second
@@ -47,7 +49,9 @@
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveProbes,
 	}}
-	return &Client{base: base, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}}
+	return &Client{base: base, http: &http.Client{
+		Transport: httpconn.NewTransport(&http.Transport{DialContext: dialer.DialContext, DisableCompression: true}),
+	}}
 }
 
 // Response is the status and header of a response.
@@ -74,8 +78,7 @@
 	if err != nil {
 		return Response{}, err
 	}
-	defer func() { _ = response.Body.Close() }() // only errors of reading it matter
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponse))
+	content, err := httpconn.ReadBody(response, maxResponse)
 	if err != nil {
 		return Response{}, err
 	}
