internal/box/probe: a health check believes no answer that is none

A box took a target for well whose answers to health checks were none: 18 of 31 raw answers, among them bodies that broke off, since the check looked at the head alone.

The probes use httpconn's transport and read the whole answer, of at most 64 kB and within the time that a probe may cost. TestInvalidAnswersFail has each.

--- a/internal/box/probe/probe.go
+++ b/internal/box/probe/probe.go
@@ -27,6 +27,7 @@
 	"github.com/sprucecrank/sprucecrank/internal/box/entry"
 	"github.com/sprucecrank/sprucecrank/internal/box/home"
 	"github.com/sprucecrank/sprucecrank/internal/box/telemetry"
+	"github.com/sprucecrank/sprucecrank/internal/httpconn"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
 	"github.com/sprucecrank/sprucecrank/internal/resetconn"
 )
@@ -40,6 +41,8 @@
 	// stockFor bounds what a box saves up: its share of this long, but enough
 	// for one probe.
 	stockFor = 5 * time.Second
+	// maxBody bounds the body of an answer, in bytes.
+	maxBody = 64 << 10
 )
 
 // Options configure a Prober.
@@ -83,7 +86,7 @@
 
 // New makes a prober without targets.
 func New(o Options) *Prober {
-	transport := &http.Transport{DialContext: resetconn.Dialer(o.Dial), DisableKeepAlives: true}
+	transport := httpconn.NewTransport(&http.Transport{DialContext: resetconn.Dialer(o.Dial), DisableKeepAlives: true})
 	return &Prober{options: o, client: &http.Client{Transport: transport}, targets: map[string]*state{}}
 }
 
@@ -181,14 +184,13 @@
 	if err != nil {
 		return ledger.Outcome{Result: health.Unused}
 	}
-	response, err := p.client.Do(r)
+	response, err := p.do(r)
 	if ctx.Err() != nil {
 		return ledger.Outcome{Result: health.Cancelled} // slow, or this box is: proves nothing
 	}
 	if err != nil {
 		return ledger.Outcome{Result: health.Unreachable}
 	}
-	defer func() { _ = response.Body.Close() }()
 	o := ledger.Outcome{Result: health.OK}
 	if response.StatusCode >= http.StatusInternalServerError {
 		o.Result = health.Failed
@@ -199,6 +201,16 @@
 	return o
 }
 
+// do makes one call and reads the whole answer, which is none if its body breaks off.
+func (p *Prober) do(r *http.Request) (*http.Response, error) {
+	response, err := p.client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	_, err = httpconn.ReadBody(response, maxBody)
+	return response, err
+}
+
 // HandOver is measuring budget for the home of a service, by target.
 type HandOver struct {
 	Service *policy.Service
--- a/internal/box/probe/probe_test.go
+++ b/internal/box/probe/probe_test.go
@@ -18,9 +18,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sprucecrank/sprucecrank/box/policy"
+	"github.com/sprucecrank/sprucecrank/core/box/ledger"
 	"github.com/sprucecrank/sprucecrank/internal/box/home"
 	"github.com/sprucecrank/sprucecrank/internal/box/probe"
 	"github.com/sprucecrank/sprucecrank/internal/box/telemetry"
+	"github.com/sprucecrank/sprucecrank/internal/httpconn/httpconntest"
 )
 
 const address = "10.0.0.1:80"
@@ -29,6 +31,7 @@
 type target struct {
 	probes atomic.Int64
 	answer atomic.Pointer[string]
+	home   *home.Home // knows it as the one target of "look"
 }
 
 func newTarget() *target {
@@ -71,6 +74,7 @@
 		h := home.New(home.Options{Clock: time.Now, Random: rand.Float64})
 		h.Configure(services)
 		target := newTarget()
+		target.home = h
 		p := probe.New(probe.Options{
 			Home: h, Telemetry: metrics, Clock: time.Now, Log: log, MaxBoxes: 1, Dial: target.dial,
 			IsHome: func(*policy.Service) bool { return true },
@@ -115,3 +119,24 @@
 		g.Expect(target.probes.Load()).To(BeNumerically(">=", 3))
 	})
 }
+
+// Guards against health checks that believe an answer which the protocol does not allow.
+func TestInvalidAnswersFail(t *testing.T) {
+	for name, answer := range httpconntest.Invalid("") {
+		t.Run(name, func(t *testing.T) {
+			var probes int64
+			ejected := false
+			withProber(t, slog.New(slog.DiscardHandler), func(_ *WithT, target *target) {
+				target.answer.Store(&answer)
+				for range 900 {
+					time.Sleep(10 * time.Millisecond)
+					ejected = ejected || target.home.View("look").Targets[0].State == ledger.StateEjected
+				}
+				probes = target.probes.Load()
+			})
+			g := NewWithT(t)
+			g.Expect(probes).To(BeNumerically(">=", 3))
+			g.Expect(ejected).To(BeTrue())
+		})
+	}
+}
