internal/rpcconn: a peer's message without an end takes up no memory

Clients of net/rpc bound each message now, by the lengths that the codec puts before them: 16 MB between gateways, 1 MB for reports and credits, 64 MB between boxes, which exchange all objects.

--- a/box/peer/link.go
+++ b/box/peer/link.go
@@ -9,6 +9,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/sprucecrank/sprucecrank/box/store"
+	"github.com/sprucecrank/sprucecrank/internal/rpcconn"
 )
 
 // The errors of a link.
@@ -24,6 +27,8 @@
 	pingInterval = 20 * time.Millisecond
 	pingTimeout  = 80 * time.Millisecond
 	dialTimeout  = 100 * time.Millisecond
+	// maxMessageBytes bounds an answer: it may hold all objects in force.
+	maxMessageBytes = 64 * store.MaxValue
 )
 
 // LinkOptions configure a Link.
@@ -130,7 +135,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	s := &session{
-		client: rpc.NewClient(&countedConn{Conn: conn, bytes: &l.bytes}),
+		client: rpcconn.NewClient(&countedConn{Conn: conn, bytes: &l.bytes}, maxMessageBytes),
 		wake:   make(chan struct{}, 1),
 		closed: make(chan struct{}),
 	}
--- a/internal/gateway/discovery/links.go
+++ b/internal/gateway/discovery/links.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/internal/pause"
+	"github.com/sprucecrank/sprucecrank/internal/rpcconn"
 )
 
 // dialSlackDivisor is by how much less time a connection may take than the reply to a
@@ -25,6 +26,9 @@
 	idleCheckEvery = time.Second
 	// maxIdle bounds the number of idle connections.
 	maxIdle = 8
+	// maxMessageBytes bounds a reply: a configuration has at most a megabyte, the packed
+	// list of 10,000 targets somewhat less.
+	maxMessageBytes = 16 << 20
 )
 
 // links holds the connections to other gateways, one for each address, which the background
@@ -79,7 +83,7 @@
 		return nil, err
 	}
 	l := &link{address: address, users: 1}
-	l.client = rpc.NewClient(&watchedConn{Conn: conn, onEnd: func() { ls.forget(l) }})
+	l.client = rpcconn.NewClient(&watchedConn{Conn: conn, onEnd: func() { ls.forget(l) }}, maxMessageBytes)
 	return ls.add(l), nil
 }
 
--- a/internal/gateway/rpclink/rpclink.go
+++ b/internal/gateway/rpclink/rpclink.go
@@ -17,8 +17,14 @@
 	"net"
 	"net/rpc"
 	"time"
+
+	"github.com/sprucecrank/sprucecrank/internal/rpcconn"
 )
 
+// maxMessageBytes bounds a reply: reports, limits and credits of one gateway have some
+// kilobytes.
+const maxMessageBytes = 1 << 20
+
 // ErrNoAnswer says that the other gateway did not answer in time.
 var ErrNoAnswer = errors.New("the gateway did not answer in time")
 
@@ -82,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	l.address, l.client = address, rpc.NewClient(conn)
+	l.address, l.client = address, rpcconn.NewClient(conn, maxMessageBytes)
 	return nil
 }
 
