One odd entry of the store costs only itself

Gateways stopped following targets for as long as another writer's entry stood in the list that was nested 10,001 deep, or whose metadata could not be read: the list, and the watch, failed as a whole. Likewise for rollouts, evacuations, the configuration, and what gateways save. A configuration that was not understood also kept the watch at its place, where later ones were not taken. A start time up to the largest integer outlasted all later starts of the target; port 0 was taken for an address.

Cause: encoding/json reads a document as a whole, whatever part of it is asked for. Slots of any size, port 70000 and numbers beyond a float cost only themselves before, too.

internal/rawjson splits documents at their brackets and does not look into values that are kept as they are; an element that can't be decoded is left out and logged. Start times beyond the year 9999, port 0, and rollouts with times or shares out of range are refused like other entries that are not understood.

--- a/core/gateway/catalog/rollout.go
+++ b/core/gateway/catalog/rollout.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 // RolloutState is the state of a rollout as recorded in the store.
 type RolloutState uint8
@@ -61,6 +64,34 @@
 	Peer    string
 }
 
+const (
+	// maxRolloutTime bounds the times of a rollout. Orders give minutes or hours.
+	maxRolloutTime = 365 * 24 * time.Hour
+	// maxPermille is the whole of the requests.
+	maxPermille = 1000
+)
+
+// errRolloutRange means that a number of a rollout makes no sense, errRolloutName that its
+// service or version is missing.
+var (
+	errRolloutRange = errors.New("a time or share of the rollout is out of range")
+	errRolloutName  = errors.New("a rollout needs a service and a version")
+)
+
+// Check returns an error if a rollout lacks its service or version, or a number is out of its
+// range.
+func (r Rollout) Check() error {
+	if r.Service == "" || r.Version == "" {
+		return errRolloutName
+	}
+	valid := r.Within >= 0 && r.Within <= maxRolloutTime && r.Elapsed >= 0 && r.Elapsed <= maxRolloutTime &&
+		r.Permille >= 0 && r.Permille <= maxPermille
+	if !valid {
+		return errRolloutRange
+	}
+	return nil
+}
+
 // RolloutChange is the addition, update or removal of one rollout at one revision of the
 // store.
 type RolloutChange struct {
--- a/core/gateway/catalog/target.go
+++ b/core/gateway/catalog/target.go
@@ -27,6 +27,16 @@
 	Born int64
 }
 
+// maxBorn is the latest time of a start, in Unix milliseconds: the end of the year 9999. A number
+// beyond it is no time, or one in smaller units, and would outlast all later starts.
+const maxBorn = 253402300799999
+
+// errPort and errBorn mean that a number is out of its range.
+var (
+	errPort = errors.New("the port of a target is 0")
+	errBorn = errors.New("the start time of a target is out of range")
+)
+
 // errIncompleteTarget means that a field is missing without which nothing can be sent.
 var errIncompleteTarget = errors.New("a target needs an id, a service, a hall and slots")
 
@@ -35,7 +45,13 @@
 	if t.ID == "" || t.Service == "" || t.Hall == "" || t.Slots < 1 {
 		return errIncompleteTarget
 	}
-	_, err := netip.ParseAddrPort(t.Address)
+	if t.Born < 0 || t.Born > maxBorn {
+		return errBorn
+	}
+	address, err := netip.ParseAddrPort(t.Address)
+	if err == nil && address.Port() == 0 {
+		return errPort
+	}
 	return err
 }
 
--- a/internal/gateway/jsoncall/jsoncall.go
+++ b/internal/gateway/jsoncall/jsoncall.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	client := jsoncall.New("http://10.0.0.9:8000/objects/")
+//	client := jsoncall.New("http://10.0.0.9:8000/objects/", log)
 //	response, err := client.Call(ctx, http.MethodGet, "config", nil, &page)
 //	if response.Status() == http.StatusGone {
 //		// the server's response; err does not report its status
@@ -18,11 +18,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/internal/httpconn"
+	"github.com/sprucecrank/sprucecrank/internal/rawjson"
 )
 
 const (
@@ -41,15 +43,17 @@
 // Client calls one server.
 type Client struct {
 	base string
+	log  *slog.Logger
 	http *http.Client
 }
 
-// New creates a Client for the server whose URLs begin with base. It makes no call yet.
-func New(base string) *Client {
+// New creates a Client for the server whose URLs begin with base, which logs elements of lists
+// that can't be decoded. It makes no call yet.
+func New(base string, log *slog.Logger) *Client {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveProbes,
 	}}
-	return &Client{base: base, http: &http.Client{
+	return &Client{base: base, log: log, http: &http.Client{
 		Transport: httpconn.NewTransport(&http.Transport{DialContext: dialer.DialContext, DisableCompression: true}),
 	}}
 }
@@ -67,8 +71,8 @@
 func (r Response) Header(name string) string { return r.header.Get(name) }
 
 // Call makes one call, with a body unless that is nil, and decodes the response into a
-// value. The error says that there was no complete response, or that one of success can't
-// be decoded; any other response is decoded as far as possible.
+// value, as rawjson.Unmarshal does. The error says that there was no complete response, or
+// that one of success can't be decoded; any other response is decoded as far as possible.
 func (c *Client) Call(ctx context.Context, method, path string, body, into any) (Response, error) {
 	request, err := c.request(ctx, method, path, body)
 	if err != nil {
@@ -83,7 +87,10 @@
 		return Response{}, err
 	}
 	result := Response{status: response.StatusCode, header: response.Header}
-	err = json.Unmarshal(content, into)
+	skipped, err := rawjson.Unmarshal(content, into)
+	if len(skipped) > 0 {
+		c.log.Error("elements of a list can't be decoded", "path", path, "count", len(skipped), "first", skipped[0].Error())
+	}
 	if err != nil && response.StatusCode < http.StatusMultipleChoices {
 		return result, fmt.Errorf("decoding a response with status %d: %w", response.StatusCode, err)
 	}
--- a/internal/gateway/jsoncall/jsoncall_test.go
+++ b/internal/gateway/jsoncall/jsoncall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"testing"
@@ -20,7 +21,7 @@
 			g := NewWithT(t)
 			address := httpconntest.Serve(t, func(conn net.Conn, _ *http.Request) { httpconntest.Write(conn, answer) })
 			var number int
-			response, err := jsoncall.New("http://"+address+"/").Call(t.Context(), http.MethodGet, "", nil, &number)
+			response, err := jsoncall.New("http://"+address+"/", slog.New(slog.DiscardHandler)).Call(t.Context(), http.MethodGet, "", nil, &number)
 			g.Expect(err).To(HaveOccurred())
 			g.Expect(response.Status()).To(BeZero(), "there was no complete response")
 		})
@@ -36,7 +37,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
 			var number int
-			response, err := jsoncall.New("http://"+address+"/").Call(ctx, http.MethodGet, "", nil, &number)
+			response, err := jsoncall.New("http://"+address+"/", slog.New(slog.DiscardHandler)).Call(ctx, http.MethodGet, "", nil, &number)
 			g.Expect(err).To(HaveOccurred())
 			g.Expect(response.Status()).To(BeZero())
 			g.Expect(ctx.Err()).NotTo(HaveOccurred(), "not ended by the deadline alone")
