--- a/box/box.go
+++ b/box/box.go
@@ -155,7 +155,7 @@
 func (b *Box) assembleGrants() {
 	s, o := b.settings, b.options
 	self := member.Box{ID: s.ID, Peer: b.PeerAddress(), Hall: s.Hall, Start: uint64(o.Clock().UnixNano())}
-	b.platform = store.New(store.Options{Address: s.Platform, CallsPerSecond: s.PlatformCalls})
+	b.platform = store.New(store.Options{Address: s.Platform, CallsPerSecond: s.PlatformCalls, Log: b.log})
 	b.members = grant.NewMembers(self, o.Clock, o.DialPeer)
 	b.home = home.New(home.Options{Clock: o.Clock, Random: rand.Float64})
 	b.broker = grant.New(grant.Options{Members: b.members, Home: b.home, Clock: o.Clock, Log: b.log})
--- a/box/store/store.go
+++ b/box/store/store.go
@@ -23,6 +23,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
@@ -34,6 +35,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/sprucecrank/sprucecrank/internal/httpconn"
+	"github.com/sprucecrank/sprucecrank/internal/rawjson"
 )
 
 // Errors of the object API.
@@ -103,6 +105,8 @@
 	Burst int
 	// Timeout bounds one call; 0 means 2 s.
 	Timeout time.Duration
+	// Log may be nil, which discards the log.
+	Log *slog.Logger
 }
 
 // Client talks to the object API. It is safe for concurrent use.
@@ -111,6 +115,7 @@
 	http    *http.Client
 	limiter *rate.Limiter
 	timeout time.Duration
+	log     *slog.Logger
 	reads   atomic.Uint64
 	writes  atomic.Uint64
 }
@@ -123,6 +128,9 @@
 	if o.Burst == 0 {
 		o.Burst = 20
 	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
 	limit := rate.Inf
 	if o.CallsPerSecond > 0 {
 		limit = rate.Limit(o.CallsPerSecond)
@@ -132,6 +140,7 @@
 		http:    &http.Client{Transport: httpconn.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64})},
 		limiter: rate.NewLimiter(limit, o.Burst),
 		timeout: o.Timeout,
+		log:     o.Log,
 	}
 }
 
@@ -193,7 +202,7 @@
 	if err != nil {
 		return s, err
 	}
-	if err := json.Unmarshal(res.body, &s); err != nil {
+	if err := c.decodeList(res.body, &s); err != nil {
 		return s, fmt.Errorf("%w: bad list: %w", ErrUnavailable, err)
 	}
 	return s, nil
@@ -206,12 +215,21 @@
 		return nil, err
 	}
 	var members []Member
-	if err := json.Unmarshal(res.body, &members); err != nil {
+	if err := c.decodeList(res.body, &members); err != nil {
 		return nil, fmt.Errorf("%w: bad members: %w", ErrUnavailable, err)
 	}
 	return members, nil
 }
 
+// decodeList decodes a list. Elements that can't be decoded cost only themselves.
+func (c *Client) decodeList(body []byte, into any) error {
+	skipped, err := rawjson.Unmarshal(body, into)
+	if len(skipped) > 0 {
+		c.log.Error("elements of a list can't be decoded", "count", len(skipped), "first", skipped[0].Error())
+	}
+	return err
+}
+
 type result struct {
 	body []byte
 	tag  string
--- a/internal/boundaries/boundaries_test.go
+++ b/internal/boundaries/boundaries_test.go
@@ -118,7 +118,7 @@
 		}
 		return ""
 	}
-	shared := []string{"core/member/", "verdict/", "internal/headers/", "internal/httpconn/", "internal/lifecycle/", "internal/pause/", "internal/resetconn/", "internal/rpcconn/", "internal/telemetry/"}
+	shared := []string{"core/member/", "verdict/", "internal/headers/", "internal/httpconn/", "internal/lifecycle/", "internal/pause/", "internal/rawjson/", "internal/resetconn/", "internal/rpcconn/", "internal/telemetry/"}
 	for _, s := range sources(t) {
 		mine := owner(filepath.ToSlash(filepath.Dir(s.path)))
 		common := slices.ContainsFunc(shared, func(folder string) bool { return strings.HasPrefix(s.path, folder) })
--- a/internal/cli/cmdutil/cmdutil.go
+++ b/internal/cli/cmdutil/cmdutil.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"os"
 	"os/user"
@@ -64,7 +65,7 @@
 		NewID: uuid.NewString, User: currentUser,
 	}
 	f.Platform = func() *store.Client {
-		return store.New(store.Options{Address: f.PlatformAddress})
+		return store.New(store.Options{Address: f.PlatformAddress, Log: slog.New(slog.NewTextHandler(s.Err, nil))})
 	}
 	return f
 }
--- a/internal/gateway/discovery/saved.go
+++ b/internal/gateway/discovery/saved.go
@@ -13,6 +13,7 @@
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/quarantine"
 	"github.com/sprucecrank/sprucecrank/internal/pause"
+	"github.com/sprucecrank/sprucecrank/internal/rawjson"
 )
 
 // Quarantined requests are also saved in the store, in one object that the readers of the
@@ -122,7 +123,11 @@
 		return
 	}
 	f.saved.revision = latest.Revision
-	if err := json.Unmarshal(latest.Body, &f.saved.document); err != nil {
+	skipped, err := rawjson.Unmarshal(latest.Body, &f.saved.document)
+	if len(skipped) > 0 {
+		f.options.Log.Error("parts of the saved quarantine can't be decoded", "revision", latest.Revision, "count", len(skipped), "first", skipped[0].Error())
+	}
+	if err != nil {
 		f.saved.document = savedDocument{}
 		f.options.Log.Error("decoding the saved quarantine failed; it will be written again", "revision", latest.Revision, "error", err.Error())
 		return
--- a/internal/gateway/forward/relays.go
+++ b/internal/gateway/forward/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -14,6 +15,7 @@
 	"github.com/sprucecrank/sprucecrank/core/gateway/relay"
 	"github.com/sprucecrank/sprucecrank/core/member"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/upstream"
+	"github.com/sprucecrank/sprucecrank/internal/rawjson"
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
@@ -73,14 +75,15 @@
 		return nil
 	}
 	var named []member.Box
-	if err := json.Unmarshal([]byte(text), &named); err != nil {
+	skipped, err := rawjson.Unmarshal([]byte(text), &named)
+	if err != nil {
 		return trace.Wrap(err)
 	}
 	named = slices.DeleteFunc(named, func(b member.Box) bool { return b.ID == "" || b.ID == r.options.Self || b.Relay == "" })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tried.RecordReferrals(now, service, named)
-	return nil
+	return trace.Wrap(errors.Join(skipped...))
 }
 
 // begin notes that a request is relayed to a gateway.
