Gateway: a planned stop takes no request that it would cut

Callers that sent a request late in the time for a planned stop, in calm, had it passed on to a target and cut at the end of that time without an answer, also requests that may not be repeated (LOST).

Cause: new requests were served for half of stop_within_s, whatever they take, and what was in flight at nine tenths of it was cut off by closing its connection.

While it stops, a gateway sends only requests that can be expected to end before: by their deadlines, or by how long the longest requests of their route took lately, and a tenth (core/gateway/shutdown, estimate.Longest). All others are refused at once as not run, with a short Retry-After, and their connections close. This is asked while a request waits and before each send, second ones too. The last moment is half a second before the time is up (before: 0.6 s of 6, 1.6 s of 16); what is still in flight then gets a final answer.

--- a/core/gateway/estimate/estimate.go
+++ b/core/gateway/estimate/estimate.go
@@ -84,6 +84,7 @@
 type Service struct {
 	medians     map[string]median  // of answer times, by route
 	bytes       map[string]float64 // of answers, by route
+	longest     map[string]longest // of the times until callers had their answers, by route
 	idleShare   float64            // share of probed targets
 	shedShare   float64            // share of sends
 	levels      levels
@@ -95,7 +96,7 @@
 // New returns the estimates of a service of which nothing is known yet.
 func New() *Service {
 	return &Service{
-		medians: map[string]median{}, bytes: map[string]float64{}, levels: newLevels(), cold: cost{factor: initialColdCost},
+		medians: map[string]median{}, bytes: map[string]float64{}, longest: map[string]longest{}, levels: newLevels(), cold: cost{factor: initialColdCost},
 	}
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -26,11 +26,14 @@
 	// acceptShare is how long new requests are still served, since clients may not have
 	// noticed the shutdown yet. The users' platform notices it within seconds.
 	acceptShare = 0.5
-	// forcedStopShare is when the process exits even with requests in flight, since it is
-	// killed at the end of the time.
-	forcedStopShare = 0.9
+	// maxEndShare bounds how long before the end of the time requests in flight are given up.
+	maxEndShare = 0.1
 )
 
+// endMargin is how long before the end of the time for stopping, at which the process is killed,
+// requests in flight are given up, and answered as such; the process exits within half of it.
+const endMargin = 500 * time.Millisecond
+
 // Run serves until ctx is cancelled. Then the gateway drains: it reports that it is not
 // ready, still serves new requests for a while, completes the requests in flight and stops.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -117,11 +120,13 @@
 func (g *Gateway) drain(ctx context.Context, clients, relay *pipeline.Server) error {
 	within := seconds(g.settings.Load().StopWithin)
 	g.log.Info("stopping", "within_s", within.Seconds(), "active", g.forward.Active())
+	margin := min(endMargin, time.Duration(maxEndShare*float64(within)))
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), within-margin/2)
+	defer cancel()
 	g.stopping.Store(true)
+	g.forward.StopAt(g.options.Clock().Add(within - margin))
 	g.discovery.SetLeaving()
 	time.Sleep(time.Duration(acceptShare * float64(within)))
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration((forcedStopShare-acceptShare)*float64(within)))
-	defer cancel()
 	err := clients.Shutdown(ctx)
 	if relay != nil {
 		err = errors.Join(err, relay.Shutdown(ctx))
--- a/internal/gateway/forward/balancer.go
+++ b/internal/gateway/forward/balancer.go
@@ -17,6 +17,7 @@
 	services *registry
 	places   *places
 	relays   *relays
+	end      shutdownEnd
 }
 
 func newBalancer(o Options) *balancer {
@@ -138,6 +139,9 @@
 
 // retryAfter is when the client of a refused request should come back, by its cause.
 func (b *balancer) retryAfter(req *request, svc *service, failure *verdict.Error) time.Duration {
+	if failure == errStopping {
+		return refusal.ImmediateRetryAfter(b.options.Draw()) // at another gateway
+	}
 	switch failure.Reason() {
 	case verdict.ReasonQuarantined:
 		return quarantine.LapseAfter()
--- a/internal/gateway/forward/forward.go
+++ b/internal/gateway/forward/forward.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/locality"
+	"github.com/sprucecrank/sprucecrank/core/gateway/refusal"
 	"github.com/sprucecrank/sprucecrank/core/gateway/snapshot"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/fatal"
 	"github.com/sprucecrank/sprucecrank/internal/gateway/metrics"
@@ -216,6 +217,9 @@
 	if failure := h.readBody(req); failure != nil {
 		return nil, failure
 	}
+	if failure := h.balancer.stopsBefore(req); failure != nil {
+		return nil, failure.WithRetryAfter(refusal.ImmediateRetryAfter(h.options.Draw()))
+	}
 	ctx := h.bound(req)
 	if failure := h.admit(ctx, req); failure != nil {
 		return nil, h.balancer.refused(req, failure)
--- a/internal/gateway/forward/forward_test.go
+++ b/internal/gateway/forward/forward_test.go
@@ -226,6 +226,7 @@
 	status int
 	body   string
 	header http.Header
+	closes bool // the connection
 	err    error
 }
 
@@ -252,7 +253,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	raw, err := io.ReadAll(response.Body)
-	return result{id: id, status: response.StatusCode, body: string(raw), header: response.Header, err: err}
+	return result{id: id, status: response.StatusCode, body: string(raw), header: response.Header, closes: response.Close, err: err}
 }
 
 func (f *fixture) read() result  { return f.send(f.t.Context(), http.MethodGet, readPath) }
--- a/internal/gateway/forward/send.go
+++ b/internal/gateway/forward/send.go
@@ -69,6 +69,9 @@
 
 // barred is why a request may be sent to nobody any more; nil if it may.
 func (b *balancer) barred(req *request) *verdict.Error {
+	if failure := b.stopsBefore(req); failure != nil {
+		return failure
+	}
 	if failure := b.revoked(req); failure != nil {
 		return failure
 	}
--- a/internal/gateway/forward/service.go
+++ b/internal/gateway/forward/service.go
@@ -178,6 +178,19 @@
 	s.estimate.RecordAnswer(route, a)
 }
 
+// recordDuration learns how long a request took until its caller had the answer.
+func (s *service) recordDuration(route *routing.Route, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.estimate.RecordDuration(route.Name, took)
+}
+
+func (s *service) longest(route *routing.Route) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.estimate.Longest(route.Name)
+}
+
 // probeFailed notes that a target could not be connected to or did not answer.
 func (s *service) probeFailed(now time.Time, life catalog.Life) {
 	s.mu.Lock()
