Soak: targets answer with what the protocol does not allow

A status that does not exist, or a field with a blank, counts as MIXED. The proxy that injects faults closed the sender's side in order after a reset of the other one; it passes the reset on.

--- a/e2e/gateway/soak_test.go
+++ b/e2e/gateway/soak_test.go
@@ -76,6 +76,9 @@
 	}
 	defer clients.Wait()
 	defer stop()
+	if _, kept := failedSeeds[seed]; !kept {
+		w.after.Go(func() { w.breakAnswers(rand.New(rand.NewPCG(seed, 4000)), *soakFor) })
+	}
 	played := w.play(*soakFor)
 	defer func() {
 		if t.Failed() {
@@ -433,6 +436,8 @@
 	switch {
 	case header.Get("Attempt-Id") != id && o.status != http.StatusNotFound:
 		w.t.Errorf("MIXED %s: the answer (%d) names %q", id, o.status, header.Get("Attempt-Id"))
+	case o.status < http.StatusOK || o.status > 599 || header.Get("X Field") != "":
+		w.t.Errorf("MIXED %s: got what is no answer: status %d, head %v", id, o.status, header)
 	case o.status == http.StatusOK && (body != "answer to "+id || header.Get("Server-Signature") == ""):
 		w.t.Errorf("MIXED %s: got %q, signed %q", id, body, header.Get("Server-Signature"))
 	case o.status >= 400 && o.status < 500 && o.status != http.StatusTooManyRequests && !strings.HasPrefix(o.uri, "/v"):
--- a/e2e/gateway/soak_world_test.go
+++ b/e2e/gateway/soak_world_test.go
@@ -60,11 +60,13 @@
 	// not. saysLeaving says that it leaves, in all its answers.
 	backOff     atomic.Int64
 	saysLeaving atomic.Bool
-	arrivals    atomic.Int64
-	server      *http.Server
-	address     string
-	proxy       *faultproxy.Proxy
-	born        int64 // when this life of it began, in ms
+	// invalid says that its answers are none.
+	invalid  atomic.Bool
+	arrivals atomic.Int64
+	server   *http.Server
+	address  string
+	proxy    *faultproxy.Proxy
+	born     int64 // when this life of it began, in ms
 }
 
 // entry is what the target says of itself in the store.
@@ -115,6 +117,10 @@
 	if b.coldFor() > 0 {
 		b.records.arrivedCold(b.id, time.Since(b.world.began))
 	}
+	invalid := b.invalid.Load()
+	if invalid && b.resetUpload(w, r, id) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // cut on its way: not run
@@ -139,6 +145,10 @@
 		panic(http.ErrAbortHandler) // no answer, also where another request has just ended it
 	}
 	b.work(r.Context(), does)
+	if invalid {
+		b.answerInvalidly(w, id)
+		return
+	}
 	switch does {
 	case breaksOff:
 		w.Header().Set("Content-Length", "1000")
--- a/internal/standin/faultproxy/faultproxy.go
+++ b/internal/standin/faultproxy/faultproxy.go
@@ -226,6 +226,7 @@
 		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
+				_ = from.SetLinger(0) // a reset of one side must not look like an orderly end to the other
 				_ = from.Close()
 				return
 			}
