--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -33,6 +33,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -53,10 +54,10 @@
 	// expects is set while heads are checked. The reader clears it; a goroutine that begins an
 	// exchange on an idle connection sets it.
 	expects atomic.Bool
-	// writing holds a token while a write is in progress, which guards broken.
+	// writing holds a token while a write is in progress, which guards broken: the error of the
+	// network that a write received.
 	writing chan struct{}
-	// broken is the error of the network that a write received.
-	broken error
+	broken  error
 	// failed is the error that reading ended with.
 	failed error
 	// holdErrors delays the error of a write until reading has ended; ended is closed then.
@@ -112,7 +113,7 @@
 	if err == io.EOF {
 		err = c.endOfStream()
 	}
-	if err != nil && !isTimeout(err) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.failed = err
 		c.end()
 	}
@@ -194,8 +195,3 @@
 		close(c.ended)
 	}
 }
-
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
