--- a/internal/gateway/forward/shutdown.go
+++ b/internal/gateway/forward/shutdown.go
@@ -22,16 +22,26 @@
 // those that are in flight at that moment as given up.
 func (h *Handler) StopAt(end time.Time) {
 	h.balancer.end.at.Store(&end)
-	time.AfterFunc(end.Sub(h.options.Clock()), h.underWay.expireAll)
+	time.AfterFunc(end.Sub(h.options.Clock()), h.giveUpAll)
 }
 
-// expireAll ends what is done for all requests.
-func (u *underWay) expireAll() {
+// giveUpAll ends what is done for all requests.
+func (h *Handler) giveUpAll() {
+	count := h.underWay.expireAll()
+	if count > 0 {
+		h.options.Metrics.Cut(int64(count))
+		h.options.Log.Error("requests were given up since the time for stopping ran out", "active", count)
+	}
+}
+
+// expireAll ends what is done for all requests, and returns how many they are.
+func (u *underWay) expireAll() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for r := range u.requests {
 		r.expire()
 	}
+	return len(u.requests)
 }
 
 // errStopping says that the gateway stops before the request can be expected to end. Other
