--- a/core/gateway/shutdown/shutdown.go
+++ b/core/gateway/shutdown/shutdown.go
@@ -13,8 +13,12 @@
 
 import "time"
 
-// margin is how much longer than the longest request lately another one may take.
-const margin = 1.1
+const (
+	// margin is how much longer than the longest request lately another one may take.
+	margin = 1.1
+	// slack is for an answer's way to its caller.
+	slack = 250 * time.Millisecond
+)
 
 // Request is a request that would be sent now.
 type Request struct {
@@ -36,5 +40,5 @@
 	if r.Longest == 0 {
 		return false
 	}
-	return !r.Now.Add(time.Duration(margin * float64(r.Longest))).After(r.End)
+	return !r.Now.Add(time.Duration(margin*float64(r.Longest)) + slack).After(r.End)
 }
