internal/gateway/forward: tests keep the port at which nobody listens

Suspected, not shown to be the cause: the stand-in of a target that does not listen closed its port, and another test's server, of those that answer with raw bytes and close, was given it. The stand-in binds its port without listening now, so that connections are refused as before and nobody else can have it.

--- a/internal/gateway/forward/relay_test.go
+++ b/internal/gateway/forward/relay_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,14 +26,34 @@
 	"github.com/sprucecrank/sprucecrank/verdict"
 )
 
-// nowhere is a target at an address at which nobody listens.
+// nowhere is a target at an address at which nobody listens, and that no other process is given
+// while the test runs.
 func nowhere(t *testing.T, id string) *standin {
 	t.Helper()
 	s := newStandin(t, id, "shop", "a", ok)
 	s.entry.Close()
+	s.Address = reservedAddress(t)
 	return s
 }
 
+// reservedAddress binds a socket that does not listen, so that connections to it are refused.
+func reservedAddress(t *testing.T) string {
+	t.Helper()
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(bound.(*syscall.SockaddrInet4).Port)).String()
+}
+
 // relayedTo has a gateway know another one, which serves by the view of its own fixture, and
 // returns how many requests that one was sent.
 func (f *fixture) relayedTo(other *fixture) *atomic.Int32 {
