internal/gateway/forward: the test of invalid answers meets them in all three ways

The stand-in closed its connection after the health check, so that an order from a target, or by way of another gateway, failed whatever the answer: with the reader of only the 12 answers from another gateway failed the test. It answers on the same connection now; with that reader 12 of 31 fail in each of the three ways, with the reader as it is none. Found by reading the change once more; the assertions are as they were.

--- a/internal/gateway/forward/invalid_test.go
+++ b/internal/gateway/forward/invalid_test.go
@@ -1,7 +1,9 @@
 package forward_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -15,13 +17,20 @@
 )
 
 // rawAnswers serves one kind of invalid answer to requests, with their ids, and a well answer to
-// health checks.
+// a health check before them on the same connection.
 func rawAnswers(t *testing.T, name string) (address string) {
 	t.Helper()
 	return httpconntest.Serve(t, func(conn net.Conn, r *http.Request) {
 		if r.URL.Path == "/health" {
 			httpconntest.Write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-			return
+			next, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return // the gateway has closed the connection
+			}
+			r = next
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return // likewise
 		}
 		httpconntest.Write(conn, httpconntest.Invalid(fmt.Sprintf("%s: %s\r\n", names.RequestID, r.Header.Get(names.RequestID)))[name])
 	})
