Rollouts: gateways read the records that they write

Cause: where an order's age is not known, gateways recorded the largest duration. Rollout.Check, added in for odd entries, refuses times above a year, so that every gateway passed over the record ("rollout not understood") and took the service for one without an order.

Change: an age never exceeds catalog.MaxRolloutTime, which stands for an age that is not known. A record with more, of an earlier version or another writer, reads as that: an age is an upper bound, and no order lasts longer. The sums of ages no longer overflow.

Why it holds: writer and reader share one bound, and the reader accepts every age that is not negative.

--- a/core/gateway/catalog/rollout.go
+++ b/core/gateway/catalog/rollout.go
@@ -53,9 +53,9 @@
 	// Permille is the share of the service's requests that the version gets, in
 	// thousandths, while the rollout runs.
 	Permille int
-	// Elapsed is how long after the order State and Permille were recorded, and At
-	// that moment by the clock of the gateway that recorded them, in milliseconds since
-	// 1970. Clocks of gateways may differ by seconds.
+	// Elapsed is an upper bound of how long after the order State and Permille were
+	// recorded, and At that moment by the clock of the gateway that recorded them, in
+	// milliseconds since 1970. Clocks of gateways may differ by seconds.
 	Elapsed time.Duration
 	At      int64
 	// Decider is the id of the gateway that recorded them, and Peer the address where it
@@ -64,12 +64,12 @@
 	Peer    string
 }
 
-const (
-	// maxRolloutTime bounds the times of a rollout. Orders give minutes or hours.
-	maxRolloutTime = 365 * 24 * time.Hour
-	// maxPermille is the whole of the requests.
-	maxPermille = 1000
-)
+// MaxRolloutTime bounds the times of a rollout. Orders give minutes or hours. An Elapsed of
+// MaxRolloutTime may stand for any longer time.
+const MaxRolloutTime = 365 * 24 * time.Hour
+
+// maxPermille is the whole of the requests.
+const maxPermille = 1000
 
 // errRolloutRange means that a number of a rollout makes no sense, errRolloutName that its
 // service or version is missing.
@@ -84,7 +84,7 @@
 	if r.Service == "" || r.Version == "" {
 		return errRolloutName
 	}
-	valid := r.Within >= 0 && r.Within <= maxRolloutTime && r.Elapsed >= 0 && r.Elapsed <= maxRolloutTime &&
+	valid := r.Within >= 0 && r.Within <= MaxRolloutTime && r.Elapsed >= 0 && r.Elapsed <= MaxRolloutTime &&
 		r.Permille >= 0 && r.Permille <= maxPermille
 	if !valid {
 		return errRolloutRange
--- a/core/gateway/rollout/age.go
+++ b/core/gateway/rollout/age.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"math"
 	"time"
 
 	"github.com/sprucecrank/sprucecrank/core/gateway/catalog"
@@ -13,7 +12,8 @@
 	// can't bound the age otherwise.
 	maxClockSkew = 2 * time.Second
 	// unknownAge is the age of an order that may have been pending for any length of time.
-	unknownAge = time.Duration(math.MaxInt64)
+	// No age exceeds it, so that every gateway accepts a record with any age.
+	unknownAge = catalog.MaxRolloutTime
 )
 
 // Ages estimates the ages of the orders. An estimate may be too high, but never too low, so
@@ -47,6 +47,7 @@
 // wall clock; confirmed is the latest moment, before this process saw the order in this
 // state, at which its view of rollouts was complete, zero for never.
 func (a *Ages) Observe(now time.Time, r catalog.Rollout, confirmed time.Time) {
+	r.Elapsed = min(r.Elapsed, unknownAge) // gateways of earlier versions may pass on more
 	o, known := a.orders[r.Service]
 	switch {
 	case known && !isNewOrder(o.rollout, r):
@@ -72,8 +73,8 @@
 	if r.State == catalog.RolloutOrdered {
 		return unknownAge
 	}
-	wallClockAge := max(now.Sub(time.UnixMilli(r.At)), 0) + maxClockSkew
-	return r.Elapsed + min(wallClockAge, elapsedSince(now, confirmed))
+	sinceRecord := min(max(now.Sub(time.UnixMilli(r.At)), 0), unknownAge) + maxClockSkew
+	return r.Elapsed + min(sinceRecord, elapsedSince(now, confirmed))
 }
 
 // elapsedSince returns the time since moment, or unknownAge if moment is zero.
@@ -93,11 +94,8 @@
 
 // at returns the known upper bound of the order's age at now.
 func (o *orderAge) at(now time.Time) time.Duration {
-	elapsed := now.Sub(o.boundAt)
-	if o.maxAge > unknownAge-elapsed {
-		return unknownAge
-	}
-	return max(o.maxAge+elapsed, o.minAge+now.Sub(o.firstSeen))
+	age := max(o.maxAge+now.Sub(o.boundAt), o.minAge+now.Sub(o.firstSeen))
+	return min(age, unknownAge)
 }
 
 // Forget drops the order of a service whose order was deleted or replaced.
--- a/core/gateway/rollout/age_test.go
+++ b/core/gateway/rollout/age_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -58,6 +59,24 @@
 	}
 }
 
+// Guards against an age that overflows, or that no gateway accepts in a record.
+func TestNoAgeExceedsTheUnknownAge(t *testing.T) {
+	for _, elapsed := range []time.Duration{unknownAge - time.Second, unknownAge, unknownAge + time.Second, math.MaxInt64} {
+		for _, at := range []int64{start.UnixMilli(), 0, math.MinInt64 / 2, math.MaxInt64 / 2} {
+			r := catalog.Rollout{Service: "api", Version: "2", State: catalog.RolloutRunning, Elapsed: elapsed, At: at}
+			for _, confirmed := range []time.Time{{}, start.Add(-time.Second)} {
+				a := NewAges()
+				a.Observe(start, r, confirmed)
+				r.At--
+				a.Observe(start.Add(time.Second), r, confirmed)
+				if got := a.Age(start.Add(2*time.Second), "api"); got != unknownAge {
+					t.Errorf("elapsed %v, recorded at %d, confirmed %v: age %v, want unknownAge", elapsed, at, confirmed, got)
+				}
+			}
+		}
+	}
+}
+
 func TestAgeRestartsWithANewOrder(t *testing.T) {
 	ended := running(9*time.Second, start)
 	ended.State = catalog.RolloutRolledBack
--- a/e2e/gateway/rollout_test.go
+++ b/e2e/gateway/rollout_test.go
@@ -23,24 +23,37 @@
 	next []*targetServer // of the new version
 }
 
-// newRollout orders the new version, which takes as long as the old one, and starts
-// targets of it.
+// rolloutWork is how long targets of both versions take.
+const rolloutWork = 2 * time.Millisecond
+
+// newRollout starts gateways, then orders the new version.
 func newRollout(t *testing.T, gateways int, fails bool) *rollout {
 	t.Helper()
-	const work = 2 * time.Millisecond
-	r := &rollout{deployment: newDeploymentWith(t, gateways, work, storetest.Object{"rollout": storetest.Object{
+	r := newBeforeRollout(t, gateways)
+	r.order(t, fails)
+	return r
+}
+
+// newBeforeRollout starts gateways without an order.
+func newBeforeRollout(t *testing.T, gateways int) *rollout {
+	t.Helper()
+	return &rollout{deployment: newDeploymentWith(t, gateways, rolloutWork, storetest.Object{"rollout": storetest.Object{
 		"exposure_share": exposureShare, "exposure_slack": exposureSlack, "rollback_within_s": 5,
 	}})}
+}
+
+// order orders the new version and starts targets of it.
+func (r *rollout) order(t *testing.T, fails bool) {
+	t.Helper()
 	r.store.Put(storetest.Rollouts, "shop", storetest.Object{"service": "shop", "targetVersion": "v2", "durationS": 10})
 	for i := range 3 {
-		b := newTargetServer(t, fmt.Sprint("i-next-", i), &r.runs, work)
+		b := newTargetServer(t, fmt.Sprint("i-next-", i), &r.runs, rolloutWork)
 		b.fails.Store(fails)
 		r.next = append(r.next, b)
 		entry := storetest.ServerEntry("shop", b.address(), "ready")
 		entry["information"].(storetest.Object)["version"] = "v2"
 		r.store.Put(storetest.Servers, b.id, entry)
 	}
-	return r
 }
 
 // state is what the store holds of the rollout.
@@ -104,3 +117,39 @@
 	g.Expect(float64(exposed)).To(BeNumerically("<=", exposureShare*float64(all)+exposureSlack))
 	tr.end(t)
 }
+
+// killAll ends all gateways at the same moment.
+func (r *rollout) killAll() {
+	for _, p := range r.gateways {
+		p.signal(syscall.SIGKILL)
+	}
+	for _, p := range r.gateways {
+		_ = p.wait() // it ends as it was killed
+	}
+}
+
+// startAll starts all gateways and returns once they are ready.
+func (r *rollout) startAll(g *WithT) {
+	for _, p := range r.gateways {
+		p.start()
+	}
+	for _, p := range r.gateways {
+		g.Eventually(p.ready, eventual).Should(BeTrue())
+	}
+}
+
+// Guards against a roll-back that no gateway can read, because the order's age was not known.
+func TestAnOrderFromBeforeAllGatewaysStartedIsRolledBackForGood(t *testing.T) {
+	g := NewWithT(t)
+	r := newBeforeRollout(t, 3)
+	r.killAll()
+	r.order(t, false)
+	r.startAll(g)
+	g.Eventually(r.state, eventual).Should(Equal("rolled_back"))
+	r.killAll()
+	r.startAll(g)
+	tr := r.traffic(6)
+	tr.progress(g)
+	tr.end(t)
+	g.Expect(arrivals(r.next)).To(BeZero())
+}
