internal/httpconn: a client of net/http reports the invalid answer

No caller of ours saw a broken answer: the request failed either way, but log lines blamed our own connection.

Cause: an invalid answer ends reading, net/http closes the connection, and a write that was in progress fails by that. net/http then has two errors ready and returns either.

Change: the connection keeps the error that reading ended with, and Transport adds it to the one that net/http returned, if the server is to blame.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -60,10 +60,12 @@
 	broken  error
 	// failed is the error that reading ended with.
 	failed error
-	// holdErrors delays the error of a write until reading has ended; ended is closed then.
+	// holdErrors delays the error of a write until reading has ended; ended is closed then, and
+	// cause is the error that reading ended with, nil after Close.
 	holdErrors bool
 	ended      chan struct{}
 	isEnded    atomic.Bool
+	cause      error
 }
 
 // New returns a Conn that uses raw.
@@ -115,7 +117,7 @@
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.failed = err
-		c.end()
+		c.end(err)
 	}
 	return n, err
 }
@@ -185,13 +187,27 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	c.end()
+	c.end(nil)
 	return c.Conn.Close()
 }
 
-// end records that nothing more is read.
-func (c *Conn) end() {
+// end records that nothing more is read, and why.
+func (c *Conn) end(cause error) {
 	if c.isEnded.CompareAndSwap(false, true) {
+		c.cause = cause
 		close(c.ended)
 	}
 }
+
+// serverError returns the error that reading ended with if the server is to blame for it.
+func (c *Conn) serverError() error {
+	select {
+	case <-c.ended:
+	default:
+		return nil
+	}
+	if errors.Is(c.cause, ErrInvalid) || errors.Is(c.cause, ErrHeadTooLong) || errors.Is(c.cause, ErrReset) {
+		return c.cause
+	}
+	return nil
+}
--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 )
 
 // Transport is an http.RoundTripper whose connections are Conns.
@@ -32,20 +35,33 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	traced := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: expectAnswer})
+	var used atomic.Pointer[Conn]
+	traced := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*Conn); ok {
+			conn.expectAnswer()
+			used.Store(conn)
+		}
+	}})
 	response, err := t.base.RoundTrip(r.WithContext(traced))
 	if err != nil {
-		return nil, err
+		return nil, withServerError(err, used.Load())
 	}
 	checkTrailer(response)
 	return response, nil
 }
 
-// CloseIdleConnections closes the connections that are not in use.
-func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
-
-func expectAnswer(info httptrace.GotConnInfo) {
-	if conn, ok := info.Conn.(*Conn); ok {
-		conn.expectAnswer()
+// withServerError returns err with the error of the server that caused it. net/http may return
+// the error of the write that an invalid answer ended.
+func withServerError(err error, conn *Conn) error {
+	if conn == nil {
+		return err
 	}
+	cause := conn.serverError()
+	if cause == nil || errors.Is(err, cause) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", cause, err)
 }
+
+// CloseIdleConnections closes the connections that are not in use.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/internal/httpconn/transport_test.go
+++ b/internal/httpconn/transport_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -162,3 +163,54 @@
 	_, err = readWhole(t.Context(), client, listener.Addr().String(), 10)
 	g.Expect(err).To(MatchError(httpconn.ErrInvalid))
 }
+
+// lateBody is the body of a request that is first read while its connection is being closed.
+type lateBody struct {
+	connClosed, bodyClosed chan struct{}
+	once                   sync.Once
+}
+
+func (b *lateBody) Read(p []byte) (int, error) {
+	<-b.connClosed
+	return len(p), nil
+}
+
+func (b *lateBody) Close() error {
+	b.once.Do(func() { close(b.bodyClosed) })
+	return nil
+}
+
+// lateConn is a connection whose Close returns once the body's write has failed.
+type lateConn struct {
+	net.Conn
+	body *lateBody
+	once sync.Once
+}
+
+func (c *lateConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() { close(c.body.connClosed) })
+	<-c.body.bodyClosed
+	return err
+}
+
+// Guards against a failure of the server that looks like one of the client's own connection: the
+// write that an invalid answer ends.
+func TestTransportReportsInvalidAnswerNotTheWriteThatItEnds(t *testing.T) {
+	g := NewWithT(t)
+	address := serveText(t, "HTTP/1.1 000 \r\nContent-Length: 3\r\n\r\n123")
+	for range 100 {
+		body := &lateBody{connClosed: make(chan struct{}), bodyClosed: make(chan struct{})}
+		client := &http.Client{Transport: httpconn.NewTransport(&http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				raw, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				return &lateConn{Conn: raw, body: body}, err
+			},
+		})}
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/", body)
+		g.Expect(err).NotTo(HaveOccurred())
+		r.ContentLength = uploadBytes
+		_, err = client.Do(r)
+		g.Expect(err).To(MatchError(httpconn.ErrInvalid))
+	}
+}
