httpconntest: an endless answer does not end before the deadline

Seen here on an idle machine, 2 of 3 runs: TestEndlessAnswersAreBounded/body, streamed got a whole answer of 1,073,744,000 bytes. No fault of the product: the stand-in stops after 1 GB and closes in order, which a fast machine reaches within the second that the test gives; a body without a length is complete then. The test kept all of it: 6.2 GB, and one of 12 processes side by side was killed.

Now the stand-in pauses 1 ms between writes after 128 MB, more than any reader accepts, so that the deadline comes first wherever the reader has no bound of its own; the test keeps 1 MB.

--- a/internal/gateway/upstream/invalid_test.go
+++ b/internal/gateway/upstream/invalid_test.go
@@ -24,6 +24,9 @@
 	"streamed": {Names: names, MaxBufferedBytes: 1},
 }
 
+// maxKeptBytes bounds what readWhole returns of an answer.
+const maxKeptBytes = 1 << 20
+
 // readWhole exchanges a request on a new connection and reads the answer to its end.
 func readWhole(ctx context.Context, t *testing.T, o upstream.Options, address string, r upstream.Request) (string, *verdict.Error) {
 	t.Helper()
@@ -50,7 +53,9 @@
 		if err != nil {
 			return body.String(), err.(*verdict.Error)
 		}
-		body.Write(piece)
+		if body.Len() < maxKeptBytes {
+			body.Write(piece)
+		}
 	}
 	return body.String(), nil
 }
--- a/internal/httpconn/httpconntest/httpconntest.go
+++ b/internal/httpconn/httpconntest/httpconntest.go
@@ -19,8 +19,15 @@
 	"time"
 )
 
-// maxEndlessBytes bounds what WriteEndlessly writes if nobody closes the connection.
-const maxEndlessBytes = 1 << 30
+const (
+	// maxEndlessBytes bounds what WriteEndlessly writes if nobody closes the connection.
+	maxEndlessBytes = 1 << 30
+	// fastEndlessBytes is what it writes as fast as it can, which is more than any reader
+	// accepts. After that it pauses between two writes, so that a reader without a bound of
+	// its own does not reach the end before its deadline.
+	fastEndlessBytes = 128 << 20
+	endlessPause     = time.Millisecond
+)
 
 // Invalid returns answers that are none, by what is wrong with them. Each has the given
 // fields, lines with their ends, and most would be read as complete, with the body "10", by a
@@ -142,6 +149,9 @@
 		if err != nil {
 			break
 		}
+		if written > fastEndlessBytes {
+			time.Sleep(endlessPause)
+		}
 	}
 	return written
 }
