--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -136,7 +136,7 @@
 			return nil
 		}
 		if h.at == 0 {
-			return unless(false, "version")
+			return invalid("version")
 		}
 		h.at, h.status, h.state = 0, 0, inStatus
 		return h.nextOfStatus(b)
@@ -144,7 +144,7 @@
 		return h.nextOfStatus(b)
 	case afterStatus:
 		if b != ' ' && b != '\r' && b != '\n' {
-			return unless(false, "status")
+			return invalid("status")
 		}
 		h.state = inReason
 		return h.nextOfText(b)
@@ -155,7 +155,7 @@
 
 func (h *head) nextOfProtocol(b byte) error {
 	if b != protocol[h.at] {
-		return unless(false, "protocol")
+		return invalid("protocol")
 	}
 	h.at++
 	if h.at == len(protocol) {
@@ -166,7 +166,7 @@
 
 func (h *head) nextOfStatus(b byte) error {
 	if !isDigit(b) {
-		return unless(false, "status")
+		return invalid("status")
 	}
 	h.status = 10*h.status + int(b-'0')
 	h.at++
@@ -176,7 +176,10 @@
 	h.fields, h.state = 0, afterStatus
 	// No request asks for another protocol, so no answer may switch to one.
 	valid := h.status >= minStatus && h.status <= maxStatus && h.status != http.StatusSwitchingProtocols
-	return unless(valid, fmt.Sprintf("status %03d", h.status))
+	if !valid {
+		return invalid(fmt.Sprintf("status %03d", h.status))
+	}
+	return nil
 }
 
 // beginLine takes the first byte behind a line end.
@@ -205,7 +208,7 @@
 		return unless(isToken[b], "field name")
 	}
 	if h.at == 0 {
-		return unless(false, "field name")
+		return invalid("field name")
 	}
 	h.state = inValue
 	// A version without transfer codings can't frame an answer by one (RFC 9112, 6.1).
@@ -230,7 +233,7 @@
 // endLine takes the byte behind a carriage return.
 func (h *head) endLine(b byte) error {
 	if b != '\n' {
-		return unless(false, "line end")
+		return invalid("line end")
 	}
 	if h.state == atHeadEnd {
 		h.endHead()
@@ -252,9 +255,11 @@
 	if valid {
 		return nil
 	}
-	return fmt.Errorf("%w: %s", ErrInvalid, part)
+	return invalid(part)
 }
 
+func invalid(part string) error { return fmt.Errorf("%w: %s", ErrInvalid, part) }
+
 const deleteByte = 0x7f
 
 func isText(b byte) bool { return b >= ' ' && b != deleteByte }
