--- a/internal/standin/faultproxy/faultproxy.go
+++ b/internal/standin/faultproxy/faultproxy.go
@@ -63,14 +63,21 @@
 	fault   Fault
 	changed chan struct{} // closed and renewed when the fault changes
 	conns   map[*net.TCPConn]Origin
-	// byAddress are the origins of connections by the addresses from which they are passed on.
-	// An entry is overwritten when its port is used again.
-	byAddress map[string]Origin
+	// byAddress are the connections by the addresses from which they are passed on. An entry
+	// is overwritten when its port is used again.
+	byAddress map[string]*passed
 	closed    bool
 	held      int // pieces that are held back
 	origin    func(client, own net.Addr) Origin
 }
 
+// passed is what is known of a connection that is passed on.
+type passed struct {
+	origin Origin
+	// sentAt is when its latest bytes came from its origin.
+	sentAt time.Time
+}
+
 // New listens on a free port of loopback and passes connections on to target.
 func New(target string) (*Proxy, error) {
 	return NewWithOrigins(target, func(net.Addr, net.Addr) Origin { return Origin{} })
@@ -85,7 +92,7 @@
 	}
 	p := &Proxy{
 		listener: listener, target: target, changed: make(chan struct{}), origin: origin,
-		conns: map[*net.TCPConn]Origin{}, byAddress: map[string]Origin{},
+		conns: map[*net.TCPConn]Origin{}, byAddress: map[string]*passed{},
 	}
 	go p.accept()
 	return p, nil
@@ -98,7 +105,21 @@
 func (p *Proxy) OriginOf(address string) Origin {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.byAddress[address]
+	if c, ok := p.byAddress[address]; ok {
+		return c.origin
+	}
+	return Origin{}
+}
+
+// SentAt returns when the latest bytes of the connection that the proxy passes on from an
+// address came from its origin, however long they were held back; zero if it is not known.
+func (p *Proxy) SentAt(address string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.byAddress[address]; ok {
+		return c.sentAt
+	}
+	return time.Time{}
 }
 
 // Set puts a fault in the place of the one before.
@@ -176,13 +197,14 @@
 		return
 	}
 	defer p.drop(server)
-	p.record(server, origin)
+	c := &passed{origin: origin}
+	p.record(server, c)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		p.pass(client, server, func(f Fault) bool { return f.HoldRequests && f.affects(origin) })
+		p.pass(client, server, func() { p.recordSent(c) }, func(f Fault) bool { return f.HoldRequests && f.affects(origin) })
 	}()
-	p.pass(server, client, func(f Fault) bool { return f.HoldAnswers && f.affects(origin) })
+	p.pass(server, client, func() {}, func(f Fault) bool { return f.HoldAnswers && f.affects(origin) })
 	<-done
 }
 
@@ -196,11 +218,17 @@
 	return true
 }
 
-// record keeps the origin of a connection to the target for OriginOf.
-func (p *Proxy) record(server *net.TCPConn, origin Origin) {
+// record keeps a connection to the target for OriginOf and SentAt.
+func (p *Proxy) record(server *net.TCPConn, c *passed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.byAddress[server.LocalAddr().String()] = origin
+	p.byAddress[server.LocalAddr().String()] = c
+}
+
+func (p *Proxy) recordSent(c *passed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.sentAt = time.Now()
 }
 
 func (p *Proxy) drop(conn *net.TCPConn) {
@@ -210,12 +238,15 @@
 	_ = conn.Close()
 }
 
-// pass copies one direction of a connection until it ends. A sender's reset overtakes what
-// is held back; the end of its stream does not.
-func (p *Proxy) pass(from, to *net.TCPConn, held func(Fault) bool) {
+// pass copies one direction of a connection until it ends, and calls read for each piece that
+// came. A sender's reset overtakes what is held back; the end of its stream does not.
+func (p *Proxy) pass(from, to *net.TCPConn, read func(), held func(Fault) bool) {
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
+		if n > 0 {
+			read()
+		}
 		p.hold(1)
 		time.Sleep(p.await(held))
 		p.hold(-1)
--- a/internal/standin/faultproxy/faultproxy_test.go
+++ b/internal/standin/faultproxy/faultproxy_test.go
@@ -141,3 +141,32 @@
 		})
 	}
 }
+
+func TestBytesCountAsSentWhenTheyCameNotWhenTheyWerePassedOn(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	p, err := faultproxy.New(listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(p.Close)
+	p.Set(faultproxy.Fault{HoldRequests: true})
+	conn, err := net.Dial("tcp", p.Address())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = conn.Close() })
+	began := time.Now()
+	_, err = conn.Write([]byte("one\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	server, err := listener.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = server.Close() })
+	address := server.RemoteAddr().String()
+	g.Eventually(func() time.Time { return p.SentAt(address) }, eventual).Should(BeTemporally(">=", began))
+	sent := p.SentAt(address)
+	p.Set(faultproxy.Fault{})
+	line, err := bufio.NewReader(server).ReadString('\n')
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(line).To(Equal("one\n"))
+	g.Expect(p.SentAt(address)).To(Equal(sent))
+	g.Expect(p.SentAt("127.0.0.1:1")).To(BeZero())
+}
