internal/rawjson: one piece of code logs what was left out

The same lines stood in the client of the store, in the box's and where the saved quarantine is read. Messages and attributes are as they were.

--- a/box/store/store.go
+++ b/box/store/store.go
@@ -223,11 +223,7 @@
 
 // decodeList decodes a list. Elements that can't be decoded cost only themselves.
 func (c *Client) decodeList(body []byte, into any) error {
-	skipped, err := rawjson.Unmarshal(body, into)
-	if len(skipped) > 0 {
-		c.log.Error("elements of a list can't be decoded", "count", len(skipped), "first", skipped[0].Error())
-	}
-	return err
+	return rawjson.UnmarshalAndLog(body, into, c.log, "elements of a list can't be decoded")
 }
 
 type result struct {
--- a/internal/gateway/discovery/saved.go
+++ b/internal/gateway/discovery/saved.go
@@ -123,10 +123,7 @@
 		return
 	}
 	f.saved.revision = latest.Revision
-	skipped, err := rawjson.Unmarshal(latest.Body, &f.saved.document)
-	if len(skipped) > 0 {
-		f.options.Log.Error("parts of the saved quarantine can't be decoded", "revision", latest.Revision, "count", len(skipped), "first", skipped[0].Error())
-	}
+	err := rawjson.UnmarshalAndLog(latest.Body, &f.saved.document, f.options.Log, "parts of the saved quarantine can't be decoded", "revision", latest.Revision)
 	if err != nil {
 		f.saved.document = savedDocument{}
 		f.options.Log.Error("decoding the saved quarantine failed; it will be written again", "revision", latest.Revision, "error", err.Error())
--- a/internal/gateway/jsoncall/jsoncall.go
+++ b/internal/gateway/jsoncall/jsoncall.go
@@ -87,10 +87,7 @@
 		return Response{}, err
 	}
 	result := Response{status: response.StatusCode, header: response.Header}
-	skipped, err := rawjson.Unmarshal(content, into)
-	if len(skipped) > 0 {
-		c.log.Error("elements of a list can't be decoded", "path", path, "count", len(skipped), "first", skipped[0].Error())
-	}
+	err = rawjson.UnmarshalAndLog(content, into, c.log, "elements of a list can't be decoded", "path", path)
 	if err != nil && response.StatusCode < http.StatusMultipleChoices {
 		return result, fmt.Errorf("decoding a response with status %d: %w", response.StatusCode, err)
 	}
--- a/internal/rawjson/rawjson.go
+++ b/internal/rawjson/rawjson.go
@@ -14,6 +14,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"reflect"
 	"strings"
 )
@@ -35,6 +36,15 @@
 	return d.skipped, err
 }
 
+// UnmarshalAndLog is Unmarshal that logs what was left out, if anything, with more attributes.
+func UnmarshalAndLog(document []byte, into any, log *slog.Logger, message string, attributes ...any) error {
+	skipped, err := Unmarshal(document, into)
+	if len(skipped) > 0 {
+		log.Error(message, append(attributes, "count", len(skipped), "first", skipped[0].Error())...)
+	}
+	return err
+}
+
 type decoder struct{ skipped []error }
 
 func (d *decoder) decode(raw []byte, into reflect.Value) error {
