--- a/internal/rawjson/rawjson.go
+++ b/internal/rawjson/rawjson.go
@@ -27,7 +27,7 @@
 // Unmarshal decodes a document into the value that into points to. skipped holds an error for
 // each element of a list that was left out.
 func Unmarshal(document []byte, into any) (skipped []error, err error) {
-	d := decoder{}
+	d := decoder{fields: map[reflect.Type]map[string]int{}}
 	value := reflect.ValueOf(into)
 	if value.Kind() != reflect.Pointer || value.IsNil() {
 		return nil, json.Unmarshal(document, into) // which explains the error
@@ -45,7 +45,11 @@
 	return err
 }
 
-type decoder struct{ skipped []error }
+type decoder struct {
+	skipped []error
+	// fields are those of the structs that were met, since a list has many of one type.
+	fields map[reflect.Type]map[string]int
+}
 
 func (d *decoder) decode(raw []byte, into reflect.Value) error {
 	switch {
@@ -68,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	fields := fieldsOf(into.Type())
+	fields := d.fieldsOf(into.Type())
 	for _, m := range members {
 		var name string
 		if err := json.Unmarshal(m.name, &name); err != nil {
@@ -104,7 +108,10 @@
 }
 
 // fieldsOf returns the index of each field that can be decoded, by its name in documents.
-func fieldsOf(t reflect.Type) map[string]int {
+func (d *decoder) fieldsOf(t reflect.Type) map[string]int {
+	if fields, ok := d.fields[t]; ok {
+		return fields
+	}
 	fields := map[string]int{}
 	for i := range t.NumField() {
 		f := t.Field(i)
@@ -117,5 +124,6 @@
 		}
 		fields[name] = i
 	}
+	d.fields[t] = fields
 	return fields
 }
