--- a/internal/gateway/forward/sending.go
+++ b/internal/gateway/forward/sending.go
@@ -47,8 +47,8 @@
 	s.svc.endSend(now, target, result.outcome)
 	s.judgement.ended(result.outcome, took)
 	if result.outcome == outcome.Served {
-		s.svc.recordDuration(s.req.route, now.Sub(s.began))
-		s.svc.answered(s.req.route, estimate.Answer{Took: max(took-s.chosen.RoundTrip, 0), Bytes: result.answer.BytesRead(), Report: s.chosen.Report, Cold: s.chosen.Cold})
+		answer := estimate.Answer{Took: max(took-s.chosen.RoundTrip, 0), Bytes: result.answer.BytesRead(), Report: s.chosen.Report, Cold: s.chosen.Cold}
+		s.svc.answered(s.req.route, answer, now.Sub(s.began))
 	}
 	described := s.balancer.describe(s.chosen, s.began, now, result.name())
 	if result.answer != nil {
--- a/internal/gateway/forward/service.go
+++ b/internal/gateway/forward/service.go
@@ -171,20 +171,14 @@
 	}
 }
 
-// answered learns from a request that was served.
-func (s *service) answered(route *routing.Route, a estimate.Answer) {
+// answered learns from a request that was served, and whose caller had the answer after some time.
+func (s *service) answered(route *routing.Route, a estimate.Answer, after time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.estimate.RecordDuration(route.Name, after)
 	s.estimate.RecordAnswer(route, a)
 }
 
-// recordDuration learns how long a request took until its caller had the answer.
-func (s *service) recordDuration(route *routing.Route, took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.estimate.RecordDuration(route.Name, took)
-}
-
 func (s *service) longest(route *routing.Route) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
