--- a/core/gateway/catalog/rollout.go
+++ b/core/gateway/catalog/rollout.go
@@ -68,8 +68,8 @@
 // MaxRolloutTime may stand for any longer time.
 const MaxRolloutTime = 365 * 24 * time.Hour
 
-// maxPermille is the whole of the requests.
-const maxPermille = 1000
+// FullShare is the share of all requests, in thousandths.
+const FullShare = 1000
 
 // errRolloutRange means that a number of a rollout makes no sense, errRolloutName that its
 // service or version is missing.
@@ -85,7 +85,7 @@
 		return errRolloutName
 	}
 	valid := r.Within >= 0 && r.Within <= MaxRolloutTime && r.Elapsed >= 0 && r.Elapsed <= MaxRolloutTime &&
-		r.Permille >= 0 && r.Permille <= maxPermille
+		r.Permille >= 0 && r.Permille <= FullShare
 	if !valid {
 		return errRolloutRange
 	}
--- a/core/gateway/rollout/assign.go
+++ b/core/gateway/rollout/assign.go
@@ -10,7 +10,7 @@
 )
 
 // FullShare is the share of all requests, in thousandths.
-const FullShare = 1000
+const FullShare = catalog.FullShare
 
 // Assignment holds the targets of a service that take requests while one of its versions is on
 // trial.
