internal/httpconn: one error says how reading ended

A connection kept it twice: for its reader, and for the transport that reports it. What callers get is as it was: the race detector, and eight processes side by side with 100 runs each of the two tests of it, found nothing.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -59,13 +59,11 @@
 	writing chan struct{}
 	broken  error
 	// failed is the error that reading ended with.
-	failed error
-	// holdErrors delays the error of a write until reading has ended; ended is closed then, and
-	// cause is the error that reading ended with, nil after Close.
+	failed atomic.Pointer[error]
+	// holdErrors delays the error of a write until reading has ended; ended is closed then.
 	holdErrors bool
 	ended      chan struct{}
 	isEnded    atomic.Bool
-	cause      error
 }
 
 // New returns a Conn that uses raw.
@@ -105,8 +103,8 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.failed != nil {
-		return 0, c.failed
+	if failed := c.failed.Load(); failed != nil {
+		return 0, *failed
 	}
 	n, err := c.Conn.Read(p)
 	if checked, invalid := c.check(p[:n]); invalid != nil {
@@ -116,12 +114,17 @@
 		err = c.endOfStream()
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.failed = err
-		c.end(err)
+		c.fail(err)
 	}
 	return n, err
 }
 
+// fail ends reading with an error.
+func (c *Conn) fail(err error) {
+	c.failed.Store(&err)
+	c.end()
+}
+
 // check checks bytes that were read, and returns how many of them may be passed on.
 func (c *Conn) check(p []byte) (int, error) {
 	if !c.expects.Load() {
@@ -187,27 +190,25 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	c.end(nil)
+	c.end()
 	return c.Conn.Close()
 }
 
-// end records that nothing more is read, and why.
-func (c *Conn) end(cause error) {
+// end records that nothing more is read.
+func (c *Conn) end() {
 	if c.isEnded.CompareAndSwap(false, true) {
-		c.cause = cause
 		close(c.ended)
 	}
 }
 
 // serverError returns the error that reading ended with if the server is to blame for it.
 func (c *Conn) serverError() error {
-	select {
-	case <-c.ended:
-	default:
+	failed := c.failed.Load()
+	if failed == nil {
 		return nil
 	}
-	if errors.Is(c.cause, ErrInvalid) || errors.Is(c.cause, ErrHeadTooLong) || errors.Is(c.cause, ErrReset) {
-		return c.cause
+	if errors.Is(*failed, ErrInvalid) || errors.Is(*failed, ErrHeadTooLong) || errors.Is(*failed, ErrReset) {
+		return *failed
 	}
 	return nil
 }
