--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -181,13 +181,17 @@
 	c.writing <- struct{}{}
 	defer func() { <-c.writing }()
 	n, err := write()
-	var errno syscall.Errno
-	if errors.As(err, &errno) && errno != syscall.EPIPE {
+	if err != nil && isBreak(err) {
 		c.broken = err
 	}
 	return n, err
 }
 
+func isBreak(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EPIPE
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.end()
