--- a/e2e/gateway/fatal_test.go
+++ b/e2e/gateway/fatal_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"syscall"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -108,18 +107,12 @@
 func (d *deployment) restart(t *testing.T, gateways ...*process) {
 	t.Helper()
 	g := NewWithT(t)
+	killAll(gateways)
 	for _, p := range gateways {
-		p.signal(syscall.SIGKILL)
-	}
-	for _, p := range gateways {
-		_ = p.wait() // it was killed
 		g.Expect(os.Truncate(p.log, 0)).To(Succeed())
 	}
+	startAll(g, gateways)
 	for _, p := range gateways {
-		p.start()
-	}
-	for _, p := range gateways {
-		g.Eventually(p.ready, eventual).Should(BeTrue())
 		g.Eventually(p.logged, eventual).Should(ContainSubstring("request quarantined"))
 	}
 }
--- a/e2e/gateway/process_test.go
+++ b/e2e/gateway/process_test.go
@@ -265,6 +265,26 @@
 	return d
 }
 
+// killAll ends some gateways at the same moment.
+func killAll(gateways []*process) {
+	for _, p := range gateways {
+		p.signal(syscall.SIGKILL)
+	}
+	for _, p := range gateways {
+		_ = p.wait() // it ends as it was killed
+	}
+}
+
+// startAll starts some gateways and returns once they are ready.
+func startAll(g *WithT, gateways []*process) {
+	for _, p := range gateways {
+		p.start()
+	}
+	for _, p := range gateways {
+		g.Eventually(p.ready, eventual).Should(BeTrue())
+	}
+}
+
 func (d *deployment) configure(version int, extra ...string) {
 	rules := []storetest.Object{}
 	for _, prefix := range append([]string{"/read/", "/book/"}, extra...) {
--- a/e2e/gateway/rollout_test.go
+++ b/e2e/gateway/rollout_test.go
@@ -118,36 +118,16 @@
 	tr.end(t)
 }
 
-// killAll ends all gateways at the same moment.
-func (r *rollout) killAll() {
-	for _, p := range r.gateways {
-		p.signal(syscall.SIGKILL)
-	}
-	for _, p := range r.gateways {
-		_ = p.wait() // it ends as it was killed
-	}
-}
-
-// startAll starts all gateways and returns once they are ready.
-func (r *rollout) startAll(g *WithT) {
-	for _, p := range r.gateways {
-		p.start()
-	}
-	for _, p := range r.gateways {
-		g.Eventually(p.ready, eventual).Should(BeTrue())
-	}
-}
-
 // Guards against a roll-back that no gateway can read, because the order's age was not known.
 func TestAnOrderFromBeforeAllGatewaysStartedIsRolledBackForGood(t *testing.T) {
 	g := NewWithT(t)
 	r := newBeforeRollout(t, 3)
-	r.killAll()
+	killAll(r.gateways)
 	r.order(t, false)
-	r.startAll(g)
+	startAll(g, r.gateways)
 	g.Eventually(r.state, eventual).Should(Equal("rolled_back"))
-	r.killAll()
-	r.startAll(g)
+	killAll(r.gateways)
+	startAll(g, r.gateways)
 	tr := r.traffic(6)
 	tr.progress(g)
 	tr.end(t)
