--- a/box/box.go
+++ b/box/box.go
@@ -72,6 +72,7 @@
 	// reconfiguring is held while a configuration is put in force.
 	reconfiguring sync.Mutex
 	draining      atomic.Bool
+	stopsAt       atomic.Pointer[time.Time] // nil while it does not stop
 	stop          context.CancelFunc
 	listeners     listeners
 }
@@ -183,7 +184,7 @@
 	b.entry = entry.New(entry.Options{
 		Broker: b.broker, Runner: b.runner, Telemetry: b.telemetry, Clock: o.Clock, Log: b.log,
 		Limits:   entry.Limits{BufferBytes: s.BufferBytes, BodyBytes: s.BodyBytes, OnceBytes: s.OnceBytes},
-		MaxBoxes: s.MaxBoxes, Draining: b.draining.Load, Dial: o.DialTarget,
+		MaxBoxes: s.MaxBoxes, Draining: b.draining.Load, StopsAt: b.stopsAt.Load, Dial: o.DialTarget,
 	})
 }
 
--- a/box/run.go
+++ b/box/run.go
@@ -145,6 +145,8 @@
 	<-ctx.Done()
 	ctx = context.WithoutCancel(ctx)
 	b.log.Info("draining", "lag_ms", b.settings.DrainLagMS)
+	stopsAt := b.options.Clock().Add(time.Duration(b.settings.DrainLagMS+b.settings.StopWithinMS) * time.Millisecond)
+	b.stopsAt.Store(&stopsAt)
 	b.draining.Store(true)
 	b.members.SetLeaving()
 	b.home.Close(b.settings.ID)
--- a/e2e/box/stop_test.go
+++ b/e2e/box/stop_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/sprucecrank/sprucecrank/box"
 	"github.com/sprucecrank/sprucecrank/box/store"
 	"github.com/sprucecrank/sprucecrank/internal/standin/platformsim"
 	"github.com/sprucecrank/sprucecrank/internal/standin/targetsim"
@@ -144,6 +145,27 @@
 		Expect(string(f.platform.Objects("once/")[0].Value)).To(ContainSubstring(`"state":"done"`))
 	})
 
+	// Guards against requests that a box takes during its stop, passes on, and cuts at the end of it.
+	It("takes no request whose deadline comes after it", func() {
+		kinds := `[{"name":"short","weight":1,"mode":"single","deadline_ms":1500,"usual_ms":10},{"name":"long","weight":1,"mode":"single","deadline_ms":9000,"usual_ms":10}]`
+		p := f.start("box-1", "north", func(s *box.Settings) { s.DrainLagMS, s.StopWithinMS = 500, 1500 }).ready()
+		f.submit("work", kinds, `headers["x-mark"] == "long" ? "long" : "short"`)
+		p.stop()
+		Eventually(func() int { return statusOf("http://" + p.settings.AdminListen + "/readyz") }).ShouldNot(Equal(http.StatusNoContent))
+		ask := func(path, mark, work string) answer {
+			return ask(context.Background(), client(), http.MethodGet, "http://"+p.settings.Listen+path, map[string]string{"X-Mark": mark, "X-Work-Ms": work}, "")
+		}
+		long := ask("/work/long", "long", "4000")
+		Expect(long.err).NotTo(HaveOccurred())
+		Expect(long.verdict).To(Equal("not-run"))
+		Expect(long.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(f.runs("long")).To(Equal(0))
+		short := ask("/work/short", "short", "10")
+		Expect(short.err).NotTo(HaveOccurred())
+		Expect(short.status).To(Equal(http.StatusOK))
+		Eventually(p.exited).Should(BeClosed())
+	})
+
 	It("of a target cuts no request and it gets no new work", func() {
 		f.startBoxes(2)
 		f.submit("look", lookKinds, `"look"`)
--- a/internal/box/entry/handler.go
+++ b/internal/box/entry/handler.go
@@ -58,6 +58,9 @@
 	// Draining says whether the box is stopping; then connections are closed
 	// after their answer.
 	Draining func() bool
+	// StopsAt says when the box cuts off what is still in flight; nil, or a function that returns
+	// nil, while it does not stop.
+	StopsAt func() *time.Time
 	// Dial opens connections to targets; nil means TCP.
 	Dial resetconn.Dial
 }
@@ -72,6 +75,9 @@
 
 // New makes a handler without routes.
 func New(o Options) *Handler {
+	if o.StopsAt == nil {
+		o.StopsAt = func() *time.Time { return nil }
+	}
 	h := &Handler{options: o, transports: newTransports(o.Dial), budgets: newBudgets()}
 	h.routes.Store(NewRoutes(nil))
 	return h
@@ -159,6 +165,9 @@
 		return failure
 	}
 	x.deadline = deadline(x.in, x.began, x.kind.Deadline())
+	if at := h.options.StopsAt(); at != nil && x.deadline.After(*at) {
+		return verdict.New(verdict.NotRun, verdict.ReasonNotReady, "the box stops before the request's deadline").WithRetryAfter(shedPauseDefault)
+	}
 	return nil
 }
 
